--- a/src/libraries/decisions/snapshot.h
+++ b/src/libraries/decisions/snapshot.h
@@ -1,6 +1,7 @@
 /// Everything that a decision depends on, at one moment. Plain values: no clock, socket or thread.
 #pragma once
 
+#include <map>
 #include <vector>
 
 #include "libraries/base/ids.h"
@@ -62,6 +63,8 @@
 struct Snapshot {
   std::vector<WorkspaceSpec> workspaces;
   ZoneTable zones;
+  /// Since each zone was last taken out or brought back; a zone that is not named never was.
+  std::map<ZoneId, Milliseconds> zone_unchanged_for;
   std::vector<WorkerView> workers;
   std::vector<GangView> gangs;
   /// In the order of submission.
--- a/src/services/commands.h
+++ b/src/services/commands.h
@@ -16,6 +16,7 @@
 void AddJobCommands(CLI::App& app, CommandContext& context);
 void AddCallCommand(CLI::App& app, CommandContext& context);
 void AddObserveCommands(CLI::App& app, CommandContext& context);
+void AddLabCommands(CLI::App& app, CommandContext& context);
 void AddStandInCommands(CLI::App& app, CommandContext& context);
 
 }  // namespace papayalift
--- a/src/services/main.cc
+++ b/src/services/main.cc
@@ -27,6 +27,7 @@
   papayalift::AddJobCommands(app, context);
   papayalift::AddCallCommand(app, context);
   papayalift::AddObserveCommands(app, context);
+  papayalift::AddLabCommands(app, context);
   papayalift::AddStandInCommands(app, context);
   try {
     app.parse(argc, argv);
