Decisions: Add the baselines backfill and static

The library knew only first fit with and without skipping, and gave no way to look ahead.

A policy now also names a run time estimate and a borrow rule. EASY backfill reserves, for the first job that does not fit, the zone where by declared times it has room soonest; others start where they end before that or leave the reserved accelerators alone. The static policy caps each workspace at the accelerators it is guaranteed. The capacity map groups workers by zone and rack once, without comparing names, and is cheap to copy so that a step can be tried out.

--- a/src/libraries/decisions/capacity_map.h
+++ b/src/libraries/decisions/capacity_map.h
@@ -1,7 +1,8 @@
 /// Which accelerators of each worker are free, and what placing or removing a gang would change.
 #pragma once
 
-#include <map>
+#include <cstddef>
+#include <memory>
 #include <vector>
 
 #include "libraries/decisions/snapshot.h"
@@ -13,21 +14,44 @@
   AcceleratorSet free;
 };
 
+/// Positions `begin` to `end` - 1 of workers(): the workers of one rack or one zone.
+struct WorkerRange {
+  std::size_t begin = 0;
+  std::size_t end = 0;
+};
+
+struct ZoneRange {
+  ZoneId zone;
+  WorkerRange workers;
+  std::vector<WorkerRange> racks;
+};
+
+/// Cheap to copy, so that a step can be tried out.
 class CapacityMap {
  public:
-  /// Takes workers in service only; `snapshot` must outlive the map.
+  /// Takes healthy workers in service, with every gang of `snapshot` held. `snapshot` must outlive
+  /// the map.
   static CapacityMap Of(const Snapshot& snapshot);
+  /// The same workers with no gang held.
+  static CapacityMap WithoutGangs(const Snapshot& snapshot);
 
   void Hold(const std::vector<TaskPlacement>& tasks);
   void Release(const std::vector<TaskPlacement>& tasks);
 
+  /// Whether all accelerators of `tasks` are free.
+  bool IsFree(const std::vector<TaskPlacement>& tasks) const;
+  /// Nothing where the worker is not in service.
+  const WorkerCapacity* Find(const WorkerId& worker) const;
+
   /// Grouped by zone and rack, in a fixed order.
-  std::vector<WorkerCapacity>& workers() { return m_workers; }
   const std::vector<WorkerCapacity>& workers() const { return m_workers; }
+  const std::vector<ZoneRange>& zones() const;
 
  private:
+  struct Index;
+
   std::vector<WorkerCapacity> m_workers;
-  std::map<WorkerId, std::size_t> m_position;
+  std::shared_ptr<const Index> m_index;
 };
 
 }  // namespace papayalift
--- a/src/libraries/decisions/decide.cc
+++ b/src/libraries/decisions/decide.cc
@@ -4,6 +4,10 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <utility>
+
+#include "libraries/decisions/reservation.h"
 
 namespace papayalift {
 
@@ -46,15 +50,52 @@
     if (!FitsQuota(job)) {
       return;
     }
-    const std::optional<PlacementChoice> choice = m_policy.placer->Place(job.shape, m_capacity);
-    if (!choice) {
-      Wait(job, WaitCause::kCapacity,
-           fmt::format("no zone in service has {} times {} adjacent accelerators free",
-                       job.shape.tasks.value(), job.shape.accelerators_per_task.value()));
-      m_blocked = m_policy.queue_rule == QueueRule::kStopAtFirst;
+    const std::optional<PlacementChoice> choice = ChoosePlace(job);
+    if (choice) {
+      Start(job, *choice);
+      return;
+    }
+    WaitForCapacity(job);
+  }
+
+  std::optional<PlacementChoice> ChoosePlace(const WaitingJob& job) const {
+    if (!m_reservation) {
+      return m_policy.placer->Place(job.shape, m_capacity);
+    }
+    const bool ends_in_time = m_policy.estimate->WholeOf(job) <= m_reservation->available_in;
+    if (ends_in_time) {
+      return m_policy.placer->Place(job.shape, m_capacity);
+    }
+    CapacityMap rest = m_capacity;
+    rest.Hold(m_reservation->place.tasks);
+    return m_policy.placer->Place(job.shape, rest);
+  }
+
+  void WaitForCapacity(const WaitingJob& job) {
+    if (m_reservation) {
+      Wait(job, WaitCause::kBehindLargerGang,
+           fmt::format("no room beside what job '{}' will need", m_reservation->job.text()));
       return;
     }
-    Start(job, *choice);
+    Wait(job, WaitCause::kCapacity,
+         fmt::format("no zone in service has {} times {} adjacent accelerators free",
+                     job.shape.tasks.value(), job.shape.accelerators_per_task.value()));
+    m_blocked = m_policy.queue_rule == QueueRule::kStopAtFirst;
+    if (m_policy.queue_rule == QueueRule::kReserveForFirst) {
+      m_reservation = FindReservation(
+          job, ReservationInput{m_snapshot, m_capacity, *m_policy.placer, *m_policy.estimate});
+    }
+  }
+
+  AcceleratorCount MostOf(const WorkspaceSpec& workspace) const {
+    if (m_policy.borrow_rule == BorrowRule::kUpToQuota) {
+      return workspace.quota;
+    }
+    AcceleratorCount guaranteed;
+    for (const Guarantee& guarantee : workspace.guarantees) {
+      guaranteed += AcceleratorCount(guarantee.count * guarantee.shape.Total().value());
+    }
+    return std::min(guaranteed, workspace.quota);
   }
 
   bool FitsQuota(const WaitingJob& job) {
@@ -65,10 +106,11 @@
       Wait(job, WaitCause::kNeverFits, "the bundle in force does not declare its workspace");
       return false;
     }
-    if (m_used[job.workspace] + job.shape.Total() > workspace->quota) {
+    const AcceleratorCount most = MostOf(*workspace);
+    if (m_used[job.workspace] + job.shape.Total() > most) {
       Wait(job, WaitCause::kQuota,
            fmt::format("workspace '{}' holds {} of its {} accelerators", job.workspace.text(),
-                       m_used[job.workspace].value(), workspace->quota.value()));
+                       m_used[job.workspace].value(), most.value()));
       return false;
     }
     return true;
@@ -91,6 +133,7 @@
   CapacityMap m_capacity;
   std::map<WorkspaceId, AcceleratorCount> m_used;
   Decision m_decision;
+  std::optional<Reservation> m_reservation;
   bool m_blocked = false;
 };
 
--- a/src/libraries/decisions/first_fit.h
+++ b/src/libraries/decisions/first_fit.h
@@ -7,8 +7,8 @@
 
 class FirstFit final : public Placer {
  public:
-  std::optional<PlacementChoice> Place(const Shape& shape,
-                                       const CapacityMap& capacity) const override;
+  std::optional<PlacementChoice> PlaceInZone(const Shape& shape, const CapacityMap& capacity,
+                                             const ZoneRange& zone) const override;
 };
 
 }  // namespace papayalift
--- a/src/libraries/decisions/policy.h
+++ b/src/libraries/decisions/policy.h
@@ -8,17 +8,32 @@
 #include "absl/status/statusor.h"
 #include "libraries/decisions/placer.h"
 #include "libraries/decisions/queue_order.h"
+#include "libraries/decisions/run_time_estimate.h"
 
 namespace papayalift {
 
 /// What a pass does once the first waiting job does not fit.
-enum class QueueRule { kStopAtFirst, kSkip };
+enum class QueueRule {
+  kStopAtFirst,
+  /// Reserves room for it; others start where by the estimate they don't delay it.
+  kReserveForFirst,
+  kSkip,
+};
+
+/// What a workspace may hold beside its guarantees.
+enum class BorrowRule {
+  kUpToQuota,
+  /// As many accelerators as it is guaranteed, and no more.
+  kNothing,
+};
 
 struct Policy {
   std::string name;
   std::shared_ptr<const QueueOrder> order;
   std::shared_ptr<const Placer> placer;
+  std::shared_ptr<const RunTimeEstimate> estimate;
   QueueRule queue_rule = QueueRule::kSkip;
+  BorrowRule borrow_rule = BorrowRule::kUpToQuota;
 };
 
 /// kNotFound names the policies there are.
--- a/src/libraries/decisions/policy_table.cc
+++ b/src/libraries/decisions/policy_table.cc
@@ -10,9 +10,13 @@
 std::vector<Policy> BuildPolicies() {
   const std::shared_ptr<const QueueOrder> submission = std::make_shared<SubmissionOrder>();
   const std::shared_ptr<const Placer> first_fit = std::make_shared<FirstFit>();
+  const std::shared_ptr<const RunTimeEstimate> declared = std::make_shared<DeclaredRunTime>();
   return {
-      Policy{"papaya", submission, first_fit, QueueRule::kSkip},
-      Policy{"fifo", submission, first_fit, QueueRule::kStopAtFirst},
+      {"papaya", submission, first_fit, declared, QueueRule::kSkip, BorrowRule::kUpToQuota},
+      {"fifo", submission, first_fit, declared, QueueRule::kStopAtFirst, BorrowRule::kUpToQuota},
+      {"backfill", submission, first_fit, declared, QueueRule::kReserveForFirst,
+       BorrowRule::kUpToQuota},
+      {"static", submission, first_fit, declared, QueueRule::kSkip, BorrowRule::kNothing},
   };
 }
 
--- /dev/null
+++ b/src/libraries/decisions/reservation.cc
@@ -0,0 +1,74 @@
+#include "libraries/decisions/reservation.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace papayalift {
+
+namespace {
+
+struct ExpectedEnd {
+  Milliseconds in{0};
+  const GangView* gang = nullptr;
+};
+
+std::vector<ExpectedEnd> EndsIn(const ZoneId& zone, const ReservationInput& input) {
+  std::vector<ExpectedEnd> ends;
+  for (const GangView& gang : input.snapshot.gangs) {
+    if (gang.zone == zone) {
+      const bool stopping = gang.phase == PlacementPhase::kStopping;
+      ends.push_back({stopping ? Milliseconds{0} : input.estimate.RemainingOf(gang), &gang});
+    }
+  }
+  std::stable_sort(ends.begin(), ends.end(), [](const ExpectedEnd& left, const ExpectedEnd& right) {
+    return left.in < right.in;
+  });
+  return ends;
+}
+
+/// A copy of the capacity after the first `count` ends.
+CapacityMap After(const std::vector<ExpectedEnd>& ends, std::size_t count,
+                  const CapacityMap& capacity) {
+  CapacityMap later = capacity;
+  for (std::size_t index = 0; index < count; ++index) {
+    later.Release(ends[index].gang->tasks);
+  }
+  return later;
+}
+
+std::optional<Reservation> FindInZone(const WaitingJob& job, const ZoneRange& zone,
+                                      const ReservationInput& input) {
+  const std::vector<ExpectedEnd> ends = EndsIn(zone.zone, input);
+  if (!input.placer.PlaceInZone(job.shape, After(ends, ends.size(), input.capacity), zone)) {
+    return std::nullopt;
+  }
+  // Room only grows with each end, so the first count that suffices is found by halving.
+  std::size_t low = 0;
+  std::size_t high = ends.size();
+  while (low < high) {
+    const std::size_t middle = (low + high) / 2;
+    const bool fits =
+        input.placer.PlaceInZone(job.shape, After(ends, middle, input.capacity), zone).has_value();
+    (fits ? high : low) = fits ? middle : middle + 1;
+  }
+  std::optional<PlacementChoice> place =
+      input.placer.PlaceInZone(job.shape, After(ends, low, input.capacity), zone);
+  const Milliseconds available_in = low == 0 ? Milliseconds{0} : ends[low - 1].in;
+  return Reservation{job.job, *std::move(place), available_in};
+}
+
+}  // namespace
+
+std::optional<Reservation> FindReservation(const WaitingJob& job, const ReservationInput& input) {
+  std::optional<Reservation> best;
+  for (const ZoneRange& zone : input.capacity.zones()) {
+    std::optional<Reservation> found = FindInZone(job, zone, input);
+    if (found && (!best || found->available_in < best->available_in)) {
+      best = std::move(found);
+    }
+  }
+  return best;
+}
+
+}  // namespace papayalift
