Decisions: Prove guarantees before placing and reclaim what was lent

The policy papaya was first fit with skipping: nothing kept a guaranteed shape reclaimable, and nothing was ever reclaimed.

A pass now has two stages. Jobs inside an unused guarantee come first: on free accelerators where a packing of all other unused guarantees over free and borrowed capacity still exists, else by stopping borrowed gangs (fewest, then least work lost), with the accelerators set aside for the rest of this and every later pass. Everything else borrows in the order of attained service, with room reserved for the first gang that does not fit. Packing goes by counts of places, which is exact for power-of-two tasks, and run by run otherwise, both within a bounded number of steps.

--- a/src/libraries/decisions/capacity_map.cc
+++ b/src/libraries/decisions/capacity_map.cc
@@ -113,6 +113,21 @@
   }
 }
 
+void CapacityMap::HoldAll(const ZoneRange& zone) {
+  for (std::size_t position = zone.workers.begin; position < zone.workers.end; ++position) {
+    m_workers[position].free = AcceleratorSet();
+  }
+}
+
+CapacityMap CapacityMap::CommonWith(const CapacityMap& other) const {
+  CapacityMap common = *this;
+  for (std::size_t position = 0; position < m_workers.size(); ++position) {
+    AcceleratorSet& free = common.m_workers[position].free;
+    free = free.Without(free.Without(other.m_workers[position].free));
+  }
+  return common;
+}
+
 bool CapacityMap::IsFree(const std::vector<TaskPlacement>& tasks) const {
   return std::all_of(tasks.begin(), tasks.end(), [this](const TaskPlacement& task) {
     const WorkerCapacity* const capacity = Find(task.worker);
--- a/src/libraries/decisions/capacity_map.h
+++ b/src/libraries/decisions/capacity_map.h
@@ -38,6 +38,11 @@
   void Hold(const std::vector<TaskPlacement>& tasks);
   void Release(const std::vector<TaskPlacement>& tasks);
 
+  /// Nothing in the zone is free any more.
+  void HoldAll(const ZoneRange& zone);
+  /// What is free in both maps; `other` must be of the same snapshot.
+  CapacityMap CommonWith(const CapacityMap& other) const;
+
   /// Whether all accelerators of `tasks` are free.
   bool IsFree(const std::vector<TaskPlacement>& tasks) const;
   /// Nothing where the worker is not in service.
--- a/src/libraries/decisions/decision.h
+++ b/src/libraries/decisions/decision.h
@@ -24,6 +24,8 @@
   JobId job;
   StopCause cause = StopCause::kZoneOut;
   std::string reason;
+  /// For kReclaim the job that its accelerators go to, else empty.
+  JobId for_job;
 };
 
 enum class WaitCause { kCapacity, kQuota, kGuarantees, kBehindLargerGang, kReclaiming, kNeverFits };
--- a/src/libraries/decisions/policy.h
+++ b/src/libraries/decisions/policy.h
@@ -17,6 +17,8 @@
   kStopAtFirst,
   /// Reserves room for it; others start where by the estimate they don't delay it.
   kReserveForFirst,
+  /// The same; once it has waited too long, borrowed gangs that ran as long are stopped for it.
+  kReserveAndDrain,
   kSkip,
 };
 
@@ -27,6 +29,13 @@
   kNothing,
 };
 
+/// What guarantees mean to a pass.
+enum class GuaranteeRule {
+  kNone,
+  /// Jobs inside them start first, by stopping borrowed gangs if need be.
+  kReclaim,
+};
+
 struct Policy {
   std::string name;
   std::shared_ptr<const QueueOrder> order;
@@ -34,6 +43,9 @@
   std::shared_ptr<const RunTimeEstimate> estimate;
   QueueRule queue_rule = QueueRule::kSkip;
   BorrowRule borrow_rule = BorrowRule::kUpToQuota;
+  GuaranteeRule guarantee_rule = GuaranteeRule::kNone;
+  /// For QueueRule::kReserveAndDrain only.
+  Milliseconds longest_wait{0};
 };
 
 /// kNotFound names the policies there are.
--- a/src/libraries/decisions/policy_table.cc
+++ b/src/libraries/decisions/policy_table.cc
@@ -2,21 +2,45 @@
 
 #include "libraries/decisions/first_fit.h"
 #include "libraries/decisions/policy.h"
+#include "libraries/decisions/service_order.h"
+#include "libraries/decisions/tight_fit.h"
 
 namespace papayalift {
 
 namespace {
 
+/// A job that has waited so long gets its turn even if others have to be stopped for it.
+constexpr Milliseconds kLongestWait = std::chrono::hours(2);
+
+Policy Baseline(const std::string& name, QueueRule queue_rule, BorrowRule borrow_rule) {
+  Policy policy;
+  policy.name = name;
+  policy.order = std::make_shared<SubmissionOrder>();
+  policy.placer = std::make_shared<FirstFit>();
+  policy.estimate = std::make_shared<DeclaredRunTime>();
+  policy.queue_rule = queue_rule;
+  policy.borrow_rule = borrow_rule;
+  return policy;
+}
+
+Policy Papaya() {
+  Policy policy;
+  policy.name = "papaya";
+  policy.order = std::make_shared<ServiceOrder>();
+  policy.placer = std::make_shared<TightFit>();
+  policy.estimate = std::make_shared<DoubtedRunTime>();
+  policy.queue_rule = QueueRule::kReserveAndDrain;
+  policy.guarantee_rule = GuaranteeRule::kReclaim;
+  policy.longest_wait = kLongestWait;
+  return policy;
+}
+
 std::vector<Policy> BuildPolicies() {
-  const std::shared_ptr<const QueueOrder> submission = std::make_shared<SubmissionOrder>();
-  const std::shared_ptr<const Placer> first_fit = std::make_shared<FirstFit>();
-  const std::shared_ptr<const RunTimeEstimate> declared = std::make_shared<DeclaredRunTime>();
   return {
-      {"papaya", submission, first_fit, declared, QueueRule::kSkip, BorrowRule::kUpToQuota},
-      {"fifo", submission, first_fit, declared, QueueRule::kStopAtFirst, BorrowRule::kUpToQuota},
-      {"backfill", submission, first_fit, declared, QueueRule::kReserveForFirst,
-       BorrowRule::kUpToQuota},
-      {"static", submission, first_fit, declared, QueueRule::kSkip, BorrowRule::kNothing},
+      Papaya(),
+      Baseline("fifo", QueueRule::kStopAtFirst, BorrowRule::kUpToQuota),
+      Baseline("backfill", QueueRule::kReserveForFirst, BorrowRule::kUpToQuota),
+      Baseline("static", QueueRule::kSkip, BorrowRule::kNothing),
   };
 }
 
--- /dev/null
+++ b/src/libraries/decisions/queue_stage.h
@@ -0,0 +1,46 @@
+/// Second stage of a pass: everything that the guarantees left open, in the policy's order.
+#pragma once
+
+#include <array>
+#include <optional>
+#include <vector>
+
+#include "libraries/decisions/pass_state.h"
+#include "libraries/decisions/reservation.h"
+
+namespace papayalift {
+
+class QueueStage {
+ public:
+  explicit QueueStage(PassState& state);
+
+  void Run(const std::vector<const WaitingJob*>& order);
+
+ private:
+  /// Whether a job may use what is reserved for another.
+  enum class Reach { kAll, kBesideReservation };
+  static constexpr std::size_t kReaches = 2;
+
+  void Consider(const WaitingJob& job);
+  bool StartAsCanary(const WaitingJob& job);
+  std::optional<PlacementChoice> ChoosePlace(const WaitingJob& job);
+  Reach ReachOf(const WaitingJob& job) const;
+  void Start(const WaitingJob& job, const PlacementChoice& choice);
+  void WaitForCapacity(const WaitingJob& job);
+  void Reserve(const WaitingJob& job);
+  /// Stops long-running borrowed gangs for a job that has waited too long.
+  std::optional<Reservation> Drain(const WaitingJob& job);
+
+  PassState& m_state;
+  /// Probation workers with no task, one canary each.
+  std::vector<const WorkerView*> m_canaries;
+  std::optional<Reservation> m_reservation;
+  /// Free and not reserved; only kept once there is a reservation.
+  CapacityMap m_beside;
+  /// Shapes that found no place in this pass, by reach. Capacity only shrinks, so what is as large
+  /// won't find one either.
+  std::array<std::vector<Shape>, kReaches> m_too_large;
+  bool m_blocked = false;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/libraries/decisions/run_packer.h
@@ -0,0 +1,28 @@
+/// Packs demands into zones run by run, for task sizes that counts can only round up.
+#pragma once
+
+#include <vector>
+
+#include "libraries/decisions/packing.h"
+
+namespace papayalift {
+
+class RunPacker {
+ public:
+  RunPacker(const std::vector<Demand>& demands, const CapacityMap& capacity);
+
+  std::optional<Packing> Run();
+
+ private:
+  bool PlaceDemand(std::size_t rank);
+  bool PlaceTasks(std::size_t rank, std::size_t zone, int missing);
+
+  const std::vector<Demand>& m_demands;
+  /// By zone and length, how many runs of that length are free.
+  std::vector<std::vector<int>> m_runs;
+  std::vector<std::size_t> m_ranks;
+  Packing m_packing;
+  int m_steps = 0;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/decisions/small_fleet.cc
@@ -0,0 +1,220 @@
+#include "decisions/small_fleet.h"
+
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+
+#include "libraries/decisions/guarantee_book.h"
+#include "libraries/decisions/guarantee_check.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr int kWorkspaces = 3;
+const WorkspaceId kBorrower("borrower");
+
+/// Both ends are drawn.
+int Between(int low, int high) { return *rc::gen::inRange(low, high + 1); }
+
+Shape DrawShape() { return Shape{TaskCount(Between(1, 3)), AcceleratorCount(1 << Between(0, 2))}; }
+
+ZoneId ZoneNamed(int number) { return ZoneId(fmt::format("zone-{}", number)); }
+
+std::string TextOf(const std::vector<TaskPlacement>& tasks) {
+  std::string text;
+  for (const TaskPlacement& task : tasks) {
+    text += fmt::format(" {}:{:x}", task.worker.text(), task.accelerators.bits());
+  }
+  return text;
+}
+
+}  // namespace
+
+SmallFleet SmallFleet::Generate() {
+  SmallFleet fleet;
+  fleet.GenerateWorkers();
+  fleet.GenerateWorkspaces();
+  return fleet;
+}
+
+void SmallFleet::GenerateWorkers() {
+  const int zones = Between(1, 3);
+  const int workers = Between(zones, 7);
+  for (int index = 0; index < workers; ++index) {
+    WorkerView worker;
+    worker.id = WorkerId(fmt::format("worker-{}", index));
+    worker.zone = ZoneNamed(index % zones);
+    worker.rack = RackId(fmt::format("rack-{}-{}", index % zones, index / zones / 2));
+    worker.accelerators = AcceleratorCount(*rc::gen::element(2, 4, 8));
+    m_snapshot.workers.push_back(worker);
+  }
+}
+
+void SmallFleet::GenerateWorkspaces() {
+  constexpr AcceleratorCount kAmple(1'000);
+  m_snapshot.workspaces.push_back(WorkspaceSpec{kBorrower, kAmple, {}});
+  for (int index = 0; index < kWorkspaces; ++index) {
+    WorkspaceSpec& workspace = m_snapshot.workspaces.emplace_back();
+    workspace.id = WorkspaceId(fmt::format("workspace-{}", index));
+    workspace.quota = kAmple;
+    const int guarantees = Between(0, 3);
+    for (int number = 0; number < guarantees; ++number) {
+      workspace.guarantees.push_back(Guarantee{DrawShape(), Between(1, 2)});
+      if (!IsReclaimable()) {
+        workspace.guarantees.pop_back();
+      }
+    }
+  }
+}
+
+FleetEvent SmallFleet::Happen() {
+  static constexpr std::array<FleetEvent, 8> kEvents{
+      FleetEvent::kSubmit, FleetEvent::kSubmit,  FleetEvent::kSubmit,     FleetEvent::kFinish,
+      FleetEvent::kFinish, FleetEvent::kStopped, FleetEvent::kZoneChange, FleetEvent::kTime};
+  const FleetEvent event = kEvents[static_cast<std::size_t>(Between(0, kEvents.size() - 1))];
+  switch (event) {
+    case FleetEvent::kSubmit:
+      Submit();
+      break;
+    case FleetEvent::kFinish:
+      Finish();
+      break;
+    case FleetEvent::kStopped:
+      FinishStop();
+      break;
+    case FleetEvent::kZoneChange:
+      ChangeZone();
+      break;
+    case FleetEvent::kTime:
+      PassTime();
+      break;
+  }
+  return event;
+}
+
+void SmallFleet::Submit() {
+  const int index = Between(0, kWorkspaces);
+  const Urgency urgency = Between(0, 4) == 0 ? Urgency::kUrgent : Urgency::kNormal;
+  AddWaiting(m_snapshot.workspaces[static_cast<std::size_t>(index)].id, DrawShape(), urgency);
+}
+
+void SmallFleet::SubmitBorrowing(const Shape& shape) {
+  AddWaiting(kBorrower, shape, Urgency::kNormal);
+}
+
+void SmallFleet::AddWaiting(const WorkspaceId& workspace, const Shape& shape, Urgency urgency) {
+  WaitingJob job;
+  job.job = JobId(fmt::format("job-{}", m_jobs++));
+  job.workspace = workspace;
+  job.shape = shape;
+  job.urgency = urgency;
+  job.declared_run_time = std::chrono::minutes(5);
+  m_snapshot.waiting.push_back(job);
+}
+
+void SmallFleet::Finish() {
+  if (!m_snapshot.gangs.empty()) {
+    const int last = static_cast<int>(m_snapshot.gangs.size()) - 1;
+    m_snapshot.gangs.erase(m_snapshot.gangs.begin() + Between(0, last));
+  }
+}
+
+bool SmallFleet::FinishStop() {
+  const auto gang = std::find_if(
+      m_snapshot.gangs.begin(), m_snapshot.gangs.end(),
+      [](const GangView& candidate) { return candidate.phase == PlacementPhase::kStopping; });
+  if (gang == m_snapshot.gangs.end()) {
+    return false;
+  }
+  WaitingJob job;
+  job.job = gang->job;
+  job.workspace = gang->workspace;
+  job.shape = gang->shape;
+  job.attained = gang->attained;
+  m_snapshot.waiting.push_back(job);
+  m_snapshot.gangs.erase(gang);
+  return true;
+}
+
+void SmallFleet::ChangeZone() {
+  const ZoneId zone = m_snapshot
+                          .workers[static_cast<std::size_t>(
+                              Between(0, static_cast<int>(m_snapshot.workers.size()) - 1))]
+                          .zone;
+  const bool was_in = m_snapshot.zones.StateOf(zone) == ZoneState::kIn;
+  m_snapshot.zones.states[zone] = was_in ? ZoneState::kOut : ZoneState::kIn;
+  m_snapshot.zone_unchanged_for[zone] = Milliseconds{0};
+}
+
+void SmallFleet::PassTime() {
+  const Milliseconds passed = std::chrono::minutes(Between(1, 200));
+  for (GangView& gang : m_snapshot.gangs) {
+    gang.running_for += passed;
+    gang.attained += passed;
+    gang.since_checkpoint = (gang.since_checkpoint + passed) % std::chrono::minutes(15);
+  }
+  for (WaitingJob& job : m_snapshot.waiting) {
+    job.waiting_for += passed;
+  }
+  for (auto& [zone, unchanged] : m_snapshot.zone_unchanged_for) {
+    unchanged += passed;
+  }
+}
+
+void SmallFleet::Apply(const Decision& decision) {
+  for (const StopDecision& stop : decision.stops) {
+    for (GangView& gang : m_snapshot.gangs) {
+      gang.phase = gang.job == stop.job ? PlacementPhase::kStopping : gang.phase;
+    }
+  }
+  for (const StartDecision& start : decision.starts) {
+    const auto job =
+        std::find_if(m_snapshot.waiting.begin(), m_snapshot.waiting.end(),
+                     [&start](const WaitingJob& candidate) { return candidate.job == start.job; });
+    GangView gang;
+    gang.job = job->job;
+    gang.workspace = job->workspace;
+    gang.shape = job->shape;
+    gang.urgency = job->urgency;
+    gang.zone = start.zone;
+    gang.claim = start.claim;
+    gang.tasks = start.tasks;
+    gang.declared_run_time = job->declared_run_time;
+    m_snapshot.gangs.push_back(gang);
+    m_snapshot.waiting.erase(job);
+  }
+}
+
+bool SmallFleet::IsReclaimable() const {
+  const GuaranteeBook book(m_snapshot, CapacityMap::WithoutGangs(m_snapshot));
+  return FindPacking(book.unused(), book.reclaimable()).has_value();
+}
+
+const GangView* SmallFleet::FindGang(const JobId& job) const {
+  const auto gang =
+      std::find_if(m_snapshot.gangs.begin(), m_snapshot.gangs.end(),
+                   [&job](const GangView& candidate) { return candidate.job == job; });
+  return gang == m_snapshot.gangs.end() ? nullptr : &*gang;
+}
+
+bool SmallFleet::IsPlaced(const JobId& job) const { return FindGang(job) != nullptr; }
+
+std::string TextOf(const Decision& decision) {
+  std::string text;
+  for (const StartDecision& start : decision.starts) {
+    text += fmt::format("start {} {} {}{}\n", start.job.text(), start.zone.text(),
+                        static_cast<int>(start.claim), TextOf(start.tasks));
+  }
+  for (const StopDecision& stop : decision.stops) {
+    text += fmt::format("stop {} {}\n", stop.job.text(), stop.reason);
+  }
+  for (const WaitDecision& wait : decision.waits) {
+    text += fmt::format("wait {} {}\n", wait.job.text(), wait.reason);
+  }
+  return text;
+}
+
+}  // namespace papayalift
