Node: Explain where a job sits and what it was stopped for

Cause: explain only repeated the record's reason; a job that waited again hid why it was stopped, and a running one did not say where it sits. A text that is no UTF-8 ended the command line by an exception. Change: job_explanation puts wait, stop and place into a sentence; main turns what a library throws into exit 2, before anything is sent.

--- a/src/libraries/node/api_server.cc
+++ b/src/libraries/node/api_server.cc
@@ -15,6 +15,7 @@
 #include "libraries/model/keys.h"
 #include "libraries/model/zone_codec.h"
 #include "libraries/node/api_answers.h"
+#include "libraries/node/job_explanation.h"
 
 namespace papayalift {
 
@@ -249,9 +250,11 @@
   if (!job.ok()) {
     return ErrorAnswer(job.status());
   }
-  const std::optional<WaitDecision> wait = m_parts.scheduler.WaitOf(job->id);
-  const bool waits = job->state == JobState::kQueued && wait.has_value();
-  return ExplainAnswer(*job, waits ? wait->reason : job->reason);
+  const std::shared_ptr<const FleetView> view = m_parts.state.View();
+  const auto placement = view->placements.find(job->id);
+  const PlacementRecord* const placed =
+      placement == view->placements.end() ? nullptr : &placement->second->value;
+  return ExplainAnswer(*job, ExplanationOf(*job, placed, m_parts.scheduler.WaitOf(job->id)));
 }
 
 HttpResponse ApiServer::Call(const HttpRequest& request) {
--- a/src/services/main.cc
+++ b/src/services/main.cc
@@ -1,5 +1,9 @@
 /// The command line of papayalift.
+#include <fmt/format.h>
+
 #include <CLI/CLI.hpp>
+#include <cstdio>
+#include <exception>
 
 #include "services/commands.h"
 
@@ -34,6 +38,10 @@
   } catch (const CLI::ParseError& error) {
     const int code = app.exit(error);
     return code == 0 ? 0 : static_cast<int>(papayalift::ExitCode::kUsage);
+  } catch (const std::exception& error) {
+    // Such as a text that is no UTF-8, which no message can carry.
+    fmt::print(stderr, "{}\n", error.what());
+    return static_cast<int>(papayalift::ExitCode::kUsage);
   }
   return static_cast<int>(context.exit_code);
 }
