Node: Count capacity by zone, rack and workspace

Cause: the metrics had no gauge of what operators and boards ask for: guaranteed, used, borrowed, owed, and fragmentation.

--- a/src/libraries/node/api_server.cc
+++ b/src/libraries/node/api_server.cc
@@ -16,6 +16,7 @@
 #include "libraries/model/zone_codec.h"
 #include "libraries/node/api_answers.h"
 #include "libraries/node/job_explanation.h"
+#include "libraries/node/summary_metrics.h"
 
 namespace papayalift {
 
@@ -166,7 +167,8 @@
 }
 
 HttpResponse ApiServer::ShowMetrics(const HttpRequest& /*request*/) {
-  HttpResponse response = JsonResponse(m_parts.metrics.Text());
+  HttpResponse response =
+      JsonResponse(m_parts.metrics.Text() + SummaryMetrics(*m_parts.state.View()));
   response.content_type = "text/plain; version=0.0.4";
   return response;
 }
