Node: Show operators a status page

Cause: operators had to put status, zones, audit and metrics together by hand. Change: GET / renders zones, workspaces, queue with reasons, a map of racks and the latest changes as one static page without scripts, every text of others escaped. Seen: api_test 10 of 10 pass; looked at in headless Chromium at 420 pixels' width with five gangs running and a zone out. Conclusion: readable on a phone; wide tables scroll in their own box.

--- a/src/libraries/node/api_server.cc
+++ b/src/libraries/node/api_server.cc
@@ -16,6 +16,7 @@
 #include "libraries/model/zone_codec.h"
 #include "libraries/node/api_answers.h"
 #include "libraries/node/job_explanation.h"
+#include "libraries/node/status_page.h"
 #include "libraries/node/summary_metrics.h"
 
 namespace papayalift {
@@ -24,6 +25,9 @@
 
 constexpr Milliseconds kLongestWait{30'000};
 constexpr std::size_t kMostAuditEntries = 1'000;
+constexpr std::size_t kMostQueueRows = 50;
+constexpr std::size_t kMostAuditRows = 20;
+constexpr Milliseconds kRecentAudit{3'600'000};
 
 /// The path's part `index`, counted from 0: "/v1/jobs/abc" has "v1", "jobs", "abc".
 std::string PathPart(const std::string& path, int index) {
@@ -120,7 +124,8 @@
     const char* pattern;
     HttpResponse (ApiServer::*handler)(const HttpRequest&);
   };
-  static constexpr std::array<Route, 18> kRoutes{{
+  static constexpr std::array<Route, 19> kRoutes{{
+      {HttpMethod::kGet, "/", &ApiServer::StatusPage},
       {HttpMethod::kGet, "/healthz", &ApiServer::Health},
       {HttpMethod::kGet, "/metrics", &ApiServer::ShowMetrics},
       {HttpMethod::kGet, "/v1/status", &ApiServer::Status},
@@ -178,6 +183,48 @@
   return StatusAnswer(*view, m_parts.self, m_parts.liveness.Live(*view));
 }
 
+HttpResponse ApiServer::StatusPage(const HttpRequest& /*request*/) {
+  const std::shared_ptr<const FleetView> view = m_parts.state.View();
+  StatusPageContent content;
+  content.node = m_parts.self;
+  content.bundle = view->bundle == nullptr ? BundleVersion(0) : view->bundle->version;
+  content.summary = Summarize(*view);
+  for (const auto& [id, job] : view->jobs) {
+    if (job->value.state != JobState::kQueued) {
+      continue;
+    }
+    ++content.jobs_waiting;
+    if (content.queue.size() < kMostQueueRows) {
+      content.queue.push_back(
+          QueuedJob{job->value, ExplanationOf(job->value, nullptr, m_parts.scheduler.WaitOf(id))});
+    }
+  }
+  content.audit = RecentAudit();
+  HttpResponse response = JsonResponse(RenderStatusPage(content));
+  response.content_type = "text/html; charset=utf-8";
+  return response;
+}
+
+std::vector<AuditEntry> ApiServer::RecentAudit() {
+  KeyRange range = KeysWithPrefix(keys::kAudit);
+  const Milliseconds since = m_parts.clock.WallNow() - kRecentAudit;
+  range.first = fmt::format("{}{:015}", keys::kAudit, since.count());
+  std::vector<AuditEntry> entries;
+  const absl::StatusOr<RangeAnswer> answer = m_parts.store.Range(range);
+  if (!answer.ok()) {
+    return entries;
+  }
+  const std::size_t count = answer->records.size();
+  const std::size_t first = count > kMostAuditRows ? count - kMostAuditRows : 0;
+  for (std::size_t index = first; index < count; ++index) {
+    const absl::StatusOr<AuditEntry> entry = DecodeAudit(answer->records[index].value);
+    if (entry.ok()) {
+      entries.push_back(*entry);
+    }
+  }
+  return entries;
+}
+
 HttpResponse ApiServer::Audit(const HttpRequest& request) {
   const std::int64_t since = NumberOr(QueryOr(request, "since_ms"), 0);
   KeyRange range = KeysWithPrefix(keys::kAudit);
--- a/src/libraries/node/api_server.h
+++ b/src/libraries/node/api_server.h
@@ -4,11 +4,14 @@
 #include <atomic>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/status/statusor.h"
+#include "libraries/base/clock.h"
 #include "libraries/calls/call_router.h"
 #include "libraries/http/http_server.h"
 #include "libraries/metrics/metrics.h"
+#include "libraries/model/audit_entry.h"
 #include "libraries/node/bundle_desk.h"
 #include "libraries/node/fleet_state.h"
 #include "libraries/node/job_desk.h"
@@ -21,6 +24,7 @@
 /// What the API hands requests to. The node owns all of it and outlives the server.
 struct ApiParts {
   const NodeId self;
+  const Clock& clock;
   FleetState& state;
   KeyValueService& store;
   JobDesk& jobs;
@@ -54,6 +58,9 @@
   HttpResponse Health(const HttpRequest& request);
   HttpResponse ShowMetrics(const HttpRequest& request);
   HttpResponse Status(const HttpRequest& request);
+  HttpResponse StatusPage(const HttpRequest& request);
+  /// The changes of the last hour, the newest last; none where the store does not answer.
+  std::vector<AuditEntry> RecentAudit();
   HttpResponse Audit(const HttpRequest& request);
   HttpResponse SubmitJob(const HttpRequest& request);
   HttpResponse ListJobs(const HttpRequest& request);
--- a/src/libraries/node/entry_node.cc
+++ b/src/libraries/node/entry_node.cc
@@ -76,17 +76,9 @@
     const IpAddress address = TRY(ParseIpAddress(m_settings.api_address));
     HttpServerLimits limits;
     limits.connections = static_cast<unsigned int>(m_settings.largest_connection_count);
-    const ApiParts parts{m_settings.id,
-                         m_state,
-                         m_store,
-                         m_jobs,
-                         m_zones,
-                         m_bundles,
-                         m_calls,
-                         m_scheduler,
-                         m_registry,
-                         m_metrics,
-                         m_settings.call_limit};
+    const ApiParts parts{m_settings.id, m_clock,    m_state,   m_store,
+                         m_jobs,        m_zones,    m_bundles, m_calls,
+                         m_scheduler,   m_registry, m_metrics, m_settings.call_limit};
     m_api = TRY(ApiServer::Create(address.host, address.port, limits, parts));
     m_runner.Start(m_settings.start_threads);
     m_follower.Start();
