--- a/src/services/api_client.cc
+++ b/src/services/api_client.cc
@@ -12,6 +12,16 @@
 
 constexpr Milliseconds kAnswerLimit{40'000};
 
+/// An answer that is cut short or of another's making is never taken as whole.
+ApiAnswer UnreadableAnswer() {
+  ApiAnswer answer;
+  answer.exit_code = ExitCode::kMayHaveRun;
+  answer.error = "the answer can't be read; it may have run";
+  return answer;
+}
+
+}  // namespace
+
 ExitCode ExitCodeOf(Verdict verdict) {
   switch (verdict) {
     case Verdict::kRan:
@@ -24,16 +34,6 @@
   return ExitCode::kMayHaveRun;
 }
 
-/// An answer that is cut short or of another's making is never taken as whole.
-ApiAnswer UnreadableAnswer() {
-  ApiAnswer answer;
-  answer.exit_code = ExitCode::kMayHaveRun;
-  answer.error = "the answer can't be read; it may have run";
-  return answer;
-}
-
-}  // namespace
-
 ApiAnswer ApiClient::Get(const std::string& path) { return Send(HttpMethod::kGet, path, ""); }
 
 ApiAnswer ApiClient::Post(const std::string& path, std::string body) {
--- a/src/services/api_client.h
+++ b/src/services/api_client.h
@@ -19,6 +19,9 @@
   bool ok() const { return exit_code == ExitCode::kOk; }
 };
 
+/// What a command exits with for work that ended without a result.
+ExitCode ExitCodeOf(Verdict verdict);
+
 class ApiClient {
  public:
   explicit ApiClient(std::string node) : m_node(std::move(node)) {}
--- a/src/services/job_commands.cc
+++ b/src/services/job_commands.cc
@@ -50,7 +50,7 @@
     }
     if (IsFinal(job->state)) {
       if (job->state != JobState::kSucceeded) {
-        answer.exit_code = job->verdict == Verdict::kNotRun ? ExitCode::kNotRun : ExitCode::kFailed;
+        answer.exit_code = ExitCodeOf(job->verdict);
         answer.error = JobLine(*job);
       }
       return answer;
