Membership: Take nodes out when their heartbeats stop

Cause: nodes did not speak to each other, so a dead one counted as live for ever and its jobs stayed with it. Peers now keep one HTTP/2 connection for each pair (the node whose id sorts first asks, the other's heartbeat is its answer); an echo of the receiver's own clock dates each message, so that a delayed one is never taken for a fresh one. Connections, messages, streams and bytes an interval are bounded; a malformed, silent, half-sent or flooding stream is closed, and the others go on. A node is live while the process that its record names is heard and says that it serves; it serves once every registered node knows it. One that is cut off from the key-value service takes no part while others reach it, and renews only under a confirmed copy of the records or under the word of every peer that it can't reach the service either; the lease that it asks for is counted from that moment, so that no renewal outlives the wait of a stop (property test). Records of nodes silent for a minute are removed by compare-and-swap, with an audit entry.

--- a/src/libraries/node/entry_node.cc
+++ b/src/libraries/node/entry_node.cc
@@ -11,8 +11,12 @@
 #include "libraries/log/log_event.h"
 #include "libraries/node/api_server.h"
 #include "libraries/node/lease_keeper.h"
+#include "libraries/node/membership.h"
 #include "libraries/node/node_registry.h"
+#include "libraries/node/ownership.h"
 #include "libraries/node/state_follower.h"
+#include "libraries/node/store_probe.h"
+#include "libraries/peers/peer_mesh.h"
 #include "libraries/settings/ip_address.h"
 #include "libraries/store/etcd_gateway_client.h"
 #include "libraries/worker/http_worker_gateway.h"
@@ -23,15 +27,17 @@
 
 constexpr std::size_t kMostSessions = 1'024;
 constexpr Milliseconds kRegisterInterval{500};
+/// A node that has been silent for so long is taken out of the registry.
+constexpr Milliseconds kRemoveAfter{60'000};
 constexpr Milliseconds kDrainPollInterval{50};
 
 NodeRecord RecordOf(const NodeSettings& settings, const Clock& clock,
-                    const std::string& incarnation) {
+                    const std::string& incarnation, const std::string& peer_address) {
   NodeRecord record;
   record.id = settings.id;
   record.zone = settings.zone;
   record.api_address = settings.api_address;
-  record.peer_address = settings.peer_address;
+  record.peer_address = peer_address;
   record.incarnation = incarnation;
   record.registered_at = clock.WallNow();
   return record;
@@ -42,16 +48,23 @@
 /// The order of the members is the order of construction: whoever uses comes after what it uses.
 class EntryNode::Parts {
  public:
-  explicit Parts(const NodeSettings& settings)
+  Parts(const NodeSettings& settings, std::unique_ptr<BootClock> clock,
+        std::unique_ptr<PeerMesh> mesh)
       : m_settings(settings),
         m_incarnation(NewIncarnation()),
+        m_own_clock(std::move(clock)),
+        m_clock(*m_own_clock),
         m_client(std::make_shared<HttpClient>()),
         m_store(settings.store_address, settings.store_limit, m_client),
         m_workers(settings.worker_limit, m_client),
+        m_progress(m_clock),
+        m_probe(m_clock, m_store, m_progress),
+        m_membership(m_clock, NodeIdentity{settings.id, m_incarnation}, m_state, m_progress),
+        m_mesh(std::move(mesh)),
         m_view(m_clock, m_store, settings.view_limit),
         m_audit(m_clock, settings.id),
         m_namer(settings.id, m_incarnation),
-        m_registry(m_store, m_audit, RecordOf(settings, m_clock, m_incarnation)),
+        m_registry(m_store, m_audit, RecordOf(settings, m_clock, m_incarnation, m_mesh->address())),
         m_runner(m_clock, kMostSessions),
         m_context{m_clock,
                   m_store,
@@ -62,8 +75,8 @@
                   settings.reservation_lease,
                   settings.run_lease},
         m_follower(m_store, m_state, m_view, m_metrics),
-        m_scheduler(m_context, m_state, m_registry, settings.id, m_namer, m_runner),
-        m_lease_keeper(m_context, m_state, m_registry, settings.id, m_runner,
+        m_scheduler(m_context, m_state, m_membership, settings.id, m_namer, m_runner),
+        m_lease_keeper(m_context, m_state, m_membership, m_progress, settings.id, m_runner,
                        settings.renewal_interval),
         m_jobs(m_clock, m_store, m_state, m_audit),
         m_zones(m_store, m_state, m_audit),
@@ -84,13 +97,17 @@
                          m_bundles,
                          m_calls,
                          m_scheduler,
-                         m_registry,
+                         m_membership,
                          m_metrics,
                          m_settings.call_limit};
     m_api = TRY(ApiServer::Create(address.host, address.port, limits, parts));
     m_runner.Start(m_settings.start_threads);
     m_follower.Start();
-    m_registration.Start([this] { KeepRegistering(); });
+    m_probe.Start();
+    m_membership.SetStoppingAttempts(
+        [this](const FleetView& view) { return StoppingAttempts(view); });
+    m_mesh->Start(m_membership);
+    m_registration.Start([this] { KeepRegistry(); });
     m_scheduler.Start();
     m_lease_keeper.Start();
     LogEvent(LogLevel::kInfo, "entry_node", "serving")
@@ -102,6 +119,8 @@
 
   StopOutcome Stop() {
     m_api->Withdraw();
+    m_membership.Leave();
+    m_mesh->BeatNow();
     m_state.Wake();
     m_scheduler.Stop();
     const Milliseconds deadline = m_clock.Now() + m_settings.stop_limit;
@@ -132,19 +151,75 @@
  private:
   bool IsDrained() const { return m_api->requests_in_flight() == 0 && m_runner.size() == 0; }
 
-  void KeepRegistering() {
+  void KeepRegistry() {
     while (!m_stop.raised()) {
-      if (m_registry.Register().ok()) {
-        return;
+      const std::shared_ptr<const FleetView> view = m_state.View();
+      if (!m_registered) {
+        m_registered = m_registry.Register().ok();
+      } else if (m_state.synchronized()) {
+        RegisterAgain(*view);
+        RemoveSilent(*view);
       }
+      ShowMetrics(*view);
       m_stop.WaitFor(kRegisterInterval);
     }
   }
 
+  /// Peers take out the record of a node that they do not hear, and it may come back.
+  void RegisterAgain(const FleetView& view) {
+    const auto own = view.nodes.find(m_settings.id);
+    if (own != view.nodes.end()) {
+      m_seen_registered = own->second->value.incarnation == m_incarnation;
+    } else if (m_seen_registered) {
+      m_seen_registered = false;
+      m_registered = false;
+    }
+  }
+
+  void RemoveSilent(const FleetView& view) {
+    const auto own = view.nodes.find(m_settings.id);
+    const bool registered =
+        own != view.nodes.end() && own->second->value.incarnation == m_incarnation;
+    if (!registered) {
+      return;
+    }
+    const std::vector<NodeId> live = m_membership.Live(view);
+    for (const SilentNode& node : m_membership.SilentFor(view, kRemoveAfter)) {
+      // Where nobody serves yet, any node may: comparing the records keeps it to one.
+      if (live.empty() || OwnerOf(JobId(node.id.text()), live) == m_settings.id) {
+        LogEvent(LogLevel::kWarning, "entry_node", "a silent node is taken out of the registry")
+            .Field("node", node.id.text())
+            .Write();
+        static_cast<void>(m_registry.Remove(node, own->second->modified));
+      }
+    }
+  }
+
+  /// What this node knows to be stopping, by itself or by the records.
+  std::vector<AttemptId> StoppingAttempts(const FleetView& view) const {
+    std::vector<AttemptId> stopping;
+    for (const auto& [job, placement] : view.placements) {
+      if (placement->value.phase == PlacementPhase::kStopping || m_runner.IsBusy(job)) {
+        stopping.push_back(placement->value.attempt_id);
+      }
+    }
+    return stopping;
+  }
+
+  void ShowMetrics(const FleetView& view) {
+    m_metrics.Gauge("papayalift_store_calls_total", static_cast<double>(m_store.calls()));
+    m_metrics.Gauge("papayalift_peer_sent_bytes_total", static_cast<double>(m_mesh->bytes_sent()));
+    m_metrics.Gauge("papayalift_peer_received_bytes_total",
+                    static_cast<double>(m_mesh->bytes_received()));
+    m_metrics.Gauge("papayalift_live_nodes", static_cast<double>(m_membership.Live(view).size()));
+  }
+
   void StopThreads() {
     m_stop.Raise();
     m_api.reset();
     m_registration.Join();
+    m_mesh->Stop();
+    m_probe.Stop();
     m_lease_keeper.Stop();
     m_scheduler.Stop();
     m_runner.Stop();
@@ -153,12 +228,17 @@
 
   const NodeSettings m_settings;
   const std::string m_incarnation;
-  BootClock m_clock;
+  const std::unique_ptr<BootClock> m_own_clock;
+  const Clock& m_clock;
   Metrics m_metrics;
   const std::shared_ptr<HttpClient> m_client;
   EtcdGatewayClient m_store;
   HttpWorkerGateway m_workers;
   FleetState m_state;
+  StoreProgress m_progress;
+  StoreProbe m_probe;
+  Membership m_membership;
+  const std::unique_ptr<PeerMesh> m_mesh;
   ViewGuard m_view;
   AuditWriter m_audit;
   AttemptNamer m_namer;
@@ -175,6 +255,9 @@
   std::unique_ptr<ApiServer> m_api;
   StopSignal m_stop;
   std::atomic<bool> m_hurry{false};
+  /// Used on the registration thread only.
+  bool m_registered = false;
+  bool m_seen_registered = false;
   DutyThread m_registration;
 };
 
@@ -183,7 +266,11 @@
 EntryNode::~EntryNode() = default;
 
 absl::StatusOr<std::unique_ptr<EntryNode>> EntryNode::Create(const NodeSettings& settings) {
-  std::unique_ptr<Parts> parts = std::make_unique<Parts>(settings);
+  std::unique_ptr<BootClock> clock = std::make_unique<BootClock>();
+  std::unique_ptr<PeerMesh> mesh =
+      TRY(PeerMesh::Create(*clock, settings.id, settings.peer_address, PeerLimits{}));
+  std::unique_ptr<Parts> parts =
+      std::make_unique<Parts>(settings, std::move(clock), std::move(mesh));
   TRY(parts->Start());
   return std::unique_ptr<EntryNode>(new EntryNode(std::move(parts)));
 }
--- a/src/libraries/node/fleet_state.cc
+++ b/src/libraries/node/fleet_state.cc
@@ -107,6 +107,11 @@
   return m_synchronized;
 }
 
+Revision FleetState::followed() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_current.revision;
+}
+
 std::shared_ptr<const FleetView> FleetState::WaitUntil(
     const std::function<bool(const FleetView&)>& done, Milliseconds limit) const {
   const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + limit;
--- a/src/libraries/node/fleet_state.h
+++ b/src/libraries/node/fleet_state.h
@@ -28,6 +28,9 @@
   BundleVersion rolled_version() const;
   bool synchronized() const;
 
+  /// The revision that the watch has confirmed this copy to; a View() taken later holds all of it.
+  Revision followed() const;
+
   /// Waits until `done` holds for the view, or `limit` has passed; returns the last view.
   std::shared_ptr<const FleetView> WaitUntil(const std::function<bool(const FleetView&)>& done,
                                              Milliseconds limit) const;
--- a/src/libraries/node/lease_keeper.cc
+++ b/src/libraries/node/lease_keeper.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "libraries/log/log_event.h"
 #include "libraries/node/gang_finish.h"
 #include "libraries/node/gang_stop.h"
 #include "libraries/node/ownership.h"
@@ -28,11 +29,12 @@
 }  // namespace
 
 LeaseKeeper::LeaseKeeper(const GangContext& context, const FleetState& state,
-                         const Liveness& liveness, const NodeId& self, SessionRunner& runner,
-                         Milliseconds renewal_interval)
+                         const Membership& membership, StoreProgress& progress, const NodeId& self,
+                         SessionRunner& runner, Milliseconds renewal_interval)
     : m_context(context),
       m_state(state),
-      m_liveness(liveness),
+      m_membership(membership),
+      m_progress(progress),
       m_self(self),
       m_runner(runner),
       m_renewal_interval(renewal_interval) {}
@@ -54,27 +56,37 @@
 }
 
 void LeaseKeeper::Round() {
+  // The view is taken after the revision, so that it holds all that the confirmation speaks of.
+  const std::optional<Milliseconds> confirmed_at = m_progress.ConfirmedAt(m_state.followed());
   const std::shared_ptr<const FleetView> view = m_state.View();
   if (view->bundle == nullptr) {
     return;
   }
-  std::vector<Renewal> renewals = Due(*view);
-  SendRenewals(renewals);
+  const std::optional<RenewalBasis> basis =
+      RenewalBasisOf(m_context.clock.Now(), confirmed_at, m_membership.Statements(*view));
+  if (!basis) {
+    m_context.metrics.Count("papayalift_renewal_rounds_withheld_total");
+    return;
+  }
+  std::vector<Renewal> renewals = Due(*view, *basis);
+  SendRenewals(renewals, *basis);
   for (const Renewal& renewal : renewals) {
     Judge(renewal);
   }
 }
 
-std::vector<LeaseKeeper::Renewal> LeaseKeeper::Due(const FleetView& view) {
+std::vector<LeaseKeeper::Renewal> LeaseKeeper::Due(const FleetView& view,
+                                                   const RenewalBasis& basis) {
   std::vector<Renewal> renewals;
   std::map<AttemptId, Memory> memory;
-  const std::vector<NodeId> live = m_liveness.Live(view);
+  const std::vector<NodeId> live = m_membership.Live(view);
   const Milliseconds now = m_context.clock.Now();
   for (const auto& [id, placement] : view.placements) {
     const auto job = view.jobs.find(id);
     const bool renewed = placement->value.phase == PlacementPhase::kCommitted &&
                          job != view.jobs.end() && OwnerOf(id, live) == m_self &&
-                         !m_runner.IsBusy(id);
+                         !m_runner.IsBusy(id) &&
+                         !basis.stopping.contains(placement->value.attempt_id);
     if (!renewed) {
       continue;
     }
@@ -87,6 +99,12 @@
     absl::StatusOr<std::vector<WorkerShare>> shares =
         SharesOf(placement->value, view.bundle->bundle);
     if (shares.ok()) {
+      if (known == m_memory.end()) {
+        LogEvent(LogLevel::kInfo, "lease_keeper", "renews a gang")
+            .Job(id)
+            .Attempt(placement->value.attempt_id)
+            .Write();
+      }
       kept.renewed_at = now;
       renewals.push_back(Renewal{placement, job->second, *std::move(shares), {}, 0});
     }
@@ -101,13 +119,14 @@
   return now - memory.renewed_at >= (young ? kYoungInterval : m_renewal_interval);
 }
 
-void LeaseKeeper::SendRenewals(std::vector<Renewal>& renewals) {
+void LeaseKeeper::SendRenewals(std::vector<Renewal>& renewals, const RenewalBasis& basis) {
+  const Milliseconds lease = m_context.run_lease - (m_context.clock.Now() - basis.dated_at);
   std::map<WorkerTarget, RenewRequest> by_worker;
   for (const Renewal& renewal : renewals) {
     for (const WorkerShare& share : renewal.shares) {
       RenewRequest& request = by_worker[share.worker];
       request.worker = share.worker;
-      request.run_lease = m_context.run_lease;
+      request.run_lease = lease;
       request.attempts.push_back(renewal.placement->value.attempt_id);
     }
   }
--- a/src/libraries/node/lease_keeper.h
+++ b/src/libraries/node/lease_keeper.h
@@ -11,15 +11,17 @@
 #include "libraries/node/fleet_state.h"
 #include "libraries/node/gang_context.h"
 #include "libraries/node/gang_records.h"
-#include "libraries/node/liveness.h"
+#include "libraries/node/membership.h"
+#include "libraries/node/renewal_rule.h"
 #include "libraries/node/session_runner.h"
 
 namespace papayalift {
 
 class LeaseKeeper {
  public:
-  LeaseKeeper(const GangContext& context, const FleetState& state, const Liveness& liveness,
-              const NodeId& self, SessionRunner& runner, Milliseconds renewal_interval);
+  LeaseKeeper(const GangContext& context, const FleetState& state, const Membership& membership,
+              StoreProgress& progress, const NodeId& self, SessionRunner& runner,
+              Milliseconds renewal_interval);
   ~LeaseKeeper() { Stop(); }
 
   void Start();
@@ -47,15 +49,16 @@
   };
 
   void Run();
-  std::vector<Renewal> Due(const FleetView& view);
+  std::vector<Renewal> Due(const FleetView& view, const RenewalBasis& basis);
   bool IsDue(const Memory& memory) const;
-  void SendRenewals(std::vector<Renewal>& renewals);
+  void SendRenewals(std::vector<Renewal>& renewals, const RenewalBasis& basis);
   void Judge(const Renewal& renewal);
   void StopGang(const Renewal& renewal, AfterStop after_stop, const std::string& reason);
 
   const GangContext m_context;
   const FleetState& m_state;
-  const Liveness& m_liveness;
+  const Membership& m_membership;
+  StoreProgress& m_progress;
   const NodeId m_self;
   SessionRunner& m_runner;
   const Milliseconds m_renewal_interval;
--- a/src/libraries/node/node_registry.cc
+++ b/src/libraries/node/node_registry.cc
@@ -48,12 +48,12 @@
   return StatusOfOutcome(m_store.Commit(transaction));
 }
 
-std::vector<NodeId> NodeRegistry::Live(const FleetView& view) const {
-  std::vector<NodeId> live;
-  for (const auto& [id, node] : view.nodes) {
-    live.push_back(id);
-  }
-  return live;
+absl::Status NodeRegistry::Remove(const SilentNode& node, Revision own_modified) {
+  const std::string key = keys::NodeKey(node.id);
+  Transaction transaction;
+  transaction.Expect(key, node.modified).Expect(keys::NodeKey(m_self.id), own_modified).Delete(key);
+  m_audit.Add(transaction, "", "node removed", key, "silent for long: " + node.incarnation);
+  return StatusOfOutcome(m_store.Commit(transaction));
 }
 
 }  // namespace papayalift
--- a/src/libraries/node/node_registry.h
+++ b/src/libraries/node/node_registry.h
@@ -1,15 +1,16 @@
-/// Registers this node in the key-value service and takes it out again.
+/// Keeps the records of entry nodes in the key-value service: this node's own, and those of nodes
+/// that are long gone.
 #pragma once
 
 #include "absl/status/status.h"
 #include "libraries/model/node_record.h"
 #include "libraries/node/audit_writer.h"
-#include "libraries/node/liveness.h"
+#include "libraries/node/membership.h"
 #include "libraries/store/key_value_service.h"
 
 namespace papayalift {
 
-class NodeRegistry final : public Liveness {
+class NodeRegistry {
  public:
   NodeRegistry(KeyValueService& store, AuditWriter& audit, NodeRecord self);
 
@@ -17,10 +18,8 @@
   absl::Status Register();
   /// Removes the record, unless a newer incarnation has replaced it.
   absl::Status Deregister();
-
-  /// FIXME: a registered node that has died counts as live until it is replaced; heartbeats between
-  /// peers are to decide instead.
-  std::vector<NodeId> Live(const FleetView& view) const override;
+  /// Removes the record of a silent node, if neither it nor this node's own has changed.
+  absl::Status Remove(const SilentNode& node, Revision own_modified);
 
  private:
   KeyValueService& m_store;
--- /dev/null
+++ b/src/libraries/node/store_probe.h
@@ -0,0 +1,33 @@
+/// Duty: one small read a second, so that this node knows how recent its copy surely is.
+#pragma once
+
+#include "libraries/base/clock.h"
+#include "libraries/base/duty_thread.h"
+#include "libraries/base/stop_signal.h"
+#include "libraries/node/store_progress.h"
+#include "libraries/store/key_value_service.h"
+
+namespace papayalift {
+
+class StoreProbe {
+ public:
+  StoreProbe(const Clock& clock, KeyValueService& store, StoreProgress& progress);
+  ~StoreProbe() { Stop(); }
+
+  void Start();
+  void Stop();
+
+  /// One read; public for tests.
+  void Probe();
+
+ private:
+  void Run();
+
+  const Clock& m_clock;
+  KeyValueService& m_store;
+  StoreProgress& m_progress;
+  StopSignal m_stop;
+  DutyThread m_thread;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/libraries/peers/peer_mesh.cc
@@ -0,0 +1,240 @@
+#include "libraries/peers/peer_mesh.h"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/INET_Addr.h>
+#include <ace/Reactor.h>
+#include <ace/SOCK_Acceptor.h>
+#include <ace/SOCK_Stream.h>
+#include <ace/Thread.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "libraries/base/duty_thread.h"
+#include "libraries/base/try.h"
+#include "libraries/peers/heartbeat_codec.h"
+#include "libraries/peers/peer_connection.h"
+#include "libraries/settings/ip_address.h"
+
+namespace papayalift {
+
+namespace {
+
+/// The longest wait for events, so that a stop is seen soon.
+constexpr Milliseconds kEventWait{100};
+constexpr int kMicrosecondsInMillisecond = 1'000;
+
+ACE_Time_Value TimeValueOf(Milliseconds duration) {
+  ACE_Time_Value value;
+  value.set(0, static_cast<suseconds_t>(duration.count() * kMicrosecondsInMillisecond));
+  return value;
+}
+
+}  // namespace
+
+class PeerMesh::Loop final : public ACE_Event_Handler {
+ public:
+  Loop(const Clock& clock, NodeId self, const PeerLimits& limits)
+      : m_clock(clock),
+        m_self(std::move(self)),
+        m_limits(limits),
+        m_reactor(new ACE_Dev_Poll_Reactor, /*delete_implementation=*/true),
+        m_context{clock, m_reactor, limits, m_traffic} {}
+
+  ~Loop() override { Stop(); }
+
+  absl::Status Listen(const std::string& address) {
+    const IpAddress own = TRY(ParseIpAddress(address));
+    const ACE_INET_Addr local(own.port, own.host.c_str());
+    constexpr int kReuse = 1;
+    if (m_acceptor.open(local, kReuse) != 0) {
+      return absl::UnavailableError(fmt::format("can't listen for peers on {}", address));
+    }
+    m_acceptor.enable(ACE_NONBLOCK);
+    ACE_INET_Addr bound;
+    m_acceptor.get_local_addr(bound);
+    m_address = fmt::format("{}:{}", own.host, bound.get_port_number());
+    return absl::OkStatus();
+  }
+
+  void Start(PeerHandler& handler) {
+    m_handler = &handler;
+    m_thread.Start([this] { Run(); });
+  }
+
+  void Stop() {
+    m_stopping = true;
+    m_thread.Join();
+    m_acceptor.close();
+  }
+
+  void BeatNow() { m_beat_now = true; }
+
+  const std::string& address() const { return m_address; }
+  const PeerTraffic& traffic() const { return m_traffic; }
+
+  ACE_HANDLE get_handle() const override { return m_acceptor.get_handle(); }
+
+  int handle_input(ACE_HANDLE /*handle*/) override {
+    ACE_SOCK_Stream socket;
+    if (m_acceptor.accept(socket) != 0) {
+      return 0;
+    }
+    if (m_accepted.size() >= m_limits.connections) {
+      socket.close();
+      return 0;
+    }
+    absl::StatusOr<std::shared_ptr<PeerConnection>> accepted =
+        PeerConnection::Accept(m_context, socket.get_handle(),
+                               [this](const std::string& message) { return AnswerPeer(message); });
+    if (accepted.ok()) {
+      m_accepted.push_back(*std::move(accepted));
+    }
+    return 0;
+  }
+
+ private:
+  void Run() {
+    m_reactor.owner(ACE_Thread::self());
+    m_reactor.register_handler(this, ACCEPT_MASK);
+    Milliseconds next_beat = m_clock.Now();
+    while (!m_stopping) {
+      if (m_beat_now.exchange(false) || m_clock.Now() >= next_beat) {
+        next_beat = m_clock.Now() + m_limits.heartbeat_interval;
+        Beat();
+      }
+      const Milliseconds until_beat = std::max(next_beat - m_clock.Now(), Milliseconds(0));
+      ACE_Time_Value wait = TimeValueOf(std::min(kEventWait, until_beat));
+      m_reactor.handle_events(wait);
+    }
+    m_reactor.remove_handler(this, ACCEPT_MASK | DONT_CALL);
+    CloseAll();
+  }
+
+  void Beat() {
+    DropClosed();
+    const std::vector<PeerAddress> peers = m_handler->Peers();
+    ForgetOthers(peers);
+    for (const PeerAddress& peer : peers) {
+      if (m_self < peer.node) {
+        BeatTo(peer);
+      }
+    }
+  }
+
+  void BeatTo(const PeerAddress& peer) {
+    Dialled& dialled = m_dialled[peer.node];
+    if (dialled.connection == nullptr || dialled.address != peer.address) {
+      if (dialled.connection != nullptr) {
+        dialled.connection->Close();
+      }
+      absl::StatusOr<std::shared_ptr<PeerConnection>> connection = PeerConnection::Connect(
+          m_context, peer.address,
+          [this](const std::string& message) { return HearAnswer(message); });
+      if (!connection.ok()) {
+        m_dialled.erase(peer.node);
+        return;
+      }
+      dialled = Dialled{peer.address, *std::move(connection)};
+    }
+    dialled.connection->Send(EncodeHeartbeat(m_handler->Compose(peer.node)));
+  }
+
+  absl::StatusOr<std::string> AnswerPeer(const std::string& message) {
+    const Heartbeat heard = TRY(DecodeHeartbeat(message));
+    m_handler->Heard(heard);
+    return EncodeHeartbeat(m_handler->Compose(heard.node));
+  }
+
+  absl::StatusOr<std::string> HearAnswer(const std::string& message) {
+    m_handler->Heard(TRY(DecodeHeartbeat(message)));
+    return std::string();
+  }
+
+  void DropClosed() {
+    for (const std::shared_ptr<PeerConnection>& connection : m_accepted) {
+      connection->CheckInterval();
+    }
+    for (const auto& [node, dialled] : m_dialled) {
+      dialled.connection->CheckInterval();
+    }
+    std::erase_if(m_accepted, [](const std::shared_ptr<PeerConnection>& connection) {
+      return !connection->open();
+    });
+    std::erase_if(m_dialled, [](const auto& entry) { return !entry.second.connection->open(); });
+  }
+
+  /// Closes connections to nodes that are no longer registered.
+  void ForgetOthers(const std::vector<PeerAddress>& peers) {
+    std::erase_if(m_dialled, [&peers](const auto& entry) {
+      const bool known = std::any_of(peers.begin(), peers.end(), [&entry](const PeerAddress& peer) {
+        return peer.node == entry.first;
+      });
+      if (!known) {
+        entry.second.connection->Close();
+      }
+      return !known;
+    });
+  }
+
+  void CloseAll() {
+    for (const std::shared_ptr<PeerConnection>& connection : m_accepted) {
+      connection->Close();
+    }
+    for (const auto& [node, dialled] : m_dialled) {
+      dialled.connection->Close();
+    }
+    m_accepted.clear();
+    m_dialled.clear();
+  }
+
+  struct Dialled {
+    std::string address;
+    std::shared_ptr<PeerConnection> connection;
+  };
+
+  const Clock& m_clock;
+  const NodeId m_self;
+  const PeerLimits m_limits;
+  ACE_Reactor m_reactor;
+  PeerTraffic m_traffic;
+  const PeerContext m_context;
+  ACE_SOCK_Acceptor m_acceptor;
+  std::string m_address;
+  PeerHandler* m_handler = nullptr;
+  std::vector<std::shared_ptr<PeerConnection>> m_accepted;
+  std::map<NodeId, Dialled> m_dialled;
+  std::atomic<bool> m_stopping{false};
+  std::atomic<bool> m_beat_now{false};
+  DutyThread m_thread;
+};
+
+PeerMesh::PeerMesh(std::unique_ptr<Loop> loop) : m_loop(std::move(loop)) {}
+
+PeerMesh::~PeerMesh() = default;
+
+absl::StatusOr<std::unique_ptr<PeerMesh>> PeerMesh::Create(const Clock& clock, NodeId self,
+                                                           const std::string& address,
+                                                           const PeerLimits& limits) {
+  std::unique_ptr<Loop> loop = std::make_unique<Loop>(clock, std::move(self), limits);
+  TRY(loop->Listen(address));
+  return std::unique_ptr<PeerMesh>(new PeerMesh(std::move(loop)));
+}
+
+void PeerMesh::Start(PeerHandler& handler) { m_loop->Start(handler); }
+
+void PeerMesh::Stop() { m_loop->Stop(); }
+
+void PeerMesh::BeatNow() { m_loop->BeatNow(); }
+
+std::string PeerMesh::address() const { return m_loop->address(); }
+
+std::int64_t PeerMesh::bytes_sent() const { return m_loop->traffic().sent.load(); }
+
+std::int64_t PeerMesh::bytes_received() const { return m_loop->traffic().received.load(); }
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/membership/membership_test.cc
@@ -0,0 +1,175 @@
+#include "libraries/node/membership.h"
+
+#include <criterion/criterion.h>
+
+#include "libraries/base/manual_clock.h"
+#include "libraries/model/keys.h"
+#include "libraries/model/node_codec.h"
+
+namespace papayalift {
+
+namespace {
+
+/// Node "a" with its copy of a registry, and heartbeats of peers by hand.
+class MembershipFixture {
+ public:
+  MembershipFixture() {
+    Register("a", "a1");
+    Register("b", "b1");
+    Register("c", "c1");
+    Hear("b", "b1");
+    Hear("c", "c1");
+    m_progress.Answered(m_clock.Now(), Revision(1));
+    cr_assert(m_membership.established());
+  }
+
+  void Register(const std::string& name, const std::string& incarnation) {
+    NodeRecord node;
+    node.id = NodeId(name);
+    node.incarnation = incarnation;
+    node.peer_address = "127.0.0.1:1";
+    m_revision = m_revision.Next();
+    WatchEvent event;
+    event.kind = ChangeKind::kPut;
+    event.record = KeyValue{keys::NodeKey(node.id), EncodeNode(node), m_revision};
+    m_state.Apply(WatchBatch{{event}, m_revision});
+  }
+
+  void Hear(const std::string& name, const std::string& incarnation) {
+    m_beat.node = NodeId(name);
+    m_beat.incarnation = incarnation;
+    m_beat.sent_at += Milliseconds(1);
+    m_beat.seen = m_revision;
+    m_membership.Heard(m_beat);
+  }
+
+  /// Time passes as it does for a process that runs.
+  void Pass(Milliseconds time) {
+    constexpr Milliseconds kBeat{500};
+    for (Milliseconds passed{0}; passed < time; passed += kBeat) {
+      m_clock.Advance(kBeat);
+      static_cast<void>(m_membership.Peers());
+    }
+  }
+
+  std::string Live() const {
+    std::string text;
+    for (const NodeId& node : m_membership.Live(*m_state.View())) {
+      text += node.text();
+    }
+    return text;
+  }
+
+  ManualClock m_clock;
+  FleetState m_state;
+  StoreProgress m_progress{m_clock};
+  Membership m_membership{m_clock, NodeIdentity{NodeId("a"), "a1"}, m_state, m_progress};
+  Heartbeat m_beat = [] {
+    Heartbeat beat;
+    beat.phase = NodePhase::kServing;
+    beat.store = StoreContact::kReachable;
+    return beat;
+  }();
+  Revision m_revision{1};
+};
+
+}  // namespace
+
+Test(membership, live_peer_that_falls_silent_drops_out_well_inside_the_run_lease) {
+  MembershipFixture fixture;
+  cr_assert_eq(fixture.Live(), "abc");
+  for (int beat = 0; beat < 8; ++beat) {
+    fixture.Pass(Milliseconds(500));
+    fixture.Hear("b", "b1");
+  }
+  cr_assert_eq(fixture.Live(), "ab");
+}
+
+Test(membership, live_peer_that_leaves_drops_out_at_once) {
+  MembershipFixture fixture;
+  fixture.m_beat.phase = NodePhase::kLeaving;
+  fixture.Hear("b", "b1");
+  cr_assert_eq(fixture.Live(), "ac");
+}
+
+Test(membership, live_node_that_leaves_owns_nothing) {
+  MembershipFixture fixture;
+  fixture.m_membership.Leave();
+  cr_assert_eq(fixture.Live(), "bc");
+  cr_assert(fixture.m_membership.Compose(NodeId("b")).phase == NodePhase::kLeaving);
+}
+
+Test(membership, live_peer_back_at_its_address_counts_only_once_registered_and_heard) {
+  MembershipFixture fixture;
+  fixture.Pass(Milliseconds(4'000));
+  fixture.Hear("c", "c1");
+  fixture.Hear("b", "b2");
+  cr_assert_eq(fixture.Live(), "ac", "heard but not registered");
+  fixture.Register("b", "b2");
+  cr_assert_eq(fixture.Live(), "abc");
+  fixture.Register("b", "b3");
+  cr_assert_eq(fixture.Live(), "ac", "registered but not heard");
+}
+
+Test(membership, live_after_this_process_was_frozen_gives_peers_time_to_be_heard) {
+  MembershipFixture fixture;
+  fixture.m_clock.Advance(Milliseconds(20'000));
+  static_cast<void>(fixture.m_membership.Peers());
+  cr_assert_eq(fixture.Live(), "abc");
+  fixture.Pass(Milliseconds(4'000));
+  cr_assert_eq(fixture.Live(), "a");
+}
+
+Test(membership, live_node_cut_off_from_the_store_takes_part_only_when_all_are) {
+  MembershipFixture fixture;
+  fixture.m_beat.store = StoreContact::kUnreachable;
+  fixture.m_beat.store_silence = Milliseconds(5'000);
+  fixture.Hear("b", "b1");
+  cr_assert_eq(fixture.Live(), "ac");
+  fixture.Hear("c", "c1");
+  cr_assert_eq(fixture.Live(), "a");
+  fixture.m_progress.Failed();
+  fixture.m_clock.Advance(Milliseconds(2'500));
+  fixture.Hear("b", "b1");
+  fixture.Hear("c", "c1");
+  cr_assert_eq(fixture.Live(), "abc");
+}
+
+Test(membership, established_only_once_every_registered_node_knows_this_one) {
+  MembershipFixture fixture;
+  FleetState state;
+  Membership fresh(fixture.m_clock, NodeIdentity{NodeId("d"), "d1"}, fixture.m_state,
+                   fixture.m_progress);
+  cr_assert_not(fresh.established(), "not registered");
+  const Revision before = fixture.m_revision;
+  fixture.Register("d", "d1");
+  Heartbeat beat = fixture.m_beat;
+  const auto hear = [&fresh, &beat](const std::string& name, Revision seen) {
+    beat.node = NodeId(name);
+    beat.incarnation = name + "1";
+    beat.sent_at += Milliseconds(1);
+    beat.seen = seen;
+    fresh.Heard(beat);
+  };
+  hear("a", fixture.m_revision);
+  hear("b", fixture.m_revision);
+  hear("c", before);
+  cr_assert_not(fresh.established(), "one has not seen the registration");
+  hear("c", fixture.m_revision);
+  cr_assert(fresh.established());
+}
+
+Test(membership, silent_for_counts_from_the_last_heartbeat_of_the_registered_process) {
+  MembershipFixture fixture;
+  static_cast<void>(fixture.m_membership.Peers());
+  fixture.Pass(Milliseconds(30'000));
+  fixture.Hear("b", "b1");
+  fixture.Hear("c", "c0");
+  fixture.Pass(Milliseconds(31'000));
+  const std::vector<SilentNode> silent =
+      fixture.m_membership.SilentFor(*fixture.m_state.View(), Milliseconds(60'000));
+  cr_assert_eq(silent.size(), 1);
+  cr_assert_eq(silent.front().incarnation, "c1");
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/membership/renewal_rule_test.cc
@@ -0,0 +1,161 @@
+#include "libraries/node/renewal_rule.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <deque>
+
+#include "libraries/base/manual_clock.h"
+#include "libraries/node/store_progress.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr Milliseconds kRunLease{15'000};
+constexpr Milliseconds kStep{250};
+const AttemptId kGang("gang-1");
+
+/// An owner that renews one gang, a peer that may stop it, a store that each may lose, and a link
+/// between them that delays and drops. Worker and owner always reach each other, the stopper never
+/// reaches the worker: the case in which a stop waits out the run lease.
+class TwoNodeModel {
+ public:
+  void Step() {
+    m_clock.Advance(kStep);
+    Disturb();
+    ProbeStore();
+    Stop();
+    Exchange();
+    Renew();
+    Check();
+  }
+
+ private:
+  void Disturb() {
+    if (*rc::gen::inRange(0, 8) == 0) {
+      m_owner_reaches = *rc::gen::arbitrary<bool>();
+    }
+    if (*rc::gen::inRange(0, 8) == 0) {
+      m_peer_reaches = *rc::gen::arbitrary<bool>();
+    }
+  }
+
+  void ProbeStore() {
+    if (m_owner_reaches) {
+      m_progress.Answered(m_clock.Now(), Revision(m_store_revision));
+      m_owner_followed = m_store_revision;
+    }
+  }
+
+  /// The peer marks a stop while it reaches the store; its wait counts from then.
+  void Stop() {
+    if (m_peer_reaches && !m_stopped_at && *rc::gen::inRange(0, 10) == 0) {
+      m_stopped_at = m_clock.Now();
+      m_store_revision = 2;
+    }
+  }
+
+  void Exchange() {
+    if (*rc::gen::inRange(0, 5) > 0) {
+      m_to_peer.push_back(m_clock.Now());
+    }
+    if (!m_to_peer.empty() && *rc::gen::inRange(0, 3) > 0) {
+      m_echo = m_to_peer.front();
+      m_to_peer.pop_front();
+    }
+    Heartbeat beat;
+    beat.node = NodeId("peer");
+    beat.incarnation = "p1";
+    beat.sent_at = m_clock.Now();
+    beat.echo = m_echo;
+    beat.echo_incarnation = "o1";
+    beat.store = m_peer_reaches ? StoreContact::kReachable : StoreContact::kUnreachable;
+    if (m_stopped_at) {
+      beat.stopping = {kGang};
+    }
+    m_to_owner.push_back(beat);
+    if (*rc::gen::inRange(0, 3) > 0) {
+      m_table.Heard(m_to_owner.front());
+      m_to_owner.pop_front();
+    }
+  }
+
+  void Renew() {
+    const std::optional<Milliseconds> confirmed =
+        m_progress.ConfirmedAt(Revision(m_owner_followed));
+    const std::optional<RenewalBasis> basis =
+        RenewalBasisOf(m_clock.Now(), confirmed, {m_table.Find(NodeId("peer"), "p1")});
+    const bool stop_seen = m_owner_followed == 2;
+    if (basis && !stop_seen && !basis->stopping.contains(kGang)) {
+      m_lease_ends = std::max(m_lease_ends, basis->dated_at + kRunLease);
+      ++m_renewals;
+    }
+  }
+
+  /// When the stopper has waited one run lease, the worker must run nothing any more.
+  void Check() const {
+    if (m_stopped_at && m_clock.Now() >= *m_stopped_at + kRunLease) {
+      RC_ASSERT(m_lease_ends <= m_clock.Now());
+    }
+  }
+
+  ManualClock m_clock;
+  StoreProgress m_progress{m_clock};
+  PeerTable m_table{m_clock, "o1"};
+  bool m_owner_reaches = true;
+  bool m_peer_reaches = true;
+  std::int64_t m_store_revision = 1;
+  std::int64_t m_owner_followed = 1;
+  std::optional<Milliseconds> m_stopped_at;
+  std::deque<Milliseconds> m_to_peer;
+  std::deque<Heartbeat> m_to_owner;
+  Milliseconds m_echo{0};
+  Milliseconds m_lease_ends{0};
+  int m_renewals = 0;
+};
+
+PeerState Statement(StoreContact store, Milliseconds written_after) {
+  PeerState state;
+  state.heartbeat.store = store;
+  state.written_after = written_after;
+  return state;
+}
+
+}  // namespace
+
+Test(renewal_rule, renew_under_cuts_and_delays_never_outlives_the_wait_of_a_stop) {
+  cr_assert(rc::check([] {
+    TwoNodeModel model;
+    const int steps = *rc::gen::inRange(1, 200);
+    for (int step = 0; step < steps; ++step) {
+      model.Step();
+    }
+  }));
+}
+
+Test(renewal_rule, renew_through_an_outage_for_everyone_goes_on) {
+  const Milliseconds hour{3'600'000};
+  const std::optional<RenewalBasis> basis =
+      RenewalBasisOf(hour, Milliseconds(0),
+                     {Statement(StoreContact::kUnreachable, hour - Milliseconds(1'000)),
+                      Statement(StoreContact::kUnreachable, hour - Milliseconds(500))});
+  cr_assert(basis.has_value());
+  cr_assert(basis->dated_at == hour - Milliseconds(1'000));
+}
+
+Test(renewal_rule, renew_cut_off_while_one_peer_reaches_the_store_ends) {
+  const Milliseconds now{60'000};
+  cr_assert_not(RenewalBasisOf(now, Milliseconds(0), {Statement(StoreContact::kReachable, now)}));
+}
+
+Test(renewal_rule, renew_cut_off_with_one_peer_silent_ends) {
+  const Milliseconds now{60'000};
+  cr_assert_not(RenewalBasisOf(now, Milliseconds(0),
+                               {Statement(StoreContact::kUnreachable, now), std::nullopt}));
+  cr_assert_not(RenewalBasisOf(now, Milliseconds(0),
+                               {Statement(StoreContact::kUnreachable, now - Milliseconds(1'501))}));
+}
+
+}  // namespace papayalift
