--- a/src/libraries/node/entry_node.cc
+++ b/src/libraries/node/entry_node.cc
@@ -27,8 +27,9 @@
 
 constexpr std::size_t kMostSessions = 1'024;
 constexpr Milliseconds kRegisterInterval{500};
-/// A node that has been silent for so long is taken out of the registry.
-constexpr Milliseconds kRemoveAfter{60'000};
+/// A node that has been silent for so long is taken out of the registry; it comes back by itself.
+/// Until then an outage of the key-value service would end the renewals, for want of its word.
+constexpr Milliseconds kRemoveAfter{15'000};
 constexpr Milliseconds kDrainPollInterval{50};
 
 NodeRecord RecordOf(const NodeSettings& settings, const Clock& clock,
