Bundles: Refuse at sign-off what can not be kept

Cause: a bundle whose guarantees do not fit together, or not with any one zone out, could be signed off; and an operator who took a zone out was not told which guarantees were lost. Change: CheckBundle over the decision library's guarantee check, used by 'bundle check' and sign-off; the answers of zone out, back and list name what can not be kept. Conclusion: guarantees are promised only where they can be kept.

--- a/src/libraries/node/api_answers.cc
+++ b/src/libraries/node/api_answers.cc
@@ -3,9 +3,11 @@
 #include <map>
 #include <utility>
 
+#include "libraries/decisions/guarantee_check.h"
 #include "libraries/model/job_codec.h"
 #include "libraries/model/job_names.h"
 #include "libraries/model/json_document.h"
+#include "libraries/node/snapshot_builder.h"
 
 namespace papayalift {
 
@@ -27,6 +29,19 @@
   return list;
 }
 
+Json LostGuaranteesJson(const ZoneTable& zones, const FleetView& view) {
+  Json lost = Json::array();
+  if (view.bundle == nullptr) {
+    return lost;
+  }
+  Snapshot snapshot = BuildSnapshot(view, Milliseconds(0));
+  snapshot.zones = zones;
+  for (const GuaranteeGap& gap : GuaranteesNow(snapshot).lost) {
+    lost.push_back(Describe(gap));
+  }
+  return lost;
+}
+
 }  // namespace
 
 HttpResponse JsonResponse(std::string body) {
@@ -66,8 +81,10 @@
 }
 
 HttpResponse ZonesAnswer(const ZoneTable& zones, const FleetView& view) {
-  return JsonResponse(
-      Json{{"epoch", zones.epoch.value()}, {"zones", ZoneListJson(zones, view)}}.dump());
+  return JsonResponse(Json{{"epoch", zones.epoch.value()},
+                           {"zones", ZoneListJson(zones, view)},
+                           {"guarantees_lost", LostGuaranteesJson(zones, view)}}
+                          .dump());
 }
 
 HttpResponse BundleHistoryAnswer(const std::vector<BundleRecord>& history,
--- a/src/libraries/node/api_answers.h
+++ b/src/libraries/node/api_answers.h
@@ -23,6 +23,7 @@
 
 HttpResponse SubmitAnswerOf(const SubmitAnswer& answer);
 HttpResponse JobListAnswer(const FleetView& view);
+/// Names the guarantees that can not be kept under `zones` as well.
 HttpResponse ZonesAnswer(const ZoneTable& zones, const FleetView& view);
 HttpResponse BundleHistoryAnswer(const std::vector<BundleRecord>& history,
                                  const CurrentBundle& current);
--- a/src/libraries/node/bundle_desk.cc
+++ b/src/libraries/node/bundle_desk.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "libraries/base/try.h"
+#include "libraries/decisions/bundle_check.h"
 #include "libraries/model/bundle_codec.h"
 #include "libraries/model/bundle_file.h"
 #include "libraries/model/keys.h"
@@ -81,6 +82,7 @@
     return absl::AbortedError(fmt::format("the digest of version {} is {}, not {}", version.value(),
                                           draft.value.digest, digest));
   }
+  TRY(CheckBundle(TRY(ParseBundle(draft.value.text, "bundle"))));
   BundleRecord record = draft.value;
   record.sign_off = SignOff::kGiven;
   record.signed_off_by = actor;
--- a/src/libraries/node/bundle_desk.h
+++ b/src/libraries/node/bundle_desk.h
@@ -19,7 +19,8 @@
   /// Stores a checked draft under the next version. kInvalidArgument lists its problems.
   absl::StatusOr<BundleRecord> Submit(const std::string& text, const OperatorId& actor);
 
-  /// kAborted where `digest` is not the draft's.
+  /// kAborted where `digest` is not the draft's. kFailedPrecondition names the guarantees that
+  /// don't fit together, or not with any one zone out.
   absl::StatusOr<BundleRecord> SignOff(BundleVersion version, const std::string& digest,
                                        const OperatorId& actor);
 
--- a/src/services/bundle_commands.cc
+++ b/src/services/bundle_commands.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 #include <vector>
 
+#include "libraries/decisions/bundle_check.h"
 #include "libraries/model/bundle_file.h"
 #include "libraries/model/bundle_record.h"
 #include "libraries/model/json_document.h"
@@ -42,6 +43,12 @@
     PrintUsageError(context, std::string(text.status().message()));
     return;
   }
+  const absl::StatusOr<Bundle> bundle = ParseBundle(*text, options.file);
+  const absl::Status kept = CheckBundle(*bundle);
+  if (!kept.ok()) {
+    PrintUsageError(context, fmt::format("{}: {}", options.file, std::string(kept.message())));
+    return;
+  }
   fmt::print("{}: ok, digest {}\n", options.file, BundleDigest(*text));
 }
 
--- a/src/services/zone_commands.cc
+++ b/src/services/zone_commands.cc
@@ -28,6 +28,9 @@
   for (const Json& zone : json->value("zones", Json::array())) {
     text += fmt::format("\n{:<24} {}", zone.value("zone", ""), zone.value("state", ""));
   }
+  for (const Json& lost : json->value("guarantees_lost", Json::array())) {
+    text += fmt::format("\nguarantee lost: {}", lost.get<std::string>());
+  }
   return text;
 }
 
