Fleet lab: Load a fleet, break it on a schedule, check nine promises

The promises could be checked only from inside. Stand-ins now take faults over HTTP (drop, delay, duplicate, cut, lose the answer, refuse, hang, reorder) and tell what began on them; `lab fleet` loads the public API, works through a fault file and judges each promise by what the stand-ins and callers saw.

--- /dev/null
+++ b/src/libraries/fleet_lab/fault_actions.h
@@ -0,0 +1,78 @@
+/// Carries out the steps of a fault file, and undoes them.
+#pragma once
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "libraries/fleet_lab/call_load.h"
+#include "libraries/fleet_lab/fault_step.h"
+#include "libraries/fleet_lab/job_load.h"
+#include "libraries/fleet_lab/lab_context.h"
+
+namespace papayalift {
+
+class FaultActions {
+ public:
+  FaultActions(LabContext& context, CallLoad& calls, JobLoad& jobs);
+
+  /// Targets are picked here, so that `End` of the same step finds them.
+  absl::Status Begin(std::size_t index, const FaultStep& step);
+  absl::Status End(std::size_t index, const FaultStep& step);
+
+  /// Sees to a bundle in force; the fleet's own where there is none.
+  absl::Status PrepareBundle();
+  /// Whatever was left: processes stopped, stand-ins faulted, zones out.
+  void RestoreAll();
+
+ private:
+  using Action = absl::Status (FaultActions::*)(const FaultStep&);
+
+  absl::Status Kill(const FaultStep& step);
+  absl::Status Freeze(const FaultStep& step);
+  absl::Status Thaw(const FaultStep& step);
+  absl::Status StopGracefully(const FaultStep& step);
+  absl::Status BreakLinks(const FaultStep& step);
+  absl::Status MendLinks(const FaultStep& step);
+  absl::Status TakeStoreAway(const FaultStep& step);
+  absl::Status BringStoreBack(const FaultStep& step);
+  absl::Status BreakWatches(const FaultStep& step);
+  absl::Status Compact(const FaultStep& step);
+  absl::Status ChangeConduct(const FaultStep& step);
+  absl::Status RestoreConduct(const FaultStep& step);
+  absl::Status Forget(const FaultStep& step);
+  absl::Status TakeZoneOut(const FaultStep& step);
+  absl::Status BringZoneBack(const FaultStep& step);
+  absl::Status RaceZones(const FaultStep& step);
+  absl::Status RaceBundles(const FaultStep& step);
+  absl::Status Retire(const FaultStep& step);
+  absl::Status EndRetirement(const FaultStep& step);
+  absl::Status StartCallStorm(const FaultStep& step);
+  absl::Status EndCallStorm(const FaultStep& step);
+  absl::Status StormOfCancellations(const FaultStep& step);
+  absl::Status Reclaim(const FaultStep& step);
+  absl::Status Nothing(const FaultStep& step);
+
+  static Action ActionOf(FaultAction action);
+  static Action UndoingOf(FaultAction action);
+
+  absl::Status ForEachTarget(const FaultStep& step,
+                             const std::function<absl::Status(const std::string&)>& act) const;
+  bool IsNode(const std::string& name) const;
+  /// Changes a zone through any node until one accepts it.
+  absl::Status ChangeZone(const ZoneId& zone, const std::string& state);
+  /// Submits, signs off and rolls; gives the version and when it was accepted.
+  absl::Status RollBundle(const std::string& text);
+  absl::StatusOr<BundleRecord> SignedOff(const std::string& operator_name, const std::string& text);
+  std::string BundleWithout(const std::vector<std::string>& targets) const;
+
+  LabContext& m_context;
+  CallLoad& m_calls;
+  JobLoad& m_jobs;
+  std::mt19937_64 m_random;
+  std::map<std::size_t, std::vector<std::string>> m_picked;
+  std::int64_t m_bundles_written = 0;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/libraries/fleet_lab/fault_runner.h
@@ -0,0 +1,45 @@
+/// Works through the steps of a fault file on their schedule, on a thread of its own.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "libraries/base/duty_thread.h"
+#include "libraries/fleet_lab/fault_actions.h"
+#include "libraries/fleet_lab/fault_file.h"
+
+namespace papayalift {
+
+class FaultRunner {
+ public:
+  FaultRunner(LabContext& context, FaultActions& actions, std::vector<FaultStep> steps);
+  ~FaultRunner() { Join(); }
+
+  void Start();
+  void Join();
+
+  /// Steps that could not be carried out, one text each. Read after Join().
+  const std::vector<std::string>& failures() const { return m_failures; }
+  int steps_done() const { return m_steps_done; }
+
+ private:
+  enum class Edge { kBegin, kEnd };
+  struct Event {
+    Milliseconds at{0};
+    std::size_t step = 0;
+    Edge edge = Edge::kBegin;
+  };
+
+  void Run();
+  void Carry(const Event& event);
+
+  LabContext& m_context;
+  FaultActions& m_actions;
+  const std::vector<FaultStep> m_steps;
+  std::vector<Event> m_events;
+  std::vector<std::string> m_failures;
+  int m_steps_done = 0;
+  DutyThread m_thread;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/libraries/fleet_lab/lab_context.h
@@ -0,0 +1,33 @@
+/// What the parts of the fleet lab share.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "libraries/base/boot_clock.h"
+#include "libraries/base/stop_signal.h"
+#include "libraries/fleet_lab/control_client.h"
+#include "libraries/fleet_lab/fleet_api.h"
+#include "libraries/fleet_lab/node_board.h"
+#include "libraries/fleet_lab/observation_log.h"
+
+namespace papayalift {
+
+struct LabContext {
+  LabContext(const FleetListing& listing, std::uint64_t lab_seed);
+
+  const FleetListing& fleet;
+  const std::uint64_t seed;
+  BootClock clock;
+  /// Makes the names of this run's jobs and calls its own.
+  const std::string run_name;
+  const std::shared_ptr<HttpClient> client;
+  FleetApi api;
+  ControlClient controls;
+  NodeBoard board;
+  ObservationLog log;
+  /// Ends all loads.
+  StopSignal stop;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/libraries/fleet_lab/observation_log.h
@@ -0,0 +1,45 @@
+/// Observations that many threads add to.
+#pragma once
+
+#include <map>
+#include <mutex>
+
+#include "libraries/fleet_lab/observations.h"
+
+namespace papayalift {
+
+/// Thread-safe.
+class ObservationLog {
+ public:
+  /// Appends to one of the lists.
+  template <typename Record>
+  void Add(std::vector<Record> Observations::*list, Record record) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    (m_observations.*list).push_back(std::move(record));
+  }
+
+  /// Adds a job, or replaces what was known of it.
+  void SetJob(const JobObservation& job);
+
+  void ZoneIsOut(const ZoneId& zone, Milliseconds at);
+  void ZoneIsBack(const ZoneId& zone, Milliseconds at);
+  void StoreIsAway(Milliseconds at);
+  void StoreIsBack(Milliseconds at);
+  void TargetIsRetired(const std::string& target, Milliseconds at);
+  void TargetIsBack(const std::string& target, Milliseconds at);
+
+  /// A gang was seen partial for `lasted` so far.
+  void GangIsPartial(const AttemptId& attempt, Milliseconds lasted);
+  void GangsWatched(std::int64_t count);
+  void ProbeStarted(const JobId& job, Milliseconds at);
+
+  Observations Copy() const;
+
+ private:
+  mutable std::mutex m_mutex;
+  Observations m_observations;
+  std::map<JobId, std::size_t> m_job_index;
+  std::map<AttemptId, std::size_t> m_partial_index;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/libraries/fleet_lab/promise.h
@@ -0,0 +1,42 @@
+/// The promises that must always hold, and how often each was checked and broken.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace papayalift {
+
+enum class Promise {
+  kGuaranteeReclaimed,
+  kGangWhole,
+  kZoneOutHeld,
+  kAnswerWholeAndOwn,
+  kNotRunDidNotRun,
+  kAtMostOnce,
+  kLeavingTargetSpared,
+  kStopGraceful,
+  kBundleInForce,
+};
+
+inline constexpr std::array<Promise, 9> kPromises{
+    Promise::kGuaranteeReclaimed,  Promise::kGangWhole,       Promise::kZoneOutHeld,
+    Promise::kAnswerWholeAndOwn,   Promise::kNotRunDidNotRun, Promise::kAtMostOnce,
+    Promise::kLeavingTargetSpared, Promise::kStopGraceful,    Promise::kBundleInForce,
+};
+
+std::string PromiseText(Promise promise);
+
+struct PromiseTally {
+  Promise promise = Promise::kGuaranteeReclaimed;
+  std::int64_t checked = 0;
+  std::int64_t broken = 0;
+  /// What was seen; only the first few.
+  std::vector<std::string> traces;
+
+  void Right() { ++checked; }
+  void Broken(std::string trace);
+};
+
+}  // namespace papayalift
--- a/src/libraries/http/http_message.h
+++ b/src/libraries/http/http_message.h
@@ -24,6 +24,15 @@
 /// Writes the next piece of a streamed body into `piece`; returns false at its end. May wait.
 using BodySource = std::function<bool(std::string& piece)>;
 
+/// How much of a response leaves; all but kWhole are for stand-ins that play a broken network.
+enum class HttpDelivery {
+  kWhole,
+  /// The head and half of the body, then the connection closes.
+  kCut,
+  /// The connection closes without a byte.
+  kNone,
+};
+
 /// A response as a server sends it.
 struct HttpResponse {
   HttpStatus status = HttpStatus::kOk;
@@ -31,6 +40,7 @@
   std::string body;
   /// Where set, the body is streamed from here and `body` is not used.
   BodySource stream;
+  HttpDelivery delivery = HttpDelivery::kWhole;
 };
 
 /// A request as a client sends it.
--- a/src/libraries/http/http_server.cc
+++ b/src/libraries/http/http_server.cc
@@ -42,6 +42,13 @@
   return static_cast<ssize_t>(count);
 }
 
+/// Ends in an error where the pieces have run out, so that the answer breaks off.
+ssize_t ReadCutStream(void* context, std::uint64_t position, char* buffer, std::size_t room) {
+  const StreamBody& body = *static_cast<StreamBody*>(context);
+  return body.pending.empty() ? MHD_CONTENT_READER_END_WITH_ERROR
+                              : ReadStream(context, position, buffer, room);
+}
+
 void FreeStream(void* context) { delete static_cast<StreamBody*>(context); }
 
 MHD_Result CollectQuery(void* context, MHD_ValueKind /*kind*/, const char* key, const char* value) {
@@ -55,6 +62,10 @@
     StreamBody* body = new StreamBody{std::move(response.stream), {}};
     built = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, kStreamBlockBytes, ReadStream, body,
                                               FreeStream);
+  } else if (response.delivery == HttpDelivery::kCut) {
+    StreamBody* body = new StreamBody{{}, response.body.substr(0, response.body.size() / 2)};
+    built = MHD_create_response_from_callback(response.body.size(), kStreamBlockBytes,
+                                              ReadCutStream, body, FreeStream);
   } else {
     built = MHD_create_response_from_buffer(response.body.size(), response.body.data(),
                                             MHD_RESPMEM_MUST_COPY);
@@ -64,6 +75,9 @@
 }
 
 MHD_Result Queue(MHD_Connection* connection, HttpResponse response) {
+  if (response.delivery == HttpDelivery::kNone) {
+    return MHD_NO;
+  }
   MHD_Response* built = BuildResponse(response);
   const MHD_Result queued =
       MHD_queue_response(connection, static_cast<unsigned int>(response.status), built);
--- a/src/services/commands.h
+++ b/src/services/commands.h
@@ -17,6 +17,7 @@
 void AddCallCommand(CLI::App& app, CommandContext& context);
 void AddObserveCommands(CLI::App& app, CommandContext& context);
 void AddLabCommands(CLI::App& app, CommandContext& context);
+void AddLabFleetCommand(CLI::App& lab, CommandContext& context);
 void AddStandInCommands(CLI::App& app, CommandContext& context);
 
 }  // namespace papayalift
--- a/src/stand_ins/platform/platform_stand_in.cc
+++ b/src/stand_ins/platform/platform_stand_in.cc
@@ -1,5 +1,7 @@
 #include "stand_ins/platform/platform_stand_in.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -36,9 +38,10 @@
   HttpServerLimits limits;
   limits.body_bytes = kLargestRequestBytes;
   limits.connections = kConnections;
-  PlatformStandIn* const self = platform.get();
-  absl::StatusOr<std::unique_ptr<HttpServer>> server = HttpServer::Create(
-      address, port, limits, [self](const HttpRequest& request) { return self->Handle(request); });
+  FaultyHandler* const faults = &platform->m_faults;
+  absl::StatusOr<std::unique_ptr<HttpServer>> server =
+      HttpServer::Create(address, port, limits,
+                         [faults](const HttpRequest& request) { return faults->Handle(request); });
   if (!server.ok()) {
     return server.status();
   }
@@ -48,6 +51,7 @@
 
 PlatformStandIn::~PlatformStandIn() {
   m_stopping = true;
+  m_faults.Clear();
   m_server.reset();
 }
 
@@ -56,10 +60,13 @@
     const char* path;
     HttpResponse (PlatformStandIn::*handler)(const HttpRequest&);
   };
-  static constexpr std::array<Route, 3> kRoutes{{
+  static constexpr std::array<Route, 6> kRoutes{{
       {"/v3/kv/range", &PlatformStandIn::HandleRange},
       {"/v3/kv/txn", &PlatformStandIn::HandleTransaction},
       {"/v3/watch", &PlatformStandIn::HandleWatch},
+      {"/control/watches/break", &PlatformStandIn::BreakWatches},
+      {"/control/compact", &PlatformStandIn::Compact},
+      {"/control/record", &PlatformStandIn::HandleRecord},
   }};
   for (const Route& route : kRoutes) {
     if (request.path == route.path) {
@@ -72,6 +79,7 @@
 }
 
 HttpResponse PlatformStandIn::HandleRange(const HttpRequest& request) {
+  ++m_ranges;
   const absl::StatusOr<KeyRange> range = ReadRangeRequest(request.body);
   if (!range.ok()) {
     return BadRequest(range.status());
@@ -80,6 +88,7 @@
 }
 
 HttpResponse PlatformStandIn::HandleTransaction(const HttpRequest& request) {
+  ++m_transactions;
   const absl::StatusOr<GatewayTransaction> parsed = ReadTransactionRequest(request.body);
   if (!parsed.ok()) {
     return BadRequest(parsed.status());
@@ -95,18 +104,19 @@
 }
 
 HttpResponse PlatformStandIn::HandleWatch(const HttpRequest& request) {
+  ++m_watches;
   const absl::StatusOr<GatewayWatch> watch = ReadWatchRequest(request.body);
   if (!watch.ok()) {
     return BadRequest(watch.status());
   }
   HttpResponse response;
-  response.stream = [this, range = watch->range, next = watch->start,
-                     compacted = false](std::string& piece) mutable {
+  response.stream = [this, range = watch->range, next = watch->start, compacted = false,
+                     generation = m_watch_generation.load()](std::string& piece) mutable {
     if (compacted) {
       return false;
     }
     Milliseconds waited{0};
-    while (!m_stopping) {
+    while (!m_stopping && generation == m_watch_generation) {
       const absl::StatusOr<WatchBatch> batch =
           m_store.WaitForChanges(range, next, kStopPollInterval);
       if (!batch.ok()) {
@@ -126,4 +136,19 @@
   return response;
 }
 
+HttpResponse PlatformStandIn::BreakWatches(const HttpRequest& /*request*/) {
+  ++m_watch_generation;
+  return OkResponse("{}");
+}
+
+HttpResponse PlatformStandIn::Compact(const HttpRequest& /*request*/) {
+  m_store.Compact(m_store.revision());
+  return OkResponse("{}");
+}
+
+HttpResponse PlatformStandIn::HandleRecord(const HttpRequest& /*request*/) {
+  return OkResponse(fmt::format(R"({{"ranges":{},"transactions":{},"watches":{}}})",
+                                m_ranges.load(), m_transactions.load(), m_watches.load()));
+}
+
 }  // namespace papayalift
--- a/src/stand_ins/platform/platform_stand_in.h
+++ b/src/stand_ins/platform/platform_stand_in.h
@@ -1,4 +1,8 @@
 /// A small stand-in for the platform: the key-value service behind the etcd v3 JSON gateway.
+///
+/// Controls: "POST /control/faults", "POST /control/watches/break", "POST /control/compact",
+/// "GET /control/record" with the calls taken so far. An outage is a fault on "/" and broken
+/// watches.
 #pragma once
 
 #include <atomic>
@@ -8,6 +12,7 @@
 #include "absl/status/statusor.h"
 #include "libraries/http/http_server.h"
 #include "libraries/store/memory_store.h"
+#include "stand_ins/control/faulty_handler.h"
 
 namespace papayalift {
 
@@ -21,15 +26,24 @@
   MemoryStore& store() { return m_store; }
 
  private:
-  PlatformStandIn() = default;
+  PlatformStandIn() : m_faults([this](const HttpRequest& request) { return Handle(request); }) {}
 
   HttpResponse Handle(const HttpRequest& request);
   HttpResponse HandleRange(const HttpRequest& request);
   HttpResponse HandleTransaction(const HttpRequest& request);
   HttpResponse HandleWatch(const HttpRequest& request);
+  HttpResponse BreakWatches(const HttpRequest& request);
+  HttpResponse Compact(const HttpRequest& request);
+  HttpResponse HandleRecord(const HttpRequest& request);
 
   MemoryStore m_store;
   std::atomic<bool> m_stopping{false};
+  /// A watch ends once this is not what it was when the watch began.
+  std::atomic<int> m_watch_generation{0};
+  std::atomic<std::int64_t> m_ranges{0};
+  std::atomic<std::int64_t> m_transactions{0};
+  std::atomic<std::int64_t> m_watches{0};
+  FaultyHandler m_faults;
   std::unique_ptr<HttpServer> m_server;
 };
 
--- a/src/stand_ins/worker/worker_agent.cc
+++ b/src/stand_ins/worker/worker_agent.cc
@@ -129,6 +129,12 @@
   m_fault_mode = mode;
 }
 
+void WorkerAgent::Forget() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_attempts.clear();
+  m_finished.clear();
+}
+
 std::vector<AttemptId> WorkerAgent::started() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return m_started;
--- a/src/stand_ins/worker/worker_agent.h
+++ b/src/stand_ins/worker/worker_agent.h
@@ -29,6 +29,8 @@
   std::vector<AttemptReport> Renew(const RenewRequest& request);
 
   void SetFaultMode(FaultMode mode);
+  /// What a restart does: all tasks end, and no attempt is known any more.
+  void Forget();
 
   /// Every start that was granted, in order; for checks.
   std::vector<AttemptId> started() const;
--- a/src/stand_ins/worker/worker_stand_in.cc
+++ b/src/stand_ins/worker/worker_stand_in.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "libraries/worker/worker_codec.h"
+#include "stand_ins/control/control_codec.h"
+#include "stand_ins/control/record_query.h"
 
 namespace papayalift {
 
@@ -27,10 +29,10 @@
 absl::StatusOr<std::unique_ptr<WorkerStandIn>> WorkerStandIn::Create(
     const std::string& address, std::uint16_t port, AcceleratorCount accelerators) {
   std::unique_ptr<WorkerStandIn> worker(new WorkerStandIn(accelerators));
-  WorkerStandIn* const self = worker.get();
+  FaultyHandler* const faults = &worker->m_faults;
   absl::StatusOr<std::unique_ptr<HttpServer>> server =
       HttpServer::Create(address, port, HttpServerLimits{},
-                         [self](const HttpRequest& request) { return self->Handle(request); });
+                         [faults](const HttpRequest& request) { return faults->Handle(request); });
   if (!server.ok()) {
     return server.status();
   }
@@ -38,16 +40,24 @@
   return worker;
 }
 
+WorkerStandIn::~WorkerStandIn() {
+  m_faults.Clear();
+  m_server.reset();
+}
+
 HttpResponse WorkerStandIn::Handle(const HttpRequest& request) {
   struct Route {
     const char* path;
     HttpResponse (WorkerStandIn::*handler)(const HttpRequest&);
   };
-  static constexpr std::array<Route, 4> kRoutes{{
+  static constexpr std::array<Route, 7> kRoutes{{
       {"/v1/prepare", &WorkerStandIn::HandlePrepare},
       {"/v1/start", &WorkerStandIn::HandleStart},
       {"/v1/stop", &WorkerStandIn::HandleStop},
       {"/v1/renew", &WorkerStandIn::HandleRenew},
+      {"/control/conduct", &WorkerStandIn::HandleConduct},
+      {"/control/forget", &WorkerStandIn::HandleForget},
+      {"/control/record", &WorkerStandIn::HandleRecord},
   }};
   for (const Route& route : kRoutes) {
     if (request.path == route.path) {
@@ -59,12 +69,26 @@
 
 HttpResponse WorkerStandIn::HandlePrepare(const HttpRequest& request) {
   const absl::StatusOr<PrepareRequest> prepare = DecodePrepare(request.body);
-  return ResponseOf(prepare.ok() ? m_agent.Prepare(*prepare) : prepare.status());
+  if (!prepare.ok()) {
+    return ResponseOf(prepare.status());
+  }
+  const absl::Status prepared = m_agent.Prepare(*prepare);
+  if (prepared.ok()) {
+    m_recorder.Prepared(*prepare);
+  }
+  return ResponseOf(prepared);
 }
 
 HttpResponse WorkerStandIn::HandleStart(const HttpRequest& request) {
   const absl::StatusOr<StartRequest> start = DecodeStart(request.body);
-  return ResponseOf(start.ok() ? m_agent.Start(*start) : start.status());
+  if (!start.ok()) {
+    return ResponseOf(start.status());
+  }
+  const absl::Status started = m_agent.Start(*start);
+  if (started.ok()) {
+    m_recorder.Started(start->attempt);
+  }
+  return ResponseOf(started);
 }
 
 HttpResponse WorkerStandIn::HandleStop(const HttpRequest& request) {
@@ -74,7 +98,35 @@
 
 HttpResponse WorkerStandIn::HandleRenew(const HttpRequest& request) {
   const absl::StatusOr<RenewRequest> renew = DecodeRenew(request.body);
-  return renew.ok() ? ReportsResponse(m_agent.Renew(*renew)) : ResponseOf(renew.status());
+  if (!renew.ok()) {
+    return ResponseOf(renew.status());
+  }
+  const std::vector<AttemptReport> reports = m_agent.Renew(*renew);
+  m_recorder.Renewed(reports);
+  return ReportsResponse(m_lag.Delayed(reports));
+}
+
+HttpResponse WorkerStandIn::HandleConduct(const HttpRequest& request) {
+  const absl::StatusOr<ConductOrder> order = DecodeConductOrder(request.body);
+  if (!order.ok()) {
+    return ResponseOf(order.status());
+  }
+  m_agent.SetFaultMode(order->conduct == Conduct::kFailsEverything ? FaultMode::kFailsEverything
+                                                                   : FaultMode::kNone);
+  m_lag.SetLag(order->report_lag);
+  return ResponseOf(absl::OkStatus());
+}
+
+HttpResponse WorkerStandIn::HandleForget(const HttpRequest& /*request*/) {
+  m_agent.Forget();
+  return ResponseOf(absl::OkStatus());
+}
+
+HttpResponse WorkerStandIn::HandleRecord(const HttpRequest& request) {
+  HttpResponse response;
+  response.body = EncodeWorkerRecord(
+      m_recorder.RecordSince(SinceOf(request), SinceOf(request, "renewals"), m_agent.running()));
+  return response;
 }
 
 }  // namespace papayalift
