--- a/src/libraries/fleet_lab/control_client.cc
+++ b/src/libraries/fleet_lab/control_client.cc
@@ -42,6 +42,7 @@
 
 std::map<WorkerId, WorkerRecord> ControlClient::NewWorkerRecords() {
   std::vector<HttpCall> calls;
+  calls.reserve(m_fleet.bundle().workers.size());
   for (const WorkerSpec& worker : m_fleet.bundle().workers) {
     const Position& position = m_worker_positions[worker.id];
     calls.push_back(RecordCall(
@@ -65,6 +66,7 @@
 std::map<MinionId, MinionRecord> ControlClient::NewMinionRecords() {
   const std::vector<MinionSpec> minions = MinionsOf(m_fleet.bundle());
   std::vector<HttpCall> calls;
+  calls.reserve(minions.size());
   for (const MinionSpec& minion : minions) {
     calls.push_back(
         RecordCall(minion.address, fmt::format("?since={}", m_minion_positions[minion.id])));
--- a/src/libraries/fleet_lab/fault_actions.cc
+++ b/src/libraries/fleet_lab/fault_actions.cc
@@ -111,10 +111,11 @@
   if (step.targets.empty()) {
     return absl::NotFoundError("no process of the fleet has such a name");
   }
+  absl::Status first_failure;
   for (const std::string& name : step.targets) {
-    TRY(act(name));
+    first_failure.Update(act(name));
   }
-  return absl::OkStatus();
+  return first_failure;
 }
 
 bool FaultActions::IsNode(const std::string& name) const {
@@ -177,7 +178,7 @@
 }
 
 absl::Status FaultActions::BringStoreBack(const FaultStep& /*step*/) {
-  const absl::Status back = m_context.controls.SetFaults("platform", NoFaults());
+  absl::Status back = m_context.controls.SetFaults("platform", NoFaults());
   m_context.log.StoreIsBack(m_context.clock.Now());
   return back;
 }
--- a/src/libraries/fleet_lab/fleet_api.cc
+++ b/src/libraries/fleet_lab/fleet_api.cc
@@ -207,6 +207,7 @@
 
 std::vector<bool> FleetApi::Change(const std::vector<OperatorChange>& changes) {
   std::vector<HttpCall> calls;
+  calls.reserve(changes.size());
   for (const OperatorChange& change : changes) {
     calls.push_back(CallOf(change.node, change.path, change.body, kChangeLimit));
   }
