Calls: Share minions' connections between nodes, and carry the limit

A node now keeps to its share by the number of live nodes, and refuses early, "not run", where every share is used up. What is left of the caller's limit goes with the call. The HTTP server answers a body declared far too large at once and closes an endless one.

--- a/src/libraries/calls/call_codec.cc
+++ b/src/libraries/calls/call_codec.cc
@@ -5,7 +5,10 @@
 namespace papayalift {
 
 std::string EncodeMinionCall(const MinionCall& call) {
-  return Json{{"request_id", call.request_id}, {"ticket", call.ticket}, {"payload", call.payload}}
+  return Json{{"request_id", call.request_id},
+              {"ticket", call.ticket},
+              {"limit_ms", call.limit.count()},
+              {"payload", call.payload}}
       .dump();
 }
 
@@ -14,6 +17,7 @@
     MinionCall call;
     call.request_id = json.value("request_id", "");
     call.ticket = json.value("ticket", "");
+    call.limit = MillisecondsAt(json, "limit_ms");
     call.payload = json.value("payload", "");
     return call;
   });
--- a/src/libraries/calls/call_router.cc
+++ b/src/libraries/calls/call_router.cc
@@ -28,32 +28,41 @@
   return call;
 }
 
+/// Connections to one minion that are this node's, where all live nodes take equal shares.
+int ShareOf(const MinionSpec& minion, int live_nodes) {
+  return std::max(1, minion.connections / std::max(1, live_nodes));
+}
+
 }  // namespace
 
 CallRouter::CallRouter(const Clock& clock, ZoneGate& gate, std::shared_ptr<HttpClient> client,
-                       Metrics& metrics, std::uint64_t seed)
+                       Metrics& metrics, std::uint64_t seed, const CallPolicy& policy)
     : m_clock(clock),
       m_gate(gate),
       m_client(std::move(client)),
       m_metrics(metrics),
+      m_choice(policy.choice),
+      m_budget(policy.budget),
       m_random(seed),
       m_retries_left(kMostRetriesSaved) {}
 
-CallResult CallRouter::Route(const CallRequest& request, const ServiceSpec& service) {
+CallResult CallRouter::Route(const CallRequest& request, const ServiceSpec& service,
+                             int live_nodes) {
   const Milliseconds deadline = m_clock.Now() + request.limit;
   CallResult result;
   result.request_id = request.request_id;
-  result.reason = fmt::format("service '{}' has no minion in service", service.id.text());
+  result.reason = "its limit has passed";
   EarnRetry();
   for (int tries = 0; tries < kMostTries && m_clock.Now() < deadline; ++tries) {
     if (tries > 0 && !TakeRetry()) {
       break;
     }
-    const MinionSpec* const minion = Choose(service);
+    const MinionSpec* const minion = Choose(service, live_nodes, result.reason);
     if (minion == nullptr) {
       break;
     }
     const TryResult tried = TryMinion(request, *minion, deadline, result);
+    m_minions.CallEnds(minion->id);
     const bool may_repeat =
         tried == TryResult::kRefused ||
         (tried == TryResult::kUnclear && request.idempotency == Idempotency::kIdempotent);
@@ -66,7 +75,8 @@
   return result;
 }
 
-const MinionSpec* CallRouter::Choose(const ServiceSpec& service) {
+const MinionSpec* CallRouter::Choose(const ServiceSpec& service, int live_nodes,
+                                     std::string& reason) {
   std::vector<const MinionSpec*> open;
   for (const MinionSpec& minion : service.minions) {
     if (m_gate.Admit(minion.zone) == ZoneAdmission::kOpen) {
@@ -74,11 +84,29 @@
     }
   }
   if (open.empty()) {
+    reason = fmt::format("service '{}' has no minion in service", service.id.text());
+    return nullptr;
+  }
+  std::erase_if(open, [this, live_nodes](const MinionSpec* minion) {
+    return m_minions.Outstanding(minion->id) >= ShareOf(*minion, live_nodes);
+  });
+  if (open.empty()) {
+    reason = fmt::format("every minion of service '{}' has all that this node may send it",
+                         service.id.text());
     return nullptr;
   }
+  const MinionSpec* const chosen = PickOf(open);
+  m_minions.CallBegins(chosen->id);
+  return chosen;
+}
+
+const MinionSpec* CallRouter::PickOf(const std::vector<const MinionSpec*>& open) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   std::uniform_int_distribution<std::size_t> pick(0, open.size() - 1);
   const MinionSpec* const first = open[pick(m_random)];
+  if (m_choice == MinionChoice::kRandom) {
+    return first;
+  }
   const MinionSpec* const second = open[pick(m_random)];
   return m_minions.Load(second->id) < m_minions.Load(first->id) ? second : first;
 }
@@ -94,13 +122,12 @@
   call.request_id = request.request_id;
   call.ticket = m_minions.Ticket(minion.id).text;
   call.payload = request.payload;
-  m_minions.CallBegins(minion.id);
   const Milliseconds sent_at = m_clock.Now();
+  call.limit = std::max(deadline - sent_at, Milliseconds(1));
   HttpCall http = CallOf(minion, "/v1/call", EncodeMinionCall(call), deadline - sent_at);
   // The connection may take its time: the zone is checked again right before the first byte.
   http.may_send = [this, &minion] { return m_gate.Admit(minion.zone) == ZoneAdmission::kOpen; };
   const HttpOutcome outcome = m_client->Send(http);
-  m_minions.CallEnds(minion.id);
   if (outcome.reach == CallReach::kNotSent) {
     result.reason = outcome.error;
     return TryResult::kRefused;
@@ -142,7 +169,7 @@
 
 bool CallRouter::TakeRetry() {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  if (m_retries_left < 1) {
+  if (m_budget == RetryBudget::kLimited && m_retries_left < 1) {
     m_metrics.Count("papayalift_call_retries_denied_total");
     return false;
   }
--- a/src/libraries/calls/call_router.h
+++ b/src/libraries/calls/call_router.h
@@ -4,6 +4,8 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <string>
+#include <vector>
 
 #include "libraries/base/clock.h"
 #include "libraries/calls/call_messages.h"
@@ -16,18 +18,39 @@
 
 namespace papayalift {
 
+enum class MinionChoice {
+  /// The better of two random ones.
+  kTwoRandom,
+  /// One random one: the baseline of measurements.
+  kRandom,
+};
+
+enum class RetryBudget {
+  kLimited,
+  /// The baseline of measurements.
+  kUnlimited,
+};
+
+struct CallPolicy {
+  MinionChoice choice = MinionChoice::kTwoRandom;
+  RetryBudget budget = RetryBudget::kLimited;
+};
+
 class CallRouter {
  public:
   CallRouter(const Clock& clock, ZoneGate& gate, std::shared_ptr<HttpClient> client,
-             Metrics& metrics, std::uint64_t seed);
+             Metrics& metrics, std::uint64_t seed, const CallPolicy& policy = CallPolicy{});
 
-  /// Waits for the answer, at most for the request's limit.
-  CallResult Route(const CallRequest& request, const ServiceSpec& service);
+  /// Waits for the answer, at most for the request's limit. Each of `live_nodes` entry nodes keeps
+  /// to its share of a minion's connections; where all shares are used up the call is refused.
+  CallResult Route(const CallRequest& request, const ServiceSpec& service, int live_nodes = 1);
 
  private:
   enum class TryResult { kDone, kRefused, kUnclear };
 
-  const MinionSpec* Choose(const ServiceSpec& service);
+  /// Counts the chosen one's call as begun. Null, with the reason, where none may be sent to.
+  const MinionSpec* Choose(const ServiceSpec& service, int live_nodes, std::string& reason);
+  const MinionSpec* PickOf(const std::vector<const MinionSpec*>& open);
   TryResult TryMinion(const CallRequest& request, const MinionSpec& minion, Milliseconds deadline,
                       CallResult& result);
   absl::Status EnsureTicket(const MinionSpec& minion, Milliseconds limit);
@@ -38,6 +61,8 @@
   ZoneGate& m_gate;
   const std::shared_ptr<HttpClient> m_client;
   Metrics& m_metrics;
+  const MinionChoice m_choice;
+  const RetryBudget m_budget;
   MinionTable m_minions;
   std::mutex m_mutex;
   std::mt19937_64 m_random;
--- a/src/libraries/calls/minion_messages.h
+++ b/src/libraries/calls/minion_messages.h
@@ -3,12 +3,16 @@
 
 #include <string>
 
+#include "libraries/base/units.h"
+
 namespace papayalift {
 
 struct MinionCall {
   std::string request_id;
   /// The newest ticket heard from this minion.
   std::string ticket;
+  /// What is left of the caller's limit: work that takes longer serves nobody.
+  Milliseconds limit{0};
   std::string payload;
 };
 
--- a/src/libraries/calls/minion_table.cc
+++ b/src/libraries/calls/minion_table.cc
@@ -21,6 +21,12 @@
   }
 }
 
+int MinionTable::Outstanding(const MinionId& minion) const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const auto found = m_entries.find(minion);
+  return found == m_entries.end() ? 0 : found->second.outstanding;
+}
+
 int MinionTable::Load(const MinionId& minion) const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   const auto found = m_entries.find(minion);
--- a/src/libraries/calls/minion_table.h
+++ b/src/libraries/calls/minion_table.h
@@ -22,6 +22,8 @@
   void CallEnds(const MinionId& minion);
   void Heard(const MinionId& minion, const MinionTicket& ticket, int busy_slots);
 
+  /// Own calls that are on their way.
+  int Outstanding(const MinionId& minion) const;
   /// Own outstanding calls plus the slots last reported busy; lower is better.
   int Load(const MinionId& minion) const;
   /// Empty where none has been heard.
--- a/src/libraries/http/http_server.cc
+++ b/src/libraries/http/http_server.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <charconv>
 #include <cstring>
 #include <utility>
 
@@ -20,8 +21,9 @@
 /// One request while it arrives and is answered.
 struct Exchange {
   HttpRequest request;
-  bool started = false;
   bool too_large = false;
+  /// Of its body, those discarded included.
+  std::uint64_t bytes = 0;
 };
 
 struct StreamBody {
@@ -165,22 +167,44 @@
     if (*state == nullptr) {
       *state = new Exchange;
       ++m_in_flight;
-      return MHD_YES;
+      return DeclaredBytes(connection) > MostDiscarded() ? QueueTooLarge(connection) : MHD_YES;
     }
     Exchange& exchange = *static_cast<Exchange*>(*state);
     if (*upload_size > 0) {
       Collect(exchange, std::string_view(upload, *upload_size));
       *upload_size = 0;
-      return MHD_YES;
+      return exchange.bytes > MostDiscarded() ? MHD_NO : MHD_YES;
     }
     if (exchange.too_large) {
-      return Queue(connection,
-                   ErrorResponse(HttpStatus::kPayloadTooLarge, "the request body is too large"));
+      return QueueTooLarge(connection);
     }
     return Answer(connection, exchange, url, method);
   }
 
+  /// A body somewhat too large is read to its end, so that its sender surely gets the answer; a
+  /// larger one is not waited for.
+  std::uint64_t MostDiscarded() const {
+    constexpr std::uint64_t kTimesTheLimit = 4;
+    return kTimesTheLimit * m_limits.body_bytes;
+  }
+
+  static std::uint64_t DeclaredBytes(MHD_Connection* connection) {
+    const char* const text =
+        MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+    std::uint64_t bytes = 0;
+    if (text != nullptr) {
+      std::from_chars(text, text + std::strlen(text), bytes);
+    }
+    return bytes;
+  }
+
+  static MHD_Result QueueTooLarge(MHD_Connection* connection) {
+    return Queue(connection,
+                 ErrorResponse(HttpStatus::kPayloadTooLarge, "the request body is too large"));
+  }
+
   void Collect(Exchange& exchange, std::string_view bytes) const {
+    exchange.bytes += bytes.size();
     if (exchange.request.body.size() + bytes.size() > m_limits.body_bytes) {
       exchange.too_large = true;
       exchange.request.body.clear();
--- a/src/libraries/node/api_server.cc
+++ b/src/libraries/node/api_server.cc
@@ -271,7 +271,8 @@
         fmt::format("the bundle in force declares no service '{}'", service_id.text())));
   }
   call->limit = std::min(call->limit, m_parts.call_limit);
-  const CallResult result = m_parts.calls.Route(*call, *service);
+  const int live_nodes = static_cast<int>(m_parts.liveness.Live(*view).size());
+  const CallResult result = m_parts.calls.Route(*call, *service, live_nodes);
   HttpResponse response = JsonResponse(EncodeCallResult(result));
   if (result.verdict != Verdict::kRan) {
     response.status =
--- /dev/null
+++ b/tests/http/http_client_test.cc
@@ -0,0 +1,119 @@
+#include "libraries/http/http_client.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <thread>
+
+#include "http/raw_connection.h"
+#include "libraries/http/http_server.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr Milliseconds kPatience{20'000};
+constexpr char kMark[] = "end-of-request";
+
+HttpCall CallTo(std::uint16_t port) {
+  HttpCall call;
+  call.url = "http://127.0.0.1:" + std::to_string(port) + "/v1/call";
+  call.body = kMark;
+  call.limit = kPatience;
+  return call;
+}
+
+std::string Answer(const std::string& body, std::size_t length) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" + body;
+}
+
+/// Answers the first request, reads the second on the kept connection and closes it without a
+/// byte; answers all on further connections. Counts the requests that it has read whole.
+class ClosingServer {
+ public:
+  ClosingServer() : m_thread([this] { Serve(); }) {}
+
+  std::uint16_t port() const { return m_listener.port(); }
+
+  /// The requests read, once the server has nothing more to read.
+  int Requests() {
+    // A connection of the test's own ends the wait for a further one; it sends nothing.
+    { const RawConnection last(port()); }
+    m_thread.join();
+    return m_requests;
+  }
+
+ private:
+  bool Read(const RawConnection& connection) {
+    const bool whole = connection.ReadUntil(kMark).find(kMark) != std::string::npos;
+    m_requests += whole ? 1 : 0;
+    return whole;
+  }
+
+  void Serve() {
+    {
+      const RawConnection kept = m_listener.Accept();
+      Read(kept);
+      kept.Write(Answer("{}", 2));
+      Read(kept);
+    }
+    const RawConnection further = m_listener.Accept();
+    if (Read(further)) {
+      further.Write(Answer("{}", 2));
+    }
+  }
+
+  RawListener m_listener;
+  std::atomic<int> m_requests{0};
+  std::thread m_thread;
+};
+
+}  // namespace
+
+Test(http_client, kept_connection_closed_after_request_is_unclear_and_not_resent) {
+  ClosingServer server;
+  HttpClient client;
+  cr_assert(client.Send(CallTo(server.port())).reach == CallReach::kAnswered);
+  cr_expect(client.Send(CallTo(server.port())).reach == CallReach::kUnclear);
+  cr_expect_eq(server.Requests(), 2);
+}
+
+Test(http_client, body_cut_short_is_unclear_and_has_no_body) {
+  RawListener listener;
+  std::thread server([&listener] {
+    const RawConnection connection = listener.Accept();
+    connection.ReadUntil(kMark);
+    connection.Write(Answer("{\"half\":", 100));
+  });
+  HttpClient client;
+  const HttpOutcome outcome = client.Send(CallTo(listener.port()));
+  server.join();
+  cr_expect(outcome.reach == CallReach::kUnclear);
+  cr_expect(outcome.body.empty());
+}
+
+Test(http_client, may_send_false_sends_no_byte) {
+  RawListener listener;
+  std::string read;
+  std::thread server([&listener, &read] { read = listener.Accept().ReadToEnd(); });
+  HttpCall call = CallTo(listener.port());
+  call.may_send = [] { return false; };
+  {
+    HttpClient client;
+    cr_expect(client.Send(call).reach == CallReach::kNotSent);
+  }
+  server.join();
+  cr_expect(read.empty());
+}
+
+Test(http_client, closed_port_is_not_sent) {
+  std::uint16_t port = 0;
+  {
+    const RawListener listener;
+    port = listener.port();
+  }
+  HttpClient client;
+  cr_expect(client.Send(CallTo(port)).reach == CallReach::kNotSent);
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/http/raw_connection.h
@@ -0,0 +1,46 @@
+/// A TCP connection that a test reads and writes byte by byte.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace papayalift {
+
+class RawConnection {
+ public:
+  /// Connects to a port on loopback.
+  explicit RawConnection(std::uint16_t port);
+  /// Takes over an accepted connection.
+  static RawConnection Of(int socket) { return RawConnection(socket); }
+  ~RawConnection();
+  RawConnection(RawConnection&& other) noexcept : m_socket(other.m_socket) { other.m_socket = -1; }
+  RawConnection(const RawConnection&) = delete;
+  RawConnection& operator=(const RawConnection&) = delete;
+
+  void Write(const std::string& bytes) const;
+  /// Reads until the other side closes, or until `mark` has come.
+  std::string ReadUntil(const std::string& mark) const;
+  std::string ReadToEnd() const { return ReadUntil(""); }
+
+ private:
+  explicit RawConnection(int socket) : m_socket(socket) {}
+  int m_socket;
+};
+
+/// A listening socket on loopback that answers as a test's script says.
+class RawListener {
+ public:
+  RawListener();
+  ~RawListener();
+  RawListener(const RawListener&) = delete;
+  RawListener& operator=(const RawListener&) = delete;
+
+  std::uint16_t port() const { return m_port; }
+  RawConnection Accept() const;
+
+ private:
+  int m_socket;
+  std::uint16_t m_port = 0;
+};
+
+}  // namespace papayalift
