Lab: Play scenarios over the decision library under a virtual clock

Cause: a change of policy could only be judged by reading it; nothing ran a policy through load, zone changes and failures and said what it cost.

--- /dev/null
+++ b/src/libraries/lab/accelerator_hours.h
@@ -0,0 +1,12 @@
+/// Accelerators times time.
+#pragma once
+
+#include "libraries/base/units.h"
+
+namespace papayalift {
+
+constexpr double AcceleratorHours(AcceleratorCount accelerators, Milliseconds time) {
+  return accelerators.value() * std::chrono::duration<double, std::ratio<3600>>(time).count();
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/libraries/lab/simulation.h
@@ -0,0 +1,64 @@
+/// One run: the decision library under a virtual clock, with fakes at its interfaces.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "libraries/decisions/decision.h"
+#include "libraries/decisions/snapshot.h"
+#include "libraries/lab/capacity_meter.h"
+#include "libraries/lab/event_queue.h"
+#include "libraries/lab/gang_lifecycle.h"
+#include "libraries/lab/guarantee_meter.h"
+#include "libraries/lab/invariant_checker.h"
+#include "libraries/lab/lab_state.h"
+#include "libraries/lab/run_report.h"
+#include "libraries/lab/time_windows.h"
+
+namespace papayalift {
+
+using DecideFunction = std::function<Decision(const Snapshot& snapshot)>;
+
+class Simulation {
+ public:
+  /// `scenario` must outlive the run.
+  Simulation(const Scenario& scenario, std::uint64_t seed, DecideFunction decide);
+
+  /// Plays until every job has ended or the time is over. Once.
+  RunReport Run();
+
+  const LabState& state() const { return m_state; }
+
+ private:
+  void AddEvents(std::uint64_t seed);
+  void AddFailingWorkers(std::uint64_t seed);
+  void PlayMoment(Milliseconds at);
+  void Apply(const LabEvent& event);
+  void SetZone(std::size_t change, ZoneState zone_state);
+  void SetFailing(std::size_t worker, int change);
+  bool IsCurrent(const LabEvent& event) const;
+  void Pass();
+  void Start(const StartDecision& start);
+  void Stop(const StopDecision& stop);
+  void PlanNextPass();
+  RunReport Report();
+
+  const Scenario& m_scenario;
+  DecideFunction m_decide;
+  LabState m_state;
+  EventQueue m_events;
+  GangLifecycle m_gangs;
+  TimeWindows m_zone_changes;
+  CapacityMeter m_capacity;
+  GuaranteeMeter m_guarantees;
+  InvariantChecker m_invariants;
+  std::map<JobId, std::size_t> m_positions;
+  /// How many failures hold at once, by position of the worker.
+  std::vector<int> m_failing;
+  Milliseconds m_next_pass{0};
+  std::vector<double> m_pass_microseconds;
+};
+
+}  // namespace papayalift
--- a/src/services/commands.h
+++ b/src/services/commands.h
@@ -17,6 +17,8 @@
 void AddCallCommand(CLI::App& app, CommandContext& context);
 void AddObserveCommands(CLI::App& app, CommandContext& context);
 void AddLabCommands(CLI::App& app, CommandContext& context);
+/// Below `lab`.
+void AddLabRunCommands(CLI::App& parent, CommandContext& context);
 void AddStandInCommands(CLI::App& app, CommandContext& context);
 
 }  // namespace papayalift
--- a/src/services/lab_commands.cc
+++ b/src/services/lab_commands.cc
@@ -4,9 +4,10 @@
 
 namespace papayalift {
 
-void AddLabCommands(CLI::App& app, CommandContext& /*context*/) {
+void AddLabCommands(CLI::App& app, CommandContext& context) {
   CLI::App* const parent = app.add_subcommand("lab", "Load, experiments and measurements");
   parent->require_subcommand(1);
+  AddLabRunCommands(*parent, context);
 }
 
 }  // namespace papayalift
--- /dev/null
+++ b/src/services/lab_run_commands.cc
@@ -0,0 +1,75 @@
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <memory>
+
+#include "libraries/base/try.h"
+#include "libraries/lab/lab_run.h"
+#include "libraries/lab/report_codec.h"
+#include "libraries/lab/scenario_file.h"
+#include "services/command_output.h"
+#include "services/commands.h"
+#include "services/text_file.h"
+
+namespace papayalift {
+
+namespace {
+
+struct LabOptions {
+  std::string file;
+  std::string policy = "papaya";
+  std::uint64_t seed = 1;
+};
+
+absl::StatusOr<Scenario> ReadScenario(const std::string& file) {
+  const std::string text = TRY(ReadTextFile(file));
+  return ParseScenario(text, file);
+}
+
+absl::StatusOr<RunReport> RunOnce(const LabOptions& options) {
+  const Scenario scenario = TRY(ReadScenario(options.file));
+  return RunPolicy(scenario, options.policy, options.seed);
+}
+
+std::string ReportLines(const RunReport& report) {
+  return fmt::format(
+      "{} under {}, seed {}: {} of {} jobs done, {} cancelled, {} refused, {} unfinished\n"
+      "completion mean {:.0f} s, p95 {:.0f} s; slowdown mean {:.2f}, p95 {:.2f}\n"
+      "utilisation {:.3f}, fragmentation for {} {:.3f}\n"
+      "accelerator-hours useful {:.0f}, lost {:.1f}, repeated {:.1f}\n"
+      "useful in zone changes {:.3f} of what was allowed\n"
+      "claims missed: urgent {} of {}, others {} of {}\n"
+      "gangs partial {}, split {}; capacity exceeded {}; placed into a zone out {}",
+      report.scenario, report.policy, report.seed, report.jobs.done, report.jobs.submitted,
+      report.jobs.cancelled, report.jobs.refused, report.jobs.unfinished,
+      report.overall.completion.mean, report.overall.completion.p95, report.overall.slowdown.mean,
+      report.overall.slowdown.p95, report.utilisation, report.largest_shape, report.fragmentation,
+      report.work.useful, report.work.lost, report.work.repeated, report.UsefulShareInZoneChanges(),
+      report.urgent_claims.missed, report.urgent_claims.wait.count, report.normal_claims.missed,
+      report.normal_claims.wait.count, report.invariants.partial_gangs,
+      report.invariants.split_gangs, report.invariants.capacity_exceeded,
+      report.invariants.placed_into_zone_out);
+}
+
+void PrintRun(CommandContext& context, const LabOptions& options) {
+  const absl::StatusOr<RunReport> report = RunOnce(options);
+  if (!report.ok()) {
+    PrintUsageError(context, std::string(report.status().message()));
+    return;
+  }
+  const bool json = context.format == OutputFormat::kJson;
+  fmt::print("{}\n", json ? EncodeRunReport(*report) : ReportLines(*report));
+}
+
+}  // namespace
+
+void AddLabRunCommands(CLI::App& parent, CommandContext& context) {
+  const std::shared_ptr<LabOptions> options = std::make_shared<LabOptions>();
+  CLI::App* const run = parent.add_subcommand("run", "Play a scenario under one policy");
+  run->add_option("scenario", options->file, "Scenario, TOML")->required();
+  run->add_option("--seed", options->seed, "Seed")->capture_default_str();
+  run->add_option("--policy", options->policy, "Policy")->capture_default_str();
+  run->callback([&context, options] { PrintRun(context, *options); });
+}
+
+}  // namespace papayalift
