Lab: Compare policies over the same seeds and draw the comparison

Cause: one run says nothing about chance; two policies have to meet the same jobs. Change: 'lab compare' runs policies over seeds 1 to N, in several threads if asked, and gives means and paired differences with 95% confidence intervals by Student's t; 'lab plot' draws its JSON.

--- /dev/null
+++ b/src/libraries/lab/estimate.h
@@ -0,0 +1,16 @@
+/// A mean with its confidence interval.
+#pragma once
+
+#include <vector>
+
+namespace papayalift {
+
+struct Estimate {
+  double mean = 0.0;
+  /// Half of the width of the 95% confidence interval by Student's t; 0 below two samples.
+  double half_width = 0.0;
+};
+
+Estimate EstimateOf(const std::vector<double>& samples);
+
+}  // namespace papayalift
--- a/src/services/lab_run_commands.cc
+++ b/src/services/lab_run_commands.cc
@@ -4,6 +4,9 @@
 #include <memory>
 
 #include "libraries/base/try.h"
+#include "libraries/lab/comparison.h"
+#include "libraries/lab/comparison_codec.h"
+#include "libraries/lab/comparison_plot.h"
 #include "libraries/lab/lab_run.h"
 #include "libraries/lab/report_codec.h"
 #include "libraries/lab/scenario_file.h"
@@ -19,6 +22,7 @@
   std::string file;
   std::string policy = "papaya";
   std::uint64_t seed = 1;
+  ComparisonPlan plan{{"fifo", "papaya"}, 20, 1};
 };
 
 absl::StatusOr<Scenario> ReadScenario(const std::string& file) {
@@ -61,6 +65,48 @@
   fmt::print("{}\n", json ? EncodeRunReport(*report) : ReportLines(*report));
 }
 
+absl::StatusOr<Comparison> Compare(const LabOptions& options) {
+  const Scenario scenario = TRY(ReadScenario(options.file));
+  return ComparePolicies(scenario, options.plan);
+}
+
+void PrintComparison(CommandContext& context, const LabOptions& options) {
+  const absl::StatusOr<Comparison> comparison = Compare(options);
+  if (!comparison.ok()) {
+    PrintUsageError(context, std::string(comparison.status().message()));
+    return;
+  }
+  const bool json = context.format == OutputFormat::kJson;
+  fmt::print("{}\n", json ? EncodeComparison(*comparison) : ComparisonTable(*comparison));
+}
+
+absl::StatusOr<std::string> Plot(const LabOptions& options) {
+  const std::string text = TRY(ReadTextFile(options.file));
+  return PlotComparison(TRY(DecodeComparison(text)));
+}
+
+void PrintPlot(CommandContext& context, const LabOptions& options) {
+  const absl::StatusOr<std::string> svg = Plot(options);
+  if (!svg.ok()) {
+    PrintUsageError(context, std::string(svg.status().message()));
+    return;
+  }
+  fmt::print("{}", *svg);
+}
+
+void AddCompareCommand(CLI::App& parent, CommandContext& context,
+                       const std::shared_ptr<LabOptions>& options) {
+  CLI::App* const compare =
+      parent.add_subcommand("compare", "Play a scenario under several policies, same seeds");
+  compare->add_option("scenario", options->file, "Scenario, TOML")->required();
+  compare->add_option("--policies", options->plan.policies, "Policies; the first is compared to")
+      ->delimiter(',')
+      ->capture_default_str();
+  compare->add_option("--seeds", options->plan.seeds, "Seeds 1 to this")->capture_default_str();
+  compare->add_option("--threads", options->plan.threads, "Runs at once")->capture_default_str();
+  compare->callback([&context, options] { PrintComparison(context, *options); });
+}
+
 }  // namespace
 
 void AddLabRunCommands(CLI::App& parent, CommandContext& context) {
@@ -70,6 +116,11 @@
   run->add_option("--seed", options->seed, "Seed")->capture_default_str();
   run->add_option("--policy", options->policy, "Policy")->capture_default_str();
   run->callback([&context, options] { PrintRun(context, *options); });
+  AddCompareCommand(parent, context, options);
+  CLI::App* const plot =
+      parent.add_subcommand("plot", "Draw what 'compare --json' printed; prints SVG");
+  plot->add_option("comparison", options->file, "Comparison, JSON")->required();
+  plot->callback([&context, options] { PrintPlot(context, *options); });
 }
 
 }  // namespace papayalift
