--- a/src/libraries/node/api_server.cc
+++ b/src/libraries/node/api_server.cc
@@ -15,6 +15,9 @@
 #include "libraries/model/keys.h"
 #include "libraries/model/zone_codec.h"
 #include "libraries/node/api_answers.h"
+#include "libraries/node/job_explanation.h"
+#include "libraries/node/status_page.h"
+#include "libraries/node/summary_metrics.h"
 
 namespace papayalift {
 
@@ -22,6 +25,9 @@
 
 constexpr Milliseconds kLongestWait{30'000};
 constexpr std::size_t kMostAuditEntries = 1'000;
+constexpr std::size_t kMostQueueRows = 50;
+constexpr std::size_t kMostAuditRows = 20;
+constexpr Milliseconds kRecentAudit{3'600'000};
 
 /// The path's part `index`, counted from 0: "/v1/jobs/abc" has "v1", "jobs", "abc".
 std::string PathPart(const std::string& path, int index) {
@@ -118,7 +124,8 @@
     const char* pattern;
     HttpResponse (ApiServer::*handler)(const HttpRequest&);
   };
-  static constexpr std::array<Route, 18> kRoutes{{
+  static constexpr std::array<Route, 19> kRoutes{{
+      {HttpMethod::kGet, "/", &ApiServer::StatusPage},
       {HttpMethod::kGet, "/healthz", &ApiServer::Health},
       {HttpMethod::kGet, "/metrics", &ApiServer::ShowMetrics},
       {HttpMethod::kGet, "/v1/status", &ApiServer::Status},
@@ -165,7 +172,8 @@
 }
 
 HttpResponse ApiServer::ShowMetrics(const HttpRequest& /*request*/) {
-  HttpResponse response = JsonResponse(m_parts.metrics.Text());
+  HttpResponse response =
+      JsonResponse(m_parts.metrics.Text() + SummaryMetrics(*m_parts.state.View()));
   response.content_type = "text/plain; version=0.0.4";
   return response;
 }
@@ -175,6 +183,48 @@
   return StatusAnswer(*view, m_parts.self, m_parts.liveness.Live(*view));
 }
 
+HttpResponse ApiServer::StatusPage(const HttpRequest& /*request*/) {
+  const std::shared_ptr<const FleetView> view = m_parts.state.View();
+  StatusPageContent content;
+  content.node = m_parts.self;
+  content.bundle = view->bundle == nullptr ? BundleVersion(0) : view->bundle->version;
+  content.summary = Summarize(*view);
+  for (const auto& [id, job] : view->jobs) {
+    if (job->value.state != JobState::kQueued) {
+      continue;
+    }
+    ++content.jobs_waiting;
+    if (content.queue.size() < kMostQueueRows) {
+      content.queue.push_back(
+          QueuedJob{job->value, ExplanationOf(job->value, nullptr, m_parts.scheduler.WaitOf(id))});
+    }
+  }
+  content.audit = RecentAudit();
+  HttpResponse response = JsonResponse(RenderStatusPage(content));
+  response.content_type = "text/html; charset=utf-8";
+  return response;
+}
+
+std::vector<AuditEntry> ApiServer::RecentAudit() {
+  KeyRange range = KeysWithPrefix(keys::kAudit);
+  const Milliseconds since = m_parts.clock.WallNow() - kRecentAudit;
+  range.first = fmt::format("{}{:015}", keys::kAudit, since.count());
+  std::vector<AuditEntry> entries;
+  const absl::StatusOr<RangeAnswer> answer = m_parts.store.Range(range);
+  if (!answer.ok()) {
+    return entries;
+  }
+  const std::size_t count = answer->records.size();
+  const std::size_t first = count > kMostAuditRows ? count - kMostAuditRows : 0;
+  for (std::size_t index = first; index < count; ++index) {
+    const absl::StatusOr<AuditEntry> entry = DecodeAudit(answer->records[index].value);
+    if (entry.ok()) {
+      entries.push_back(*entry);
+    }
+  }
+  return entries;
+}
+
 HttpResponse ApiServer::Audit(const HttpRequest& request) {
   const std::int64_t since = NumberOr(QueryOr(request, "since_ms"), 0);
   KeyRange range = KeysWithPrefix(keys::kAudit);
@@ -249,9 +299,11 @@
   if (!job.ok()) {
     return ErrorAnswer(job.status());
   }
-  const std::optional<WaitDecision> wait = m_parts.scheduler.WaitOf(job->id);
-  const bool waits = job->state == JobState::kQueued && wait.has_value();
-  return ExplainAnswer(*job, waits ? wait->reason : job->reason);
+  const std::shared_ptr<const FleetView> view = m_parts.state.View();
+  const auto placement = view->placements.find(job->id);
+  const PlacementRecord* const placed =
+      placement == view->placements.end() ? nullptr : &placement->second->value;
+  return ExplainAnswer(*job, ExplanationOf(*job, placed, m_parts.scheduler.WaitOf(job->id)));
 }
 
 HttpResponse ApiServer::Call(const HttpRequest& request) {
