--- a/src/services/commands.h
+++ b/src/services/commands.h
@@ -18,6 +18,8 @@
 void AddObserveCommands(CLI::App& app, CommandContext& context);
 void AddLabCommands(CLI::App& app, CommandContext& context);
 void AddLabFleetCommand(CLI::App& lab, CommandContext& context);
+/// Below `lab`.
+void AddLabRunCommands(CLI::App& parent, CommandContext& context);
 void AddStandInCommands(CLI::App& app, CommandContext& context);
 
 }  // namespace papayalift
