Node: Let a caller step the sessions and follow the state

Tests over the real protocol code need to decide when each step happens, and the runner and the follower only ran on threads of their own. Ruled out: a second runner for tests, which would prove other code. Nothing changes for the threads.

--- a/src/libraries/node/session_runner.cc
+++ b/src/libraries/node/session_runner.cc
@@ -60,15 +60,23 @@
   }
 }
 
+bool SessionRunner::RunDue() {
+  std::shared_ptr<GangSession> session;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    session = TryTakeDueLocked();
+  }
+  if (session == nullptr) {
+    return false;
+  }
+  PutBack(session, session->Step());
+  return true;
+}
+
 std::shared_ptr<GangSession> SessionRunner::TakeDue() {
   std::unique_lock<std::mutex> lock(m_mutex);
   while (!m_stopping) {
-    const Milliseconds now = m_clock.Now();
-    const auto due = std::find_if(m_entries.begin(), m_entries.end(),
-                                  [now](const Entry& entry) { return entry.due <= now; });
-    if (due != m_entries.end()) {
-      std::shared_ptr<GangSession> session = std::move(due->session);
-      m_entries.erase(due);
+    if (std::shared_ptr<GangSession> session = TryTakeDueLocked()) {
       return session;
     }
     if (m_entries.empty()) {
@@ -80,6 +88,18 @@
   return nullptr;
 }
 
+std::shared_ptr<GangSession> SessionRunner::TryTakeDueLocked() {
+  const Milliseconds now = m_clock.Now();
+  const auto due = std::find_if(m_entries.begin(), m_entries.end(),
+                                [now](const Entry& entry) { return entry.due <= now; });
+  if (due == m_entries.end()) {
+    return nullptr;
+  }
+  std::shared_ptr<GangSession> session = std::move(due->session);
+  m_entries.erase(due);
+  return session;
+}
+
 void SessionRunner::PutBack(std::shared_ptr<GangSession> session, const StepResult& result) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   if (result.kind == StepKind::kDone) {
--- a/src/libraries/node/session_runner.h
+++ b/src/libraries/node/session_runner.h
@@ -32,6 +32,8 @@
   void Stop();
 
   AddResult Add(std::shared_ptr<GangSession> session);
+  /// One step of a session that is due, on the caller's thread; false where none is. For tests.
+  bool RunDue();
   bool IsBusy(const JobId& job) const;
   std::size_t size() const;
 
@@ -42,7 +44,9 @@
   };
 
   void Run();
+  /// Waits for a session that is due; null once stopping.
   std::shared_ptr<GangSession> TakeDue();
+  std::shared_ptr<GangSession> TryTakeDueLocked();
   void PutBack(std::shared_ptr<GangSession> session, const StepResult& result);
 
   const Clock& m_clock;
--- a/src/libraries/node/state_follower.h
+++ b/src/libraries/node/state_follower.h
@@ -19,10 +19,12 @@
   void Start();
   void Stop();
 
+  /// Reads everything where nothing is known, then follows the changes until the watch breaks;
+  /// public for tests.
+  void Follow();
+
  private:
   void Run();
-  /// Reads everything, then follows the changes until the watch breaks.
-  void Follow();
   void AfterChange();
 
   KeyValueService& m_store;
--- a/src/libraries/store/memory_store.cc
+++ b/src/libraries/store/memory_store.cc
@@ -71,7 +71,9 @@
 absl::StatusOr<WatchBatch> MemoryStore::WaitForChanges(const KeyRange& range, Revision start,
                                                        Milliseconds limit) {
   std::unique_lock<std::mutex> lock(m_mutex);
-  m_changed.wait_for(lock, limit, [this, start] { return m_revision >= start; });
+  if (limit > Milliseconds(0)) {
+    m_changed.wait_for(lock, limit, [this, start] { return m_revision >= start; });
+  }
   if (start <= m_compacted) {
     return absl::OutOfRangeError("the revision was compacted away");
   }
