State: Never go back, whatever comes late

Cause: a range answer older than what the watch had told replaced the newer copy, a delete took out a record that had been written after it, and the view did not say which version was rolled before that bundle was read. Ruled out: relying on the order of one watch, since a restart of the watch mixes reads and events.

--- a/src/libraries/node/fleet_state.cc
+++ b/src/libraries/node/fleet_state.cc
@@ -38,6 +38,15 @@
   }
 }
 
+/// Takes the record `id` out of `records`, unless it was written after it was deleted.
+template <typename Id, typename T>
+void Drop(std::map<Id, SharedRecord<T>>& records, const Id& id, const KeyValue& deleted) {
+  const auto kept = records.find(id);
+  if (kept != records.end() && kept->second->modified < deleted.modified) {
+    records.erase(kept);
+  }
+}
+
 /// The part of `key` behind `prefix`, or nothing.
 std::optional<std::string> After(const std::string& key, const char* prefix) {
   const std::string_view start(prefix);
@@ -51,9 +60,14 @@
 
 void FleetState::Reset(const RangeAnswer& answer) {
   const std::lock_guard<std::mutex> lock(m_mutex);
+  // The copy never goes back, however late an answer comes.
+  if (answer.revision < m_current.revision) {
+    return;
+  }
   FleetView fresh;
   fresh.bundle = m_current.bundle;
   fresh.zones = m_current.zones;
+  fresh.rolled_version = m_current.rolled_version;
   fresh.current_bundle_modified = m_current.current_bundle_modified;
   m_current = std::move(fresh);
   for (const KeyValue& record : answer.records) {
@@ -75,7 +89,7 @@
     if (event.kind == ChangeKind::kPut) {
       PutLocked(event.record);
     } else {
-      DeleteLocked(event.record.key);
+      DeleteLocked(event.record);
     }
   }
   m_published = nullptr;
@@ -99,7 +113,7 @@
 
 BundleVersion FleetState::rolled_version() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  return m_rolled_version;
+  return m_current.rolled_version;
 }
 
 bool FleetState::synchronized() const {
@@ -157,18 +171,18 @@
       return;
     }
     m_current.current_bundle_modified = record.modified;
-    m_rolled_version = std::max(m_rolled_version, current->version);
+    m_current.rolled_version = std::max(m_current.rolled_version, current->version);
   }
 }
 
-void FleetState::DeleteLocked(const std::string& key) {
-  if (const std::optional<std::string> job = After(key, keys::kJobs)) {
-    m_current.jobs.erase(JobId(*job));
-  } else if (const std::optional<std::string> placement = After(key, keys::kPlacements)) {
+void FleetState::DeleteLocked(const KeyValue& record) {
+  if (const std::optional<std::string> job = After(record.key, keys::kJobs)) {
+    Drop(m_current.jobs, JobId(*job), record);
+  } else if (const std::optional<std::string> placement = After(record.key, keys::kPlacements)) {
     const std::size_t slash = placement->find('/');
-    m_current.placements.erase(JobId(placement->substr(slash + 1)));
-  } else if (const std::optional<std::string> node = After(key, keys::kNodes)) {
-    m_current.nodes.erase(NodeId(*node));
+    Drop(m_current.placements, JobId(placement->substr(slash + 1)), record);
+  } else if (const std::optional<std::string> node = After(record.key, keys::kNodes)) {
+    Drop(m_current.nodes, NodeId(*node), record);
   }
 }
 
--- a/src/libraries/node/fleet_state.h
+++ b/src/libraries/node/fleet_state.h
@@ -14,7 +14,7 @@
 
 class FleetState {
  public:
-  /// Replaces everything by a fresh read of the whole range.
+  /// Replaces everything by a fresh read of the whole range; an older one is passed over.
   void Reset(const RangeAnswer& answer);
   /// Applies changes; older ones than what is known are passed over.
   void Apply(const WatchBatch& batch);
@@ -40,13 +40,12 @@
 
  private:
   void PutLocked(const KeyValue& record);
-  void DeleteLocked(const std::string& key);
+  void DeleteLocked(const KeyValue& record);
   std::shared_ptr<const FleetView> PublishedLocked() const;
 
   mutable std::mutex m_mutex;
   mutable std::condition_variable m_changed;
   FleetView m_current;
-  BundleVersion m_rolled_version;
   bool m_synchronized = false;
   mutable std::shared_ptr<const FleetView> m_published;
   std::int64_t m_wakes = 0;
--- a/src/libraries/node/fleet_view.h
+++ b/src/libraries/node/fleet_view.h
@@ -26,6 +26,9 @@
   /// Null before the first roll.
   std::shared_ptr<const BundleInForce> bundle;
   Revision current_bundle_modified;
+  /// The version that `bundle-current` names; 0 before the first roll. Above `bundle` for as long
+  /// as the bundle itself is still to be read.
+  BundleVersion rolled_version;
   Versioned<ZoneTable> zones;
   std::map<JobId, SharedRecord<JobRecord>> jobs;
   std::map<JobId, SharedRecord<PlacementRecord>> placements;
