Gangs: Say "not run" only on evidence, and reserve a burst in turn

All gangs of one pass compared the same ledgers, so a pass started one of them and the rest conflicted.

Ruled out: a record for each start sent (one more write, no more known), and comparing only the zone's own ledger (voids the proof of guarantees). Now the placement keeps whether a start can have been sent, a worker without memory says that it may have started, the wait counts the reservation, and the gangs of a pass reserve one after the other.

--- a/src/libraries/model/placement_codec.cc
+++ b/src/libraries/model/placement_codec.cc
@@ -42,6 +42,7 @@
   }
   placement.shape.tasks = TaskCount(static_cast<int>(placement.tasks.size()));
   placement.reserved_at = MillisecondsAt(json, "reserved_at_ms");
+  placement.start_sent = json.value("start_sent", true) ? StartSent::kMaybe : StartSent::kNo;
   placement.after_stop = EnumFromText(kAfterStopNames, json.value("after_stop", "queue again"))
                              .value_or(AfterStop::kQueueAgain);
   placement.stop_reason = json.value("stop_reason", "");
@@ -65,6 +66,7 @@
               {"phase", EnumText(kPhaseNames, placement.phase)},
               {"tasks", tasks},
               {"reserved_at_ms", placement.reserved_at.count()},
+              {"start_sent", placement.start_sent == StartSent::kMaybe},
               {"after_stop", EnumText(kAfterStopNames, placement.after_stop)},
               {"stop_reason", placement.stop_reason}}
       .dump();
--- a/src/libraries/model/placement_record.h
+++ b/src/libraries/model/placement_record.h
@@ -27,6 +27,9 @@
   kStopping,
 };
 
+/// Whether a start of the gang may have left a node.
+enum class StartSent { kNo, kMaybe };
+
 /// Whether the gang counts against its workspace's guarantee or may be reclaimed.
 enum class Claim { kGuaranteed, kBorrowed };
 
@@ -44,7 +47,9 @@
   std::vector<TaskPlacement> tasks;
   /// Wall clock of the reservation.
   Milliseconds reserved_at{0};
-  /// Only while stopping.
+  /// Only while stopping, as the two below. kNo: it was still reserved, and no commit of it can
+  /// succeed any more.
+  StartSent start_sent = StartSent::kMaybe;
   AfterStop after_stop = AfterStop::kQueueAgain;
   std::string stop_reason;
 };
--- /dev/null
+++ b/src/libraries/node/audit_removal.h
@@ -0,0 +1,27 @@
+/// Removes audit entries that are older than they are kept.
+#pragma once
+
+#include <memory>
+
+#include "libraries/node/gang_context.h"
+#include "libraries/node/gang_session.h"
+
+namespace papayalift {
+
+class AuditRemoval final : public GangSession {
+ public:
+  static std::shared_ptr<AuditRemoval> Create(const GangContext& context, Milliseconds keep);
+  /// Stands where other sessions have their job, so that one node owns the removal.
+  static const JobId& SessionId();
+
+  const JobId& job() const override { return SessionId(); }
+  StepResult Step() override;
+
+ private:
+  AuditRemoval(const GangContext& context, Milliseconds keep) : m_context(context), m_keep(keep) {}
+
+  const GangContext m_context;
+  const Milliseconds m_keep;
+};
+
+}  // namespace papayalift
--- a/src/libraries/node/gang_records.cc
+++ b/src/libraries/node/gang_records.cc
@@ -30,15 +30,21 @@
 
 absl::StatusOr<std::vector<WorkerShare>> SharesOf(const PlacementRecord& placement,
                                                   const Bundle& bundle) {
-  std::map<WorkerId, WorkerShare> shares;
   for (const TaskPlacement& task : placement.tasks) {
-    const WorkerSpec* const worker = bundle.FindWorker(task.worker);
-    if (worker == nullptr) {
+    if (bundle.FindWorker(task.worker) == nullptr) {
       return absl::NotFoundError(
           fmt::format("the bundle declares no worker '{}'", task.worker.text()));
     }
+  }
+  return SharesToStop(placement, bundle);
+}
+
+std::vector<WorkerShare> SharesToStop(const PlacementRecord& placement, const Bundle& bundle) {
+  std::map<WorkerId, WorkerShare> shares;
+  for (const TaskPlacement& task : placement.tasks) {
+    const WorkerSpec* const worker = bundle.FindWorker(task.worker);
     WorkerShare& share = shares[task.worker];
-    share.worker = WorkerTarget{worker->id, worker->address};
+    share.worker = WorkerTarget{task.worker, worker == nullptr ? "" : worker->address};
     share.tasks.push_back(task.accelerators);
   }
   std::vector<WorkerShare> list;
--- a/src/libraries/node/gang_records.h
+++ b/src/libraries/node/gang_records.h
@@ -31,4 +31,8 @@
 absl::StatusOr<std::vector<WorkerShare>> SharesOf(const PlacementRecord& placement,
                                                   const Bundle& bundle);
 
+/// As SharesOf(). A worker that `bundle` does not declare has no address: nobody can reach it, and
+/// whoever stops the gang waits until its lease has lapsed.
+std::vector<WorkerShare> SharesToStop(const PlacementRecord& placement, const Bundle& bundle);
+
 }  // namespace papayalift
--- a/src/libraries/node/gang_start.cc
+++ b/src/libraries/node/gang_start.cc
@@ -15,6 +15,8 @@
 
 constexpr Milliseconds kReadBackInterval{200};
 constexpr StepResult kReadBackLater{StepKind::kAgain, kReadBackInterval};
+constexpr Milliseconds kTurnInterval{5};
+constexpr StepResult kTurnLater{StepKind::kAgain, kTurnInterval};
 
 /// The first reply that is not a grant, or null.
 const WorkerReply* FirstProblem(const std::vector<WorkerReply>& replies) {
@@ -35,6 +37,7 @@
 GangStart::GangStart(const GangContext& context, StartPlan plan)
     : m_context(context),
       m_plan(std::move(plan)),
+      m_chain(std::move(m_plan.chain)),
       m_job(m_plan.job.value),
       m_placement(m_plan.placement),
       m_job_modified(m_plan.job.modified),
@@ -67,7 +70,7 @@
   m_job.reason = fmt::format("capacity is reserved in zone '{}'", m_placement.zone.text());
   const std::string job_key = keys::JobKey(job());
   Transaction transaction;
-  for (const auto& [zone, revision] : m_plan.ledgers) {
+  for (const auto& [zone, revision] : m_chain->ledgers()) {
     transaction.Expect(keys::LedgerKey(zone), revision);
   }
   transaction.Expect(job_key, m_plan.job.modified)
@@ -81,7 +84,26 @@
 }
 
 StepResult GangStart::Reserve() {
+  switch (m_chain->TakeTurn()) {
+    case ReserveTurn::kMine:
+      break;
+    case ReserveTurn::kLater:
+      return kTurnLater;
+    case ReserveTurn::kNever:
+      m_context.metrics.Count("papayalift_reserves_skipped_total");
+      return kStepDone;
+  }
   const TransactionOutcome outcome = m_context.store.Commit(ReserveTransaction());
+  if (outcome.result == TransactionResult::kApplied) {
+    m_chain->PassOn(m_placement.zone, outcome.revision);
+  } else {
+    m_chain->Break();
+  }
+  m_chain.reset();
+  return AfterReserve(outcome);
+}
+
+StepResult GangStart::AfterReserve(const TransactionOutcome& outcome) {
   switch (outcome.result) {
     case TransactionResult::kApplied:
       m_job_modified = outcome.revision;
@@ -103,15 +125,21 @@
   if (!records.ok()) {
     return kReadBackLater;
   }
-  const bool ours =
-      records->placement && records->placement->value.attempt_id == m_placement.attempt_id;
+  const bool ours = records->job && records->placement &&
+                    records->placement->value.attempt_id == m_placement.attempt_id &&
+                    records->placement->value.phase == PlacementPhase::kReserved;
   if (!ours) {
     // NOTE: should it still be applied later, the owner finds a reservation without a session and
-    // releases it. Nothing starts without a commit.
+    // releases it. Nothing starts without a commit. One that is being stopped belongs to whoever
+    // stops it.
     return kStepDone;
   }
+  m_job = records->job->value;
   m_job_modified = records->job->modified;
   m_placement_modified = records->placement->modified;
+  if (m_job.cancel == CancelRequest::kRequested) {
+    return GiveUp("cancelled by its caller");
+  }
   return GoTo(Phase::kPrepare);
 }
 
--- a/src/libraries/node/gang_start.h
+++ b/src/libraries/node/gang_start.h
@@ -1,7 +1,6 @@
 /// Starts one gang whole: reserve, prepare, commit, start.
 #pragma once
 
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -10,6 +9,7 @@
 #include "libraries/node/gang_records.h"
 #include "libraries/node/gang_session.h"
 #include "libraries/node/gang_stop.h"
+#include "libraries/node/reserve_chain.h"
 
 namespace papayalift {
 
@@ -18,8 +18,8 @@
   Versioned<JobRecord> job;
   PlacementRecord placement;
   std::vector<WorkerShare> shares;
-  /// Of every zone: a placement anywhere may use up what a guarantee needs.
-  std::map<ZoneId, Revision> ledgers;
+  /// Shared by all gangs that one pass decided to start.
+  std::shared_ptr<ReserveChain> chain;
   Revision zones;
   Revision current_bundle;
 };
@@ -37,6 +37,7 @@
   GangStart(const GangContext& context, StartPlan plan);
 
   StepResult Reserve();
+  StepResult AfterReserve(const TransactionOutcome& outcome);
   StepResult ResolveReserve();
   StepResult Prepare();
   StepResult Commit();
@@ -51,7 +52,9 @@
   void Started();
 
   const GangContext m_context;
-  const StartPlan m_plan;
+  StartPlan m_plan;
+  /// Null once this gang has had its turn.
+  std::shared_ptr<ReserveChain> m_chain;
   Phase m_phase = Phase::kReserve;
   JobRecord m_job;
   PlacementRecord m_placement;
--- a/src/libraries/node/gang_stop.cc
+++ b/src/libraries/node/gang_stop.cc
@@ -51,6 +51,9 @@
   if (records->placement->value.phase != PlacementPhase::kStopping) {
     PlacementRecord placement = records->placement->value;
     placement.phase = PlacementPhase::kStopping;
+    placement.start_sent = records->placement->value.phase == PlacementPhase::kReserved
+                               ? StartSent::kNo
+                               : StartSent::kMaybe;
     placement.after_stop = m_plan.after_stop;
     placement.stop_reason = m_plan.reason;
     JobRecord job = records->job->value;
@@ -67,9 +70,14 @@
     if (m_context.store.Commit(transaction).result != TransactionResult::kApplied) {
       return kStepLater;
     }
+    m_start_sent = placement.start_sent;
+  } else {
+    m_start_sent = records->placement->value.start_sent;
   }
-  m_lapsed_at = m_context.clock.Now() + m_context.run_lease +
-                m_context.run_lease * kClockRateMarginPercent / 100;
+  // A start that is still on its way can be granted until the reservation lapses, and runs for a
+  // whole lease from then on.
+  const Milliseconds longest = m_context.reservation_lease + m_context.run_lease;
+  m_lapsed_at = m_context.clock.Now() + longest + longest * kClockRateMarginPercent / 100;
   m_phase = Phase::kStopWorkers;
   return kStepAgain;
 }
@@ -89,12 +97,14 @@
     }
   }
   m_open = std::move(still_open);
-  const bool lapsed = m_context.clock.Now() >= m_lapsed_at;
+  // NOTE: without a start there is nothing to wait for; a reservation lapses by itself.
+  const bool lapsed = m_start_sent == StartSent::kNo || m_context.clock.Now() >= m_lapsed_at;
   if (!m_open.empty() && !lapsed) {
     return kStepLater;
   }
   if (!m_open.empty()) {
     m_ever_started = EverStarted::kYes;
+    m_all_succeeded = false;
     m_checkpoint_known = true;
     m_checkpoint = Milliseconds(0);
   }
@@ -106,6 +116,7 @@
   if (report.ever_started == EverStarted::kYes) {
     m_ever_started = EverStarted::kYes;
   }
+  m_all_succeeded = m_all_succeeded && report.phase == AttemptPhase::kSucceeded;
   m_checkpoint = m_checkpoint_known ? std::min(m_checkpoint, report.checkpoint) : report.checkpoint;
   m_checkpoint_known = true;
 }
@@ -144,19 +155,24 @@
 
 JobRecord GangStop::JobAfterStop(const JobRecord& before, const PlacementRecord& placement) const {
   JobRecord job = before;
-  const bool ran = m_ever_started == EverStarted::kYes;
+  const bool ran = m_start_sent == StartSent::kMaybe && m_ever_started == EverStarted::kYes;
   if (ran) {
     job.verdict = Verdict::kMayHaveRun;
     job.checkpoint = std::max(job.checkpoint, m_checkpoint);
     // NOTE: never nothing, since a job that attained nothing is told that it did not run.
     job.attained += std::max(Milliseconds(1), m_context.clock.WallNow() - placement.reserved_at);
-  } else if (job.attained == Milliseconds(0)) {
-    job.verdict = Verdict::kNotRun;
+  } else {
+    job.attempt -= AttemptNumber(1);
+    job.verdict = job.attained == Milliseconds(0) ? Verdict::kNotRun : Verdict::kMayHaveRun;
   }
   job.reason = placement.stop_reason;
   const bool cancelled =
       job.cancel == CancelRequest::kRequested || placement.after_stop == AfterStop::kCancel;
-  if (cancelled) {
+  if (ran && m_all_succeeded) {
+    job.state = JobState::kSucceeded;
+    job.verdict = Verdict::kRan;
+    job.reason = "all its tasks succeeded";
+  } else if (cancelled) {
     job.state = JobState::kCancelled;
     job.reason = "cancelled by its caller";
   } else if (placement.after_stop == AfterStop::kFail) {
--- a/src/libraries/node/gang_stop.h
+++ b/src/libraries/node/gang_stop.h
@@ -45,7 +45,10 @@
   Phase m_phase = Phase::kMark;
   /// Workers that have not said that the gang's tasks are stopped.
   std::vector<WorkerShare> m_open;
+  StartSent m_start_sent = StartSent::kMaybe;
   EverStarted m_ever_started = EverStarted::kNo;
+  /// Every worker that was heard says that its tasks had succeeded before the stop.
+  bool m_all_succeeded = true;
   /// The least checkpoint of all tasks: what the next attempt can go on from.
   Milliseconds m_checkpoint{0};
   bool m_checkpoint_known = false;
--- /dev/null
+++ b/src/libraries/node/job_removal.h
@@ -0,0 +1,28 @@
+/// Removes the record of a job that has ended long ago.
+#pragma once
+
+#include <memory>
+
+#include "libraries/node/gang_context.h"
+#include "libraries/node/gang_session.h"
+
+namespace papayalift {
+
+class JobRemoval final : public GangSession {
+ public:
+  /// Only where the job has ended at least `keep` ago.
+  static std::shared_ptr<JobRemoval> Create(const GangContext& context, JobId job,
+                                            Milliseconds keep);
+
+  const JobId& job() const override { return m_job; }
+  StepResult Step() override;
+
+ private:
+  JobRemoval(const GangContext& context, JobId job, Milliseconds keep);
+
+  const GangContext m_context;
+  const JobId m_job;
+  const Milliseconds m_keep;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/libraries/node/reserve_chain.h
@@ -0,0 +1,45 @@
+/// Lets the gangs that one pass decided to start reserve one after the other. The pass decided them
+/// together, so a ledger that one of them has raised voids none of the others; a ledger that
+/// anybody else has raised voids all that are left.
+#pragma once
+
+#include <map>
+#include <mutex>
+
+#include "libraries/base/ids.h"
+#include "libraries/base/units.h"
+
+namespace papayalift {
+
+enum class ReserveTurn {
+  /// The caller reserves now, and then calls PassOn() or Break().
+  kMine,
+  /// Another gang is reserving.
+  kLater,
+  /// What the pass rested on has changed: wait for the next pass.
+  kNever,
+};
+
+class ReserveChain {
+ public:
+  /// `ledgers` of every zone, as the pass saw them: a placement anywhere may use up what a
+  /// guarantee needs.
+  explicit ReserveChain(std::map<ZoneId, Revision> ledgers) : m_ledgers(std::move(ledgers)) {}
+
+  ReserveTurn TakeTurn();
+  /// The revisions to compare; only for whoever has the turn.
+  const std::map<ZoneId, Revision>& ledgers() const { return m_ledgers; }
+  /// The ledger of `zone` was raised by the gang that had the turn.
+  void PassOn(const ZoneId& zone, Revision revision);
+  /// Nobody else reserves under this pass.
+  void Break();
+
+ private:
+  enum class State { kFree, kTaken, kBroken };
+
+  std::mutex m_mutex;
+  std::map<ZoneId, Revision> m_ledgers;
+  State m_state = State::kFree;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/libraries/node/retention.cc
@@ -0,0 +1,44 @@
+#include "libraries/node/retention.h"
+
+#include "libraries/node/audit_removal.h"
+#include "libraries/node/job_removal.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr Milliseconds kSweepInterval = std::chrono::minutes(10);
+/// Jobs that one sweep removes: a backlog costs a few writes a second at most.
+constexpr int kMostJobsOfASweep = 64;
+
+}  // namespace
+
+void Retention::Sweep(const FleetView& view, const std::function<bool(const JobId&)>& owns) {
+  const Milliseconds now = m_context.clock.Now();
+  if (now - m_swept_at < kSweepInterval) {
+    return;
+  }
+  m_swept_at = now;
+  SweepJobs(view, owns);
+  if (owns(AuditRemoval::SessionId())) {
+    m_runner.Add(AuditRemoval::Create(m_context, kKeepAudit));
+  }
+}
+
+void Retention::SweepJobs(const FleetView& view, const std::function<bool(const JobId&)>& owns) {
+  const Milliseconds wall_now = m_context.clock.WallNow();
+  int removed = 0;
+  for (const auto& [id, job] : view.jobs) {
+    const bool kept_enough =
+        IsFinal(job->value.state) && wall_now - job->value.finished_at >= kKeepEndedJobs;
+    if (!kept_enough || !owns(id)) {
+      continue;
+    }
+    m_runner.Add(JobRemoval::Create(m_context, id, kKeepEndedJobs));
+    if (++removed == kMostJobsOfASweep) {
+      return;
+    }
+  }
+}
+
+}  // namespace papayalift
--- a/src/libraries/node/scheduler.cc
+++ b/src/libraries/node/scheduler.cc
@@ -29,7 +29,8 @@
       m_liveness(liveness),
       m_self(self),
       m_namer(namer),
-      m_runner(runner) {}
+      m_runner(runner),
+      m_retention(context, runner) {}
 
 void Scheduler::Start() {
   m_thread.Start([this] { Run(); });
@@ -51,7 +52,10 @@
 
 void Scheduler::Pass() {
   const std::shared_ptr<const FleetView> view = m_state.View();
-  if (view->bundle == nullptr) {
+  // The revision of the roll is known before the bundle itself is read: until then a reservation
+  // would compare the new revision and rest on the old bundle.
+  const bool in_force = view->bundle != nullptr && view->bundle->version == view->rolled_version;
+  if (!in_force) {
     return;
   }
   const absl::StatusOr<Policy> policy = FindPolicy(view->bundle->bundle.policy.name);
@@ -69,6 +73,7 @@
   ApplyStops(*view, decision);
   RecoverPlacements(*view);
   ApplyStarts(*view, decision);
+  m_retention.Sweep(*view, [this, &view](const JobId& job) { return IsOwner(job, *view); });
   RememberWaits(decision);
 }
 
@@ -77,12 +82,19 @@
 }
 
 void Scheduler::ApplyStarts(const FleetView& view, const Decision& decision) {
+  // NOTE: gangs of an earlier pass that still reserve would void what this one decided.
+  if (!m_chain.expired()) {
+    return;
+  }
+  const std::shared_ptr<ReserveChain> chain = ChainOf(view);
+  m_chain = chain;
   for (const StartDecision& start : decision.starts) {
     if (!IsOwner(start.job, view) || m_runner.IsBusy(start.job)) {
       continue;
     }
     std::optional<StartPlan> plan = PlanOf(view, start);
     if (plan) {
+      plan->chain = chain;
       m_runner.Add(GangStart::Create(m_context, *std::move(plan)));
     }
   }
@@ -108,15 +120,20 @@
     return std::nullopt;
   }
   plan.shares = *std::move(shares);
-  for (const ZoneSpec& zone : view.bundle->bundle.zones) {
-    const auto ledger = view.ledgers.find(zone.id);
-    plan.ledgers[zone.id] = ledger == view.ledgers.end() ? Revision(0) : ledger->second;
-  }
   plan.zones = view.zones.modified;
   plan.current_bundle = view.current_bundle_modified;
   return plan;
 }
 
+std::shared_ptr<ReserveChain> Scheduler::ChainOf(const FleetView& view) {
+  std::map<ZoneId, Revision> ledgers;
+  for (const ZoneSpec& zone : view.bundle->bundle.zones) {
+    const auto ledger = view.ledgers.find(zone.id);
+    ledgers[zone.id] = ledger == view.ledgers.end() ? Revision(0) : ledger->second;
+  }
+  return std::make_shared<ReserveChain>(std::move(ledgers));
+}
+
 void Scheduler::ApplyStops(const FleetView& view, const Decision& decision) {
   for (const StopDecision& stop : decision.stops) {
     const auto placement = view.placements.find(stop.job);
@@ -150,6 +167,9 @@
       StopGang(view, placement, AfterStop::kCancel, "cancelled by its caller");
     } else if (placement.phase == PlacementPhase::kStopping) {
       StopGang(view, placement, placement.after_stop, placement.stop_reason);
+    } else if (!SharesOf(placement, view.bundle->bundle).ok()) {
+      StopGang(view, placement, AfterStop::kQueueAgain,
+               "the bundle in force no longer declares one of its workers");
     } else if (placement.phase == PlacementPhase::kReserved) {
       const auto seen = m_orphans.find(placement.attempt_id);
       const Milliseconds now = m_context.clock.Now();
@@ -166,19 +186,11 @@
 
 void Scheduler::StopGang(const FleetView& view, const PlacementRecord& placement,
                          AfterStop after_stop, const std::string& reason) {
-  const absl::StatusOr<std::vector<WorkerShare>> shares = SharesOf(placement, view.bundle->bundle);
-  if (!shares.ok()) {
-    LogEvent(LogLevel::kError, "scheduler", "a gang can't be stopped")
-        .Job(placement.job)
-        .Reason(std::string(shares.status().message()))
-        .Write();
-    return;
-  }
   StopPlan plan;
   plan.job = placement.job;
   plan.zone = placement.zone;
   plan.attempt = placement.attempt_id;
-  plan.shares = *shares;
+  plan.shares = SharesToStop(placement, view.bundle->bundle);
   plan.after_stop = after_stop;
   plan.reason = reason;
   m_runner.Add(GangStop::Create(m_context, std::move(plan)));
--- a/src/libraries/node/scheduler.h
+++ b/src/libraries/node/scheduler.h
@@ -15,6 +15,7 @@
 #include "libraries/node/gang_context.h"
 #include "libraries/node/gang_start.h"
 #include "libraries/node/liveness.h"
+#include "libraries/node/retention.h"
 #include "libraries/node/session_runner.h"
 
 namespace papayalift {
@@ -46,6 +47,7 @@
                 const std::string& reason);
   void RememberWaits(const Decision& decision);
   std::optional<StartPlan> PlanOf(const FleetView& view, const StartDecision& start);
+  static std::shared_ptr<ReserveChain> ChainOf(const FleetView& view);
 
   const GangContext m_context;
   const FleetState& m_state;
@@ -53,8 +55,11 @@
   const NodeId m_self;
   AttemptNamer& m_namer;
   SessionRunner& m_runner;
+  Retention m_retention;
   /// When this node first saw a reservation that no session of its own works on.
   std::map<AttemptId, Milliseconds> m_orphans;
+  /// Of the last pass that started gangs; gone once each of them has had its turn.
+  std::weak_ptr<ReserveChain> m_chain;
   mutable std::mutex m_mutex;
   std::map<JobId, WaitDecision> m_waits;
   StopSignal m_stop;
--- a/src/libraries/worker/worker_messages.h
+++ b/src/libraries/worker/worker_messages.h
@@ -49,6 +49,7 @@
   StopMode mode = StopMode::kCheckpoint;
 };
 
+/// Never shortens a lease, so that one of no length only asks for a report.
 struct RenewRequest {
   WorkerTarget worker;
   std::vector<AttemptId> attempts;
@@ -81,7 +82,12 @@
   kStopped,
 };
 
-enum class EverStarted { kNo, kYes };
+enum class EverStarted {
+  /// The worker remembers the attempt, and never started it.
+  kNo,
+  /// It started, or the worker has no memory of the attempt and can't rule it out.
+  kYes,
+};
 
 /// What a worker knows of one attempt.
 struct AttemptReport {
--- a/src/stand_ins/worker/worker_agent.cc
+++ b/src/stand_ins/worker/worker_agent.cc
@@ -89,6 +89,9 @@
     barred.job = request.job;
     barred.id = request.attempt;
     barred.phase = AttemptPhase::kStopped;
+    // Without a memory of the attempt nobody can say that it never started: the worker may have
+    // restarted, or forgotten an attempt that ended long ago.
+    barred.ever_started = EverStarted::kYes;
     m_attempts[request.attempt] = barred;
     RememberLocked(request.attempt);
     return ReportOf(barred);
@@ -117,7 +120,8 @@
       continue;
     }
     if (known->second.phase == AttemptPhase::kRunning) {
-      known->second.lease_until = m_clock.Now() + request.run_lease;
+      known->second.lease_until =
+          std::max(known->second.lease_until, m_clock.Now() + request.run_lease);
     }
     reports.push_back(ReportOf(known->second));
   }
