Leases: Renew a gang only from when it was last whole

Cause: the round that found one task lost renewed the others in the same breath, and where the store could not be reached the stop was not recorded, so the gang was partial for 15,050 ms, one run lease and more (property test, max_size 300, after 1,488 traces). Ruled out: renewing in two phases, twice the messages for the same bound. A renewal now counts from the last round in which every worker answered, a node that takes over asks first, and a silent worker is given up one renewal interval before the leases of the others end, so that these still write a checkpoint.

--- a/src/libraries/node/lease_keeper.cc
+++ b/src/libraries/node/lease_keeper.cc
@@ -80,7 +80,8 @@
     }
     const auto known = m_memory.find(placement->value.attempt_id);
     Memory& kept = memory[placement->value.attempt_id];
-    kept = known == m_memory.end() ? Memory{now, Milliseconds(0), now} : known->second;
+    kept = known == m_memory.end() ? Memory{now, Milliseconds(0), now, now - m_context.run_lease}
+                                   : known->second;
     if (!IsDue(kept)) {
       continue;
     }
@@ -101,13 +102,20 @@
   return now - memory.renewed_at >= (young ? kYoungInterval : m_renewal_interval);
 }
 
+Milliseconds LeaseKeeper::LeaseOf(const Renewal& renewal) const {
+  const Memory& memory = m_memory.at(renewal.placement->value.attempt_id);
+  const Milliseconds age = memory.renewed_at - memory.lease_from;
+  return std::max(Milliseconds(0), m_context.run_lease - age);
+}
+
 void LeaseKeeper::SendRenewals(std::vector<Renewal>& renewals) {
-  std::map<WorkerTarget, RenewRequest> by_worker;
+  std::map<std::pair<WorkerTarget, Milliseconds>, RenewRequest> by_worker;
   for (const Renewal& renewal : renewals) {
+    const Milliseconds lease = LeaseOf(renewal);
     for (const WorkerShare& share : renewal.shares) {
-      RenewRequest& request = by_worker[share.worker];
+      RenewRequest& request = by_worker[{share.worker, lease}];
       request.worker = share.worker;
-      request.run_lease = m_context.run_lease;
+      request.run_lease = lease;
       request.attempts.push_back(renewal.placement->value.attempt_id);
     }
   }
@@ -146,7 +154,8 @@
   const int failed = CountPhase(renewal.reports, AttemptPhase::kFailed);
   const int known = static_cast<int>(renewal.reports.size());
   if (renewal.silent_workers == 0) {
-    memory.whole_at = now;
+    memory.whole_at = memory.renewed_at;
+    memory.lease_from = memory.renewed_at;
   }
   if (failed > 0) {
     const bool again = renewal.job->value.attempt.value() < kMostAttempts;
@@ -156,7 +165,8 @@
   } else if (succeeded == static_cast<int>(renewal.shares.size())) {
     m_runner.Add(
         GangFinish::Create(m_context, placement.job, placement.zone, placement.attempt_id));
-  } else if (now - memory.whole_at >= m_context.run_lease) {
+  } else if (now - memory.whole_at >= m_context.run_lease - m_renewal_interval) {
+    // NOTE: while the leases of the workers that answer still hold, so that these can checkpoint.
     StopGang(renewal, AfterStop::kQueueAgain, "a worker with one of its tasks does not answer");
   }
 }
--- a/src/libraries/node/lease_keeper.h
+++ b/src/libraries/node/lease_keeper.h
@@ -42,13 +42,18 @@
   struct Memory {
     Milliseconds first_seen{0};
     Milliseconds renewed_at{0};
-    /// The last time that every worker answered.
+    /// When the last round left in which every worker answered.
     Milliseconds whole_at{0};
+    /// As whole_at, but never before a round of this node's own. Leases count from here: a gang
+    /// that lost a task is renewed by nobody beyond one run lease, even where its stop can't be
+    /// recorded.
+    Milliseconds lease_from{0};
   };
 
   void Run();
   std::vector<Renewal> Due(const FleetView& view);
   bool IsDue(const Memory& memory) const;
+  Milliseconds LeaseOf(const Renewal& renewal) const;
   void SendRenewals(std::vector<Renewal>& renewals);
   void Judge(const Renewal& renewal);
   void StopGang(const Renewal& renewal, AfterStop after_stop, const std::string& reason);
