Desks: Read back a change whose answer was lost

Cause: zone and bundle changes answered "may be in force" whenever the answer was lost, though a read tells; and a cancellation whose answer was lost answered "can't be reached", which means surely not taken, when the read after it failed. Ruled out: sending the change again, which conflicts with itself. The record is read back; "may be" is left for a change that is not there yet and may still arrive.

--- a/src/libraries/node/bundle_desk.cc
+++ b/src/libraries/node/bundle_desk.cc
@@ -46,6 +46,27 @@
   return absl::UnknownError("the change may have been made; show the history to find out");
 }
 
+/// Whether the record is as it was to be written, whoever wrote it.
+bool IsStored(KeyValueService& store, const BundleRecord& written) {
+  const absl::StatusOr<Versioned<BundleRecord>> found = ReadVersion(store, written.version);
+  return found.ok() && EncodeBundleRecord(found->value) == EncodeBundleRecord(written);
+}
+
+bool IsInForce(KeyValueService& store, BundleVersion version) {
+  const absl::StatusOr<Versioned<CurrentBundle>> current = ReadCurrent(store);
+  return current.ok() && current->value.version == version;
+}
+
+/// As StatusOfOutcome(). Where the answer was lost, `done` reads back whether the change was made.
+template <typename Done>
+absl::Status Resolve(const TransactionOutcome& outcome, const std::string& conflict,
+                     const Done& done) {
+  if (outcome.result == TransactionResult::kUnclear && done()) {
+    return absl::OkStatus();
+  }
+  return StatusOfOutcome(outcome, conflict);
+}
+
 }  // namespace
 
 BundleDesk::BundleDesk(const Clock& clock, KeyValueService& store, AuditWriter& audit)
@@ -67,7 +88,7 @@
     m_audit.Add(transaction, actor.text(), "bundle submit", key, record.digest);
     const TransactionOutcome outcome = m_store.Commit(transaction);
     if (outcome.result != TransactionResult::kConflict) {
-      TRY(StatusOfOutcome(outcome, ""));
+      TRY(Resolve(outcome, "", [&] { return IsStored(m_store, record); }));
       return record;
     }
   }
@@ -88,7 +109,8 @@
   Transaction transaction;
   transaction.Expect(key, draft.modified).Put(key, EncodeBundleRecord(record));
   m_audit.Add(transaction, actor.text(), "bundle sign-off", key, digest);
-  TRY(StatusOfOutcome(m_store.Commit(transaction), "the draft changed at the same moment"));
+  TRY(Resolve(m_store.Commit(transaction), "the draft changed at the same moment",
+              [&] { return IsStored(m_store, record); }));
   return record;
 }
 
@@ -116,8 +138,9 @@
       .Put(keys::kCurrentBundle, EncodeCurrentBundle(next));
   m_audit.Add(transaction, actor.text(), "bundle roll", keys::BundleKey(version),
               fmt::format("after version {}", seen.value()));
-  TRY(StatusOfOutcome(m_store.Commit(transaction),
-                      "another operator rolled a bundle at the same moment; look at it first"));
+  TRY(Resolve(m_store.Commit(transaction),
+              "another operator rolled a bundle at the same moment; look at it first",
+              [&] { return IsInForce(m_store, version); }));
   return next;
 }
 
--- a/src/libraries/node/job_desk.cc
+++ b/src/libraries/node/job_desk.cc
@@ -12,6 +12,10 @@
 constexpr int kReadBackTries = 3;
 constexpr int kCancelTries = 5;
 
+absl::Status CancelUnclear() {
+  return absl::UnknownError("the job may have been cancelled; ask for its status");
+}
+
 }  // namespace
 
 JobDesk::JobDesk(const Clock& clock, KeyValueService& store, const FleetState& state,
@@ -85,12 +89,16 @@
 
 absl::StatusOr<JobRecord> JobDesk::Cancel(const JobId& id) {
   const std::string key = keys::JobKey(id);
+  bool sent = false;
   for (int tries = 0; tries < kCancelTries; ++tries) {
-    const RangeAnswer answer = TRY(m_store.Range(SingleKey(key)));
-    if (answer.records.empty()) {
+    const absl::StatusOr<RangeAnswer> answer = m_store.Range(SingleKey(key));
+    if (!answer.ok()) {
+      return sent ? CancelUnclear() : answer.status();
+    }
+    if (answer->records.empty()) {
       return absl::NotFoundError("there is no such job");
     }
-    JobRecord job = TRY(DecodeJob(answer.records.front().value));
+    JobRecord job = TRY(DecodeJob(answer->records.front().value));
     if (IsFinal(job.state) || job.cancel == CancelRequest::kRequested) {
       return job;
     }
@@ -101,17 +109,19 @@
       job.finished_at = m_clock.WallNow();
     }
     Transaction transaction;
-    transaction.Expect(key, answer.records.front().modified).Put(key, EncodeJob(job));
+    transaction.Expect(key, answer->records.front().modified).Put(key, EncodeJob(job));
     m_audit.Add(transaction, job.spec.workspace.text(), "job cancel", key, "");
     const TransactionResult result = m_store.Commit(transaction).result;
     if (result == TransactionResult::kApplied) {
       return job;
     }
     if (result == TransactionResult::kNotSent) {
-      return absl::UnavailableError("the key-value service can't be reached");
+      return sent ? CancelUnclear()
+                  : absl::UnavailableError("the key-value service can't be reached");
     }
+    sent = sent || result == TransactionResult::kUnclear;
   }
-  return absl::UnknownError("the job may have been cancelled; ask for its status");
+  return CancelUnclear();
 }
 
 }  // namespace papayalift
--- a/src/libraries/node/job_desk.h
+++ b/src/libraries/node/job_desk.h
@@ -24,7 +24,8 @@
 
   /// kFailedPrecondition: it can never run, and was not accepted. kAborted: the key names a job
   /// with another specification. kUnavailable: surely not accepted. kUnknown: may have been
-  /// accepted; a repeat with the same key finds out.
+  /// accepted; a repeat with the same key finds out. A key is remembered until Retention removes
+  /// its job.
   absl::StatusOr<SubmitAnswer> Submit(const JobSpec& spec);
 
   /// The newest record, read from the key-value service.
--- a/src/libraries/node/zone_desk.cc
+++ b/src/libraries/node/zone_desk.cc
@@ -28,20 +28,15 @@
     return absl::NotFoundError(
         fmt::format("the bundle in force declares no zone '{}'", change.zone.text()));
   }
-  const RangeAnswer answer = TRY(m_store.Range(SingleKey(keys::kZones)));
-  ZoneTable zones;
-  Revision modified;
-  if (!answer.records.empty()) {
-    zones = TRY(DecodeZones(answer.records.front().value));
-    modified = answer.records.front().modified;
-  }
+  const Versioned<ZoneTable> known = TRY(Read());
+  ZoneTable zones = known.value;
   if (zones.StateOf(change.zone) == change.state) {
     return zones;
   }
   zones.epoch = zones.epoch.Next();
   zones.states[change.zone] = change.state;
   Transaction transaction;
-  transaction.Expect(keys::kZones, modified).Put(keys::kZones, EncodeZones(zones));
+  transaction.Expect(keys::kZones, known.modified).Put(keys::kZones, EncodeZones(zones));
   m_audit.Add(transaction, change.actor.text(),
               change.state == ZoneState::kOut ? "zone out" : "zone back", change.zone.text(),
               change.reason);
@@ -56,7 +51,26 @@
     case TransactionResult::kUnclear:
       break;
   }
+  return ReadBack(change, zones.epoch);
+}
+
+absl::StatusOr<ZoneTable> ZoneDesk::ReadBack(const ZoneChange& change, ZoneEpoch epoch) {
+  const absl::StatusOr<Versioned<ZoneTable>> found = Read();
+  const bool in_force = found.ok() && found->value.epoch >= epoch &&
+                        found->value.StateOf(change.zone) == change.state;
+  if (in_force) {
+    return found->value;
+  }
   return absl::UnknownError("the change may be in force; list the zones to find out");
 }
 
+absl::StatusOr<Versioned<ZoneTable>> ZoneDesk::Read() {
+  const RangeAnswer answer = TRY(m_store.Range(SingleKey(keys::kZones)));
+  if (answer.records.empty()) {
+    return Versioned<ZoneTable>{};
+  }
+  const KeyValue& record = answer.records.front();
+  return Versioned<ZoneTable>{TRY(DecodeZones(record.value)), record.modified};
+}
+
 }  // namespace papayalift
--- a/src/libraries/node/zone_desk.h
+++ b/src/libraries/node/zone_desk.h
@@ -28,6 +28,10 @@
   absl::StatusOr<ZoneTable> Change(const ZoneChange& change);
 
  private:
+  absl::StatusOr<Versioned<ZoneTable>> Read();
+  /// Finds out what became of a change whose answer was lost; `epoch` is the one it writes.
+  absl::StatusOr<ZoneTable> ReadBack(const ZoneChange& change, ZoneEpoch epoch);
+
   KeyValueService& m_store;
   const FleetState& m_state;
   AuditWriter& m_audit;
