--- /dev/null
+++ b/tests/node/assert_held.h
@@ -0,0 +1,14 @@
+/// The assertion on what FleetChecks found, with its message.
+#pragma once
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+namespace papayalift {
+
+inline void AssertHeld(const std::string& broken) {
+  cr_assert(broken.empty(), "%s", broken.c_str());
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/node/bundle_desk_test.cc
@@ -0,0 +1,81 @@
+#include "libraries/node/bundle_desk.h"
+
+#include <criterion/criterion.h>
+
+#include "node/test_fleet.h"
+
+namespace papayalift {
+
+namespace {
+
+/// Two operators, each at a node of their own, and a signed-off version from each.
+struct TwoOperatorFixture {
+  TwoOperatorFixture() {
+    first = Draft(0);
+    second = Draft(1);
+  }
+
+  BundleVersion Draft(int node) {
+    BundleDesk& desk = fleet.node(node).bundles();
+    const BundleRecord draft = desk.Submit(SmallerBundleText(), OperatorId("op")).value();
+    return desk.SignOff(draft.version, draft.digest, OperatorId("op")).value().version;
+  }
+  absl::StatusOr<CurrentBundle> Roll(int node, BundleVersion version) {
+    return fleet.node(node).bundles().Roll(version, BundleVersion(1), OperatorId("op"));
+  }
+
+  TestFleet fleet{2};
+  BundleVersion first;
+  BundleVersion second;
+};
+
+}  // namespace
+
+Test(bundle_desk, submit_at_once_by_two_operators_gives_two_versions) {
+  TwoOperatorFixture fixture;
+  cr_assert(fixture.first != fixture.second);
+}
+
+Test(bundle_desk, roll_by_two_operators_from_the_same_version_lets_one_through) {
+  TwoOperatorFixture fixture;
+  cr_assert(fixture.Roll(1, fixture.second).ok());
+  cr_assert(absl::IsAborted(fixture.Roll(0, fixture.first).status()));
+  cr_assert(fixture.fleet.RolledVersion() == fixture.second);
+}
+
+Test(bundle_desk, roll_delayed_behind_another_changes_nothing) {
+  TwoOperatorFixture fixture;
+  fixture.fleet.node(0).store().FailNextCommit(CommitFault::kDelayed);
+  cr_assert(absl::IsUnknown(fixture.Roll(0, fixture.first).status()));
+  cr_assert(fixture.Roll(1, fixture.second).ok());
+  fixture.fleet.node(0).store().DeliverDelayed();
+  cr_assert(fixture.fleet.RolledVersion() == fixture.second);
+}
+
+Test(bundle_desk, roll_answer_lost_is_found_in_force) {
+  TwoOperatorFixture fixture;
+  fixture.fleet.node(0).store().FailNextCommit(CommitFault::kAnswerLost);
+  const absl::StatusOr<CurrentBundle> answer = fixture.Roll(0, fixture.first);
+  cr_assert(answer.ok());
+  cr_assert(answer->version == fixture.first);
+}
+
+Test(bundle_desk, submit_and_sign_off_answers_lost_are_found_done) {
+  TwoOperatorFixture fixture;
+  BundleDesk& desk = fixture.fleet.node(0).bundles();
+  fixture.fleet.node(0).store().FailNextCommit(CommitFault::kAnswerLost);
+  const absl::StatusOr<BundleRecord> draft = desk.Submit(TestBundleText(), OperatorId("op"));
+  cr_assert(draft.ok());
+  fixture.fleet.node(0).store().FailNextCommit(CommitFault::kAnswerLost);
+  cr_assert(desk.SignOff(draft->version, draft->digest, OperatorId("op")).ok());
+}
+
+Test(bundle_desk, roll_of_an_older_version_is_refused) {
+  TwoOperatorFixture fixture;
+  cr_assert(fixture.Roll(0, fixture.second).ok());
+  const absl::StatusOr<CurrentBundle> back =
+      fixture.fleet.node(0).bundles().Roll(fixture.first, fixture.second, OperatorId("op"));
+  cr_assert(absl::IsFailedPrecondition(back.status()));
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/node/fleet_property_test.cc
@@ -0,0 +1,383 @@
+/// Interleaves nodes, faults of store and workers, operators and callers over the real code, and
+/// looks at the promises after each step.
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <array>
+#include <ostream>
+#include <string>
+
+#include "node/fleet_checks.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr int kNodes = 3;
+/// Enough for every job to be run, stopped and run again after all faults have ended.
+constexpr Milliseconds kTimeToRest{240'000};
+constexpr Milliseconds kRestInterval{2'000};
+constexpr std::array<const char*, 4> kWorkers{"a1", "a2", "b1", "b2"};
+
+/// The jobs that callers can submit.
+struct JobTemplate {
+  const char* key;
+  int tasks;
+  int accelerators_per_task;
+  Idempotency idempotency;
+  const char* payload;
+};
+
+constexpr std::array<JobTemplate, 7> kJobs{{
+    {"pair", 2, 4, Idempotency::kIdempotent, "run 2s"},
+    {"pair-once", 2, 4, Idempotency::kNonIdempotent, "run 2s"},
+    {"single-once", 1, 2, Idempotency::kNonIdempotent, "run 3s"},
+    {"triple", 3, 2, Idempotency::kIdempotent, "run 4s"},
+    {"failing", 2, 3, Idempotency::kIdempotent, "fail 1s"},
+    {"long", 2, 4, Idempotency::kIdempotent, "run 20s"},
+    {"long-once", 2, 3, Idempotency::kNonIdempotent, "run 20s"},
+}};
+
+JobSpec SpecOfTemplate(const JobTemplate& job) {
+  JobSpec spec = SpecOf(job.key, job.tasks, job.accelerators_per_task);
+  spec.idempotency = job.idempotency;
+  spec.payload = job.payload;
+  return spec;
+}
+
+/// The state is wholly in the fleet; nothing of it is modelled apart.
+struct Nothing {};
+
+struct FleetUnderTest {
+  TestFleet fleet{kNodes};
+  FleetChecks checks{fleet};
+};
+
+using FleetCommand = rc::state::Command<Nothing, FleetUnderTest>;
+
+/// One step of the trace, with the checks after it.
+class CheckedCommand : public FleetCommand {
+ public:
+  void run(const Nothing& /*model*/, FleetUnderTest& sut) const override {
+    Act(sut);
+    const std::string broken = sut.checks.Broken();
+    if (!broken.empty()) {
+      RC_FAIL(broken);
+    }
+  }
+
+ protected:
+  virtual void Act(FleetUnderTest& sut) const = 0;
+};
+
+rc::Gen<int> AnyNode() { return rc::gen::inRange(0, kNodes); }
+
+WorkerId AnyWorker() {
+  const int index = *rc::gen::inRange(0, static_cast<int>(kWorkers.size()));
+  return WorkerId(kWorkers.at(static_cast<std::size_t>(index)));
+}
+
+class Advance final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override { out << "advance " << m_step.count() << " ms"; }
+
+ private:
+  void Act(FleetUnderTest& sut) const override { sut.fleet.clock().Advance(m_step); }
+
+  const Milliseconds m_step{*rc::gen::element(50, 250, 500, 1'000, 1'400, 2'500, 6'000, 16'000)};
+};
+
+enum class Duty { kFollow, kPass, kRound, kStep, kTurn };
+
+class NodeDuty final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override {
+    constexpr std::array<const char*, 5> kNames{"follow", "pass", "round", "step", "turn"};
+    out << "node " << m_node << ' ' << kNames.at(static_cast<std::size_t>(m_duty));
+  }
+
+ private:
+  void Act(FleetUnderTest& sut) const override {
+    TestNode& node = sut.fleet.node(m_node);
+    switch (m_duty) {
+      case Duty::kFollow:
+        return node.Follow();
+      case Duty::kPass:
+        return node.Pass();
+      case Duty::kRound:
+        return node.Round();
+      case Duty::kStep:
+        node.Step();
+        return;
+      case Duty::kTurn:
+        return node.Turn();
+    }
+  }
+
+  const int m_node = *AnyNode();
+  const Duty m_duty = *rc::gen::element(Duty::kFollow, Duty::kPass, Duty::kRound, Duty::kStep,
+                                        Duty::kStep, Duty::kStep, Duty::kTurn, Duty::kTurn);
+};
+
+/// All nodes go on for a while.
+class RunFleet final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override { out << "run for " << m_time.count() << " ms"; }
+
+ private:
+  void Act(FleetUnderTest& sut) const override { sut.fleet.Run(m_time); }
+
+  const Milliseconds m_time{*rc::gen::element(250, 1'000)};
+};
+
+class SubmitJob final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override {
+    out << "submit " << kJobs.at(m_job).key << " to node " << m_node;
+  }
+
+ private:
+  void Act(FleetUnderTest& sut) const override {
+    const absl::StatusOr<SubmitAnswer> answer =
+        sut.fleet.node(m_node).jobs().Submit(SpecOfTemplate(kJobs.at(m_job)));
+    if (answer.ok()) {
+      sut.checks.Accepted(answer->job.id);
+    }
+  }
+
+  const int m_node = *AnyNode();
+  const std::size_t m_job = *rc::gen::inRange<std::size_t>(0, kJobs.size());
+};
+
+class CancelJob final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override {
+    out << "cancel " << kJobs.at(m_job).key << " at node " << m_node;
+  }
+
+ private:
+  void Act(FleetUnderTest& sut) const override {
+    const JobSpec spec = SpecOfTemplate(kJobs.at(m_job));
+    const absl::StatusOr<JobRecord> answer =
+        sut.fleet.node(m_node).jobs().Cancel(JobIdOf(spec.workspace, spec.key));
+    if (answer.ok() && answer->cancel == CancelRequest::kRequested) {
+      sut.checks.CancelPromised(answer->id);
+    }
+  }
+
+  const int m_node = *AnyNode();
+  const std::size_t m_job = *rc::gen::inRange<std::size_t>(0, kJobs.size());
+};
+
+class ChangeZone final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override {
+    out << "zone " << m_zone << (m_state == ZoneState::kOut ? " out" : " back") << " at node "
+        << m_node;
+  }
+
+ private:
+  void Act(FleetUnderTest& sut) const override {
+    const ZoneChange change{ZoneId(m_zone), m_state, OperatorId("op"), "trial"};
+    // Whatever the answer: the checks go by what the store holds.
+    (void)sut.fleet.node(m_node).zones().Change(change);
+  }
+
+  const int m_node = *AnyNode();
+  const std::string m_zone = *rc::gen::element<std::string>("a", "b");
+  const ZoneState m_state = *rc::gen::element(ZoneState::kOut, ZoneState::kIn);
+};
+
+class RollBundle final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override {
+    out << "roll the " << (m_smaller ? "smaller" : "whole") << " bundle at node " << m_node;
+  }
+
+ private:
+  void Act(FleetUnderTest& sut) const override {
+    BundleDesk& desk = sut.fleet.node(m_node).bundles();
+    const OperatorId actor("op");
+    const absl::StatusOr<CurrentBundle> seen = desk.Current();
+    const absl::StatusOr<BundleRecord> draft =
+        desk.Submit(m_smaller ? SmallerBundleText() : TestBundleText(), actor);
+    if (!seen.ok() || !draft.ok() || !desk.SignOff(draft->version, draft->digest, actor).ok()) {
+      return;
+    }
+    const absl::StatusOr<CurrentBundle> rolled = desk.Roll(draft->version, seen->version, actor);
+    if (rolled.ok()) {
+      sut.checks.BundleAccepted(rolled->version);
+    }
+  }
+
+  const int m_node = *AnyNode();
+  const bool m_smaller = *rc::gen::arbitrary<bool>();
+};
+
+class FailCommit final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override {
+    constexpr std::array<const char*, 4> kNames{"none", "dropped", "answer lost", "delayed"};
+    out << "next commit of node " << m_node << ": " << kNames.at(static_cast<std::size_t>(m_fault));
+  }
+
+ private:
+  void Act(FleetUnderTest& sut) const override {
+    sut.fleet.node(m_node).store().FailNextCommit(m_fault);
+  }
+
+  const int m_node = *AnyNode();
+  const CommitFault m_fault =
+      *rc::gen::element(CommitFault::kDropped, CommitFault::kAnswerLost, CommitFault::kDelayed);
+};
+
+class DeliverCommits final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override { out << "deliver commits of node " << m_node; }
+
+ private:
+  void Act(FleetUnderTest& sut) const override { sut.fleet.node(m_node).store().DeliverDelayed(); }
+
+  const int m_node = *AnyNode();
+};
+
+class SetStoreReach final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override {
+    out << "store " << (m_reach == StoreReach::kCutOff ? "cut off from" : "back for") << " node "
+        << m_node;
+  }
+
+ private:
+  void Act(FleetUnderTest& sut) const override { sut.fleet.node(m_node).store().SetReach(m_reach); }
+
+  const int m_node = *AnyNode();
+  const StoreReach m_reach = *rc::gen::element(StoreReach::kCutOff, StoreReach::kReachable);
+};
+
+class FailPacket final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override {
+    constexpr std::array<const char*, 5> kNames{"none", "dropped", "answer lost", "duplicated",
+                                                "delayed"};
+    out << "next packet of node " << m_node << " to " << m_worker.text() << ": "
+        << kNames.at(static_cast<std::size_t>(m_fault));
+  }
+
+ private:
+  void Act(FleetUnderTest& sut) const override {
+    sut.fleet.node(m_node).workers().FailNext(m_worker, m_fault);
+  }
+
+  const int m_node = *AnyNode();
+  const WorkerId m_worker = AnyWorker();
+  const PacketFault m_fault = *rc::gen::element(PacketFault::kDropped, PacketFault::kAnswerLost,
+                                                PacketFault::kDuplicated, PacketFault::kDelayed);
+};
+
+class DeliverPackets final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override { out << "deliver packets"; }
+
+ private:
+  void Act(FleetUnderTest& sut) const override { sut.fleet.farm().DeliverHeld(); }
+};
+
+class CutWorker final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override {
+    out << "worker " << m_worker.text() << (m_cut ? " cut off from all" : " back for all");
+  }
+
+ private:
+  void Act(FleetUnderTest& sut) const override {
+    for (int index = 0; index < kNodes; ++index) {
+      FaultyGateway& workers = sut.fleet.node(index).workers();
+      m_cut ? workers.Cut(m_worker) : workers.Join(m_worker);
+    }
+  }
+
+  const WorkerId m_worker = AnyWorker();
+  const bool m_cut = *rc::gen::arbitrary<bool>();
+};
+
+class RestartWorker final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override { out << "restart " << m_worker.text(); }
+
+ private:
+  void Act(FleetUnderTest& sut) const override { sut.fleet.farm().Restart(m_worker); }
+
+  const WorkerId m_worker = AnyWorker();
+};
+
+class CrashNode final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override { out << "crash node " << m_node; }
+
+ private:
+  void Act(FleetUnderTest& sut) const override { sut.fleet.Crash(m_node); }
+
+  const int m_node = *AnyNode();
+};
+
+/// One node's opinion of who is alive; nodes may disagree.
+class BelieveLive final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override {
+    out << "node " << m_node << " takes " << m_live << " for alive (bits)";
+  }
+
+ private:
+  void Act(FleetUnderTest& sut) const override {
+    std::vector<NodeId> live;
+    for (int index = 0; index < kNodes; ++index) {
+      if ((m_live >> index) % 2 == 1) {
+        live.push_back(sut.fleet.node(index).id());
+      }
+    }
+    sut.fleet.node(m_node).liveness().Set(live);
+  }
+
+  const int m_node = *AnyNode();
+  const int m_live = *rc::gen::inRange(1, 1 << kNodes);
+};
+
+class CompactStore final : public CheckedCommand {
+ public:
+  void show(std::ostream& out) const override { out << "compact the store"; }
+
+ private:
+  void Act(FleetUnderTest& sut) const override {
+    sut.fleet.store().Compact(sut.fleet.store().revision());
+  }
+};
+
+/// Repeated names come up more often.
+const auto kAnyCommand = rc::state::gen::execOneOfWithArgs<
+    NodeDuty, NodeDuty, NodeDuty, NodeDuty, NodeDuty, NodeDuty, RunFleet, RunFleet, Advance,
+    Advance, SubmitJob, SubmitJob, CancelJob, ChangeZone, RollBundle, FailCommit, FailCommit,
+    DeliverCommits, SetStoreReach, FailPacket, FailPacket, DeliverPackets, CutWorker, RestartWorker,
+    CrashNode, BelieveLive, CompactStore>();
+
+}  // namespace
+
+Test(fleet, any_interleaving_keeps_its_promises) {
+  const bool held = rc::check("every promise holds after each step, and all jobs end", [] {
+    FleetUnderTest sut;
+    rc::state::check(Nothing{}, sut, kAnyCommand);
+    sut.fleet.Heal();
+    std::string broken = sut.checks.BrokenAtRest();
+    for (Milliseconds waited{0}; !broken.empty() && waited < kTimeToRest; waited += kRestInterval) {
+      sut.fleet.Run(kRestInterval);
+      broken = sut.checks.BrokenAtRest();
+    }
+    if (!broken.empty()) {
+      RC_FAIL("at rest: " + broken);
+    }
+  });
+  cr_assert(held);
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/node/gang_stop_test.cc
@@ -0,0 +1,156 @@
+#include "libraries/node/gang_stop.h"
+
+#include <criterion/criterion.h>
+
+#include "node/assert_held.h"
+#include "node/fleet_checks.h"
+
+namespace papayalift {
+
+namespace {
+
+/// One node, and a gang of two tasks that runs on both workers of zone "a" for twenty seconds.
+struct RunningGangFixture {
+  explicit RunningGangFixture(Idempotency idempotency = Idempotency::kIdempotent) {
+    JobSpec spec = SpecOf("pair", 2, 4);
+    spec.payload = "run 20s";
+    spec.idempotency = idempotency;
+    job = fleet.Submit(spec);
+    fleet.Run(Milliseconds(1'000));
+    attempt = fleet.Placements().at(0).attempt_id;
+  }
+
+  TestNode& node() { return fleet.node(0); }
+  bool Runs(const AttemptId& id) { return fleet.farm().Running().contains(id); }
+
+  TestFleet fleet{1};
+  FleetChecks checks{fleet};
+  JobId job;
+  AttemptId attempt;
+};
+
+}  // namespace
+
+Test(gang_stop, mark_answer_lost_stops_the_gang) {
+  RunningGangFixture fixture;
+  fixture.node().jobs().Cancel(fixture.job).value();
+  fixture.node().store().FailNextCommit(CommitFault::kAnswerLost);
+  fixture.fleet.Run(Milliseconds(2'000));
+  cr_assert(fixture.fleet.Job(fixture.job).state == JobState::kCancelled);
+  cr_assert_not(fixture.Runs(fixture.attempt));
+}
+
+Test(gang_stop, finalize_answer_lost_ends_the_job_once) {
+  RunningGangFixture fixture;
+  fixture.node().jobs().Cancel(fixture.job).value();
+  fixture.node().Follow();
+  fixture.node().Pass();
+  fixture.node().Step();
+  fixture.node().Step();
+  fixture.node().store().FailNextCommit(CommitFault::kAnswerLost);
+  fixture.fleet.Run(Milliseconds(2'000));
+  cr_assert(fixture.fleet.Job(fixture.job).state == JobState::kCancelled);
+  cr_assert(fixture.fleet.Placements().empty());
+}
+
+Test(gang_stop, worker_answer_lost_asks_again) {
+  RunningGangFixture fixture;
+  fixture.node().jobs().Cancel(fixture.job).value();
+  fixture.node().workers().FailNext(WorkerId("a1"), PacketFault::kAnswerLost);
+  fixture.fleet.Run(Milliseconds(2'000));
+  cr_assert(fixture.fleet.Job(fixture.job).state == JobState::kCancelled);
+}
+
+Test(gang_stop, worker_unreachable_waits_until_its_lease_has_lapsed) {
+  RunningGangFixture fixture;
+  fixture.node().workers().Cut(WorkerId("a2"));
+  fixture.node().jobs().Cancel(fixture.job).value();
+  fixture.fleet.Run(Milliseconds(14'000));
+  cr_assert(fixture.fleet.Job(fixture.job).state == JobState::kStopping);
+  fixture.fleet.Run(Milliseconds(6'000));
+  cr_assert(fixture.fleet.Job(fixture.job).state == JobState::kCancelled);
+  cr_assert_not(fixture.Runs(fixture.attempt));
+}
+
+Test(gang_stop, start_granted_late_has_lapsed_before_the_next_attempt) {
+  TestFleet fleet(1);
+  FleetChecks checks(fleet);
+  JobSpec spec = SpecOf("pair", 2, 4);
+  spec.payload = "run 60s";
+  fleet.Submit(spec);
+  TestNode& node = fleet.node(0);
+  node.Follow();
+  node.Pass();
+  for (int step = 0; step < 3; ++step) {
+    node.Step();
+  }
+  // The start reaches "a2" just before its reservation lapses, and nobody can reach "a2"
+  // afterwards.
+  node.workers().FailNext(WorkerId("a2"), PacketFault::kDelayed);
+  node.Step();
+  node.workers().Cut(WorkerId("a2"));
+  node.Step();
+  fleet.clock().Advance(kReservationLease - Milliseconds(10));
+  fleet.farm().DeliverHeld();
+  for (int turn = 0; turn < 100; ++turn) {
+    fleet.Run(Milliseconds(250));
+    AssertHeld(checks.Broken());
+  }
+}
+
+Test(gang_stop, worker_restarted_with_empty_memory_may_have_run) {
+  RunningGangFixture fixture(Idempotency::kNonIdempotent);
+  fixture.fleet.farm().Restart(WorkerId("a1"));
+  fixture.fleet.farm().Restart(WorkerId("a2"));
+  fixture.fleet.Run(Milliseconds(10'000));
+  const JobRecord job = fixture.fleet.Job(fixture.job);
+  cr_assert(job.state == JobState::kFailed);
+  cr_assert(job.verdict == Verdict::kMayHaveRun);
+  AssertHeld(fixture.checks.BrokenAtRest());
+}
+
+Test(gang_stop, one_task_lost_repairs_the_gang_as_a_whole) {
+  RunningGangFixture fixture;
+  fixture.fleet.farm().Restart(WorkerId("a1"));
+  fixture.fleet.Run(Milliseconds(3'000));
+  const std::map<AttemptId, std::set<WorkerId>> running = fixture.fleet.farm().Running();
+  cr_assert_not(running.contains(fixture.attempt));
+  cr_assert_eq(running.size(), 1U);
+  cr_assert_eq(running.begin()->second.size(), 2U);
+}
+
+Test(gang_stop, all_tasks_succeeded_before_the_stop_is_success) {
+  RunningGangFixture fixture(Idempotency::kNonIdempotent);
+  // No turn of the node sees the end of the tasks before the zone goes out.
+  fixture.fleet.Run(Milliseconds(17'000));
+  fixture.fleet.clock().Advance(Milliseconds(5'000));
+  fixture.fleet.ChangeZone("a", ZoneState::kOut);
+  fixture.node().Follow();
+  fixture.node().Pass();
+  while (fixture.node().Step()) {
+  }
+  const JobRecord job = fixture.fleet.Job(fixture.job);
+  cr_assert(job.state == JobState::kSucceeded);
+  cr_assert(job.verdict == Verdict::kRan);
+}
+
+Test(gang_stop, worker_no_longer_declared_is_waited_out) {
+  RunningGangFixture fixture;
+  fixture.fleet.Roll(SmallerBundleText());
+  fixture.fleet.Run(Milliseconds(30'000));
+  cr_assert_not(fixture.Runs(fixture.attempt));
+  AssertHeld(fixture.checks.Broken());
+  fixture.fleet.Run(Milliseconds(30'000));
+  cr_assert(fixture.fleet.Job(fixture.job).state == JobState::kSucceeded);
+}
+
+Test(gang_stop, reserved_only_does_not_wait_for_a_worker_that_nobody_reaches) {
+  TestFleet fleet(1);
+  const JobId job = fleet.Submit(SpecOf("pair", 2, 4));
+  fleet.node(0).workers().Cut(WorkerId("a2"));
+  fleet.node(0).Turn();
+  cr_assert(fleet.Job(job).state == JobState::kQueued);
+  cr_assert(fleet.Job(job).verdict == Verdict::kNotRun);
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/node/lease_keeper_gang_test.cc
@@ -0,0 +1,67 @@
+/// What renewals mean for a gang as a whole.
+#include <criterion/criterion.h>
+
+#include "node/assert_held.h"
+#include "node/fleet_checks.h"
+
+namespace papayalift {
+
+namespace {
+
+/// A gang of two tasks that runs for a minute, owned by node 0.
+struct RenewedGangFixture {
+  RenewedGangFixture() {
+    fleet.SetLive({0});
+    JobSpec spec = SpecOf("pair", 2, 4);
+    spec.payload = "run 60s";
+    job = fleet.Submit(spec);
+    fleet.Run(Milliseconds(1'000));
+    attempt = fleet.Placements().at(0).attempt_id;
+  }
+
+  /// Runs the fleet and looks at every promise after each turn.
+  void RunChecked(Milliseconds time) {
+    for (Milliseconds gone{0}; gone < time; gone += Milliseconds(250)) {
+      fleet.Run(Milliseconds(250));
+      AssertHeld(checks.Broken());
+    }
+  }
+
+  TestFleet fleet{2};
+  FleetChecks checks{fleet};
+  JobId job;
+  AttemptId attempt;
+};
+
+}  // namespace
+
+Test(lease_keeper, store_down_for_long_gang_goes_on) {
+  RenewedGangFixture fixture;
+  fixture.fleet.node(0).store().SetReach(StoreReach::kCutOff);
+  fixture.RunChecked(Milliseconds(50'000));
+  cr_assert(fixture.fleet.farm().Running().contains(fixture.attempt));
+  fixture.fleet.node(0).store().SetReach(StoreReach::kReachable);
+  fixture.RunChecked(Milliseconds(15'000));
+  cr_assert(fixture.fleet.Job(fixture.job).state == JobState::kSucceeded);
+}
+
+Test(lease_keeper, task_lost_while_the_store_is_down_gang_is_partial_for_one_lease) {
+  RenewedGangFixture fixture;
+  fixture.fleet.node(0).store().SetReach(StoreReach::kCutOff);
+  fixture.RunChecked(Milliseconds(2'000));
+  fixture.fleet.farm().Restart(WorkerId("a1"));
+  AssertHeld(fixture.checks.Broken());
+  fixture.RunChecked(Milliseconds(20'000));
+  cr_assert(fixture.fleet.farm().Running().empty());
+}
+
+Test(lease_keeper, owner_gone_the_next_takes_over_within_the_lease) {
+  RenewedGangFixture fixture;
+  fixture.fleet.Crash(0);
+  fixture.fleet.clock().Advance(Milliseconds(9'000));
+  fixture.fleet.SetLive({1});
+  fixture.fleet.RunNode(1, Milliseconds(30'000));
+  cr_assert(fixture.fleet.farm().Running().contains(fixture.attempt));
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/node/test_node.cc
@@ -0,0 +1,41 @@
+#include "node/test_node.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr std::size_t kMostSessions = 1'024;
+/// More than any session of a test needs without time going on.
+constexpr int kMostSteps = 200;
+
+}  // namespace
+
+TestNode::TestNode(const NodeId& id, const std::string& incarnation, const Clock& clock,
+                   MemoryStore& store, WorkerFarm& farm)
+    : m_id(id),
+      m_store(store),
+      m_workers(farm),
+      m_view(clock, m_store, kViewLimit),
+      m_audit(clock, id),
+      m_namer(id, incarnation),
+      m_runner(clock, kMostSessions),
+      m_context{clock,   m_store,   m_workers,         m_view,
+                m_audit, m_metrics, kReservationLease, kRunLease},
+      m_follower(m_store, m_state, m_view, m_metrics),
+      m_scheduler(m_context, m_state, m_liveness, id, m_namer, m_runner),
+      m_lease_keeper(m_context, m_state, m_liveness, id, m_runner, kRenewalInterval),
+      m_jobs(clock, m_store, m_state, m_audit),
+      m_zones(m_store, m_state, m_audit),
+      m_bundles(clock, m_store, m_audit) {}
+
+void TestNode::Follow() { m_follower.Follow(); }
+
+void TestNode::Turn() {
+  Follow();
+  Pass();
+  Round();
+  for (int steps = 0; steps < kMostSteps && Step(); ++steps) {
+  }
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/node/test_node.h
@@ -0,0 +1,80 @@
+/// One entry node without threads: a test says when each of its duties has its turn.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "libraries/node/bundle_desk.h"
+#include "libraries/node/job_desk.h"
+#include "libraries/node/lease_keeper.h"
+#include "libraries/node/scheduler.h"
+#include "libraries/node/state_follower.h"
+#include "libraries/node/zone_desk.h"
+#include "node/faulty_gateway.h"
+#include "node/faulty_store.h"
+
+namespace papayalift {
+
+inline constexpr Milliseconds kViewLimit{1'500};
+inline constexpr Milliseconds kReservationLease{1'500};
+inline constexpr Milliseconds kRunLease{15'000};
+inline constexpr Milliseconds kRenewalInterval{3'000};
+
+/// The nodes that one node takes for alive.
+class FixedLiveness final : public Liveness {
+ public:
+  std::vector<NodeId> Live(const FleetView& /*view*/) const override { return m_live; }
+  void Set(std::vector<NodeId> live) { m_live = std::move(live); }
+
+ private:
+  std::vector<NodeId> m_live;
+};
+
+class TestNode {
+ public:
+  TestNode(const NodeId& id, const std::string& incarnation, const Clock& clock, MemoryStore& store,
+           WorkerFarm& farm);
+
+  /// Learns of all changes that the store has, where it can be reached.
+  void Follow();
+  void Pass() { m_scheduler.Pass(); }
+  void Round() { m_lease_keeper.Round(); }
+  /// One step of one session; false where none is due.
+  bool Step() { return m_runner.RunDue(); }
+  /// Follow, Pass, Round, and then steps until no session is due.
+  void Turn();
+
+  FaultyStore& store() { return m_store; }
+  FaultyGateway& workers() { return m_workers; }
+  FixedLiveness& liveness() { return m_liveness; }
+  FleetState& state() { return m_state; }
+  ViewGuard& view() { return m_view; }
+  SessionRunner& runner() { return m_runner; }
+  JobDesk& jobs() { return m_jobs; }
+  ZoneDesk& zones() { return m_zones; }
+  BundleDesk& bundles() { return m_bundles; }
+  const GangContext& context() const { return m_context; }
+  const NodeId& id() const { return m_id; }
+
+ private:
+  const NodeId m_id;
+  FaultyStore m_store;
+  FaultyGateway m_workers;
+  FixedLiveness m_liveness;
+  Metrics m_metrics;
+  FleetState m_state;
+  ViewGuard m_view;
+  AuditWriter m_audit;
+  AttemptNamer m_namer;
+  SessionRunner m_runner;
+  const GangContext m_context;
+  StateFollower m_follower;
+  Scheduler m_scheduler;
+  LeaseKeeper m_lease_keeper;
+  JobDesk m_jobs;
+  ZoneDesk m_zones;
+  BundleDesk m_bundles;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/node/worker_farm.cc
@@ -0,0 +1,87 @@
+#include "node/worker_farm.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayalift {
+
+WorkerFarm::WorkerFarm(const Clock& clock, const std::vector<WorkerSpec>& workers)
+    : m_clock(clock), m_specs(workers) {
+  for (const WorkerSpec& spec : m_specs) {
+    m_agents[spec.id] = NewAgent(spec);
+  }
+}
+
+std::unique_ptr<WorkerAgent> WorkerFarm::NewAgent(const WorkerSpec& spec) const {
+  return std::make_unique<WorkerAgent>(m_clock, spec.accelerators);
+}
+
+absl::Status WorkerFarm::Prepare(const PrepareRequest& request) {
+  m_jobs[request.attempt] = request.job;
+  m_asked[request.attempt].insert(request.worker.id);
+  return m_agents.at(request.worker.id)->Prepare(request);
+}
+
+absl::Status WorkerFarm::Start(const StartRequest& request) {
+  WorkerAgent& agent = *m_agents.at(request.worker.id);
+  const std::size_t before = agent.started().size();
+  absl::Status status = agent.Start(request);
+  if (agent.started().size() > before) {
+    m_starts.push_back(
+        StartRecord{request.worker.id, m_jobs.at(request.attempt), request.attempt, m_clock.Now()});
+  }
+  return status;
+}
+
+AttemptReport WorkerFarm::Stop(const StopRequest& request) {
+  return m_agents.at(request.worker.id)->Stop(request);
+}
+
+std::vector<AttemptReport> WorkerFarm::Renew(const RenewRequest& request) {
+  return m_agents.at(request.worker.id)->Renew(request);
+}
+
+void WorkerFarm::Hold(const WorkerId& worker, std::function<void()> packet) {
+  m_held.push_back(HeldPacket{worker, std::move(packet)});
+}
+
+void WorkerFarm::DeliverHeld() {
+  const std::vector<HeldPacket> held = std::exchange(m_held, {});
+  for (const HeldPacket& packet : held) {
+    packet.deliver();
+  }
+}
+
+void WorkerFarm::Restart(const WorkerId& worker) {
+  std::erase_if(m_held, [&worker](const HeldPacket& packet) { return packet.worker == worker; });
+  const auto spec = std::find_if(m_specs.begin(), m_specs.end(),
+                                 [&worker](const WorkerSpec& each) { return each.id == worker; });
+  m_agents[worker] = NewAgent(*spec);
+}
+
+std::map<AttemptId, std::set<WorkerId>> WorkerFarm::Running() {
+  std::map<AttemptId, std::set<WorkerId>> running;
+  for (const auto& [worker, agent] : m_agents) {
+    for (const AttemptId& attempt : agent->running()) {
+      running[attempt].insert(worker);
+    }
+  }
+  return running;
+}
+
+std::set<WorkerId> WorkerFarm::Succeeded(const AttemptId& attempt) {
+  std::set<WorkerId> succeeded;
+  for (const auto& [worker, agent] : m_agents) {
+    RenewRequest question;
+    question.attempts.push_back(attempt);
+    // NOTE: a renewal of an attempt that runs would lengthen its lease; only ended ones are asked.
+    const std::vector<AttemptId> running = agent->running();
+    const bool runs = std::find(running.begin(), running.end(), attempt) != running.end();
+    if (!runs && agent->Renew(question).front().phase == AttemptPhase::kSucceeded) {
+      succeeded.insert(worker);
+    }
+  }
+  return succeeded;
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/node/worker_farm.h
@@ -0,0 +1,67 @@
+/// All workers of a test fleet, the packets still on their way to them, and a record of every
+/// start.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "libraries/model/bundle.h"
+#include "stand_ins/worker/worker_agent.h"
+
+namespace papayalift {
+
+struct StartRecord {
+  WorkerId worker;
+  JobId job;
+  AttemptId attempt;
+  Milliseconds at{0};
+};
+
+class WorkerFarm {
+ public:
+  WorkerFarm(const Clock& clock, const std::vector<WorkerSpec>& workers);
+
+  absl::Status Prepare(const PrepareRequest& request);
+  absl::Status Start(const StartRequest& request);
+  AttemptReport Stop(const StopRequest& request);
+  std::vector<AttemptReport> Renew(const RenewRequest& request);
+
+  /// A packet that arrives later. One on its way to a worker that restarts is lost, as the
+  /// connection is that carries it.
+  void Hold(const WorkerId& worker, std::function<void()> packet);
+  void DeliverHeld();
+
+  /// The worker's tasks end and its memory is gone.
+  void Restart(const WorkerId& worker);
+
+  const std::vector<StartRecord>& starts() const { return m_starts; }
+  /// Attempts with a task that runs now, and the workers they run on.
+  std::map<AttemptId, std::set<WorkerId>> Running();
+  /// Workers whose tasks of `attempt` have succeeded.
+  std::set<WorkerId> Succeeded(const AttemptId& attempt);
+  /// Workers that were asked to prepare `attempt`.
+  const std::set<WorkerId>& Asked(const AttemptId& attempt) { return m_asked[attempt]; }
+  JobId JobOf(const AttemptId& attempt) const { return m_jobs.at(attempt); }
+  const std::vector<WorkerSpec>& workers() const { return m_specs; }
+
+ private:
+  struct HeldPacket {
+    WorkerId worker;
+    std::function<void()> deliver;
+  };
+
+  std::unique_ptr<WorkerAgent> NewAgent(const WorkerSpec& spec) const;
+
+  const Clock& m_clock;
+  const std::vector<WorkerSpec> m_specs;
+  std::map<WorkerId, std::unique_ptr<WorkerAgent>> m_agents;
+  std::vector<HeldPacket> m_held;
+  std::map<AttemptId, JobId> m_jobs;
+  std::map<AttemptId, std::set<WorkerId>> m_asked;
+  std::vector<StartRecord> m_starts;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/node/zone_desk_test.cc
@@ -0,0 +1,53 @@
+#include "libraries/node/zone_desk.h"
+
+#include <criterion/criterion.h>
+
+#include "node/test_fleet.h"
+
+namespace papayalift {
+
+namespace {
+
+struct ZoneFixture {
+  absl::StatusOr<ZoneTable> Out(int node, const std::string& zone) {
+    return fleet.node(node).zones().Change(
+        ZoneChange{ZoneId(zone), ZoneState::kOut, OperatorId("op"), "works"});
+  }
+
+  TestFleet fleet{2};
+};
+
+}  // namespace
+
+Test(zone_desk, change_answer_lost_is_found_in_force) {
+  ZoneFixture fixture;
+  fixture.fleet.node(0).store().FailNextCommit(CommitFault::kAnswerLost);
+  const absl::StatusOr<ZoneTable> answer = fixture.Out(0, "a");
+  cr_assert(answer.ok());
+  cr_assert(answer->StateOf(ZoneId("a")) == ZoneState::kOut);
+}
+
+Test(zone_desk, change_applied_late_is_not_called_refused) {
+  ZoneFixture fixture;
+  fixture.fleet.node(0).store().FailNextCommit(CommitFault::kDelayed);
+  cr_assert(absl::IsUnknown(fixture.Out(0, "a").status()));
+  fixture.fleet.node(0).store().DeliverDelayed();
+  cr_assert(fixture.fleet.Zones().StateOf(ZoneId("a")) == ZoneState::kOut);
+}
+
+Test(zone_desk, change_delayed_behind_another_operator_changes_nothing) {
+  ZoneFixture fixture;
+  fixture.fleet.node(0).store().FailNextCommit(CommitFault::kDelayed);
+  cr_assert(absl::IsUnknown(fixture.Out(0, "a").status()));
+  cr_assert(fixture.Out(1, "b").ok());
+  fixture.fleet.node(0).store().DeliverDelayed();
+  cr_assert(fixture.fleet.Zones().StateOf(ZoneId("a")) == ZoneState::kIn);
+  cr_assert(fixture.fleet.Zones().StateOf(ZoneId("b")) == ZoneState::kOut);
+}
+
+Test(zone_desk, change_of_unknown_zone_is_refused) {
+  ZoneFixture fixture;
+  cr_assert(absl::IsNotFound(fixture.Out(0, "nowhere").status()));
+}
+
+}  // namespace papayalift
