--- a/tests/node/test_fleet.h
+++ b/tests/node/test_fleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,12 @@
   /// Ends all faults; every zone is back and all nodes know of each other.
   void Heal();
 
+  /// Every node hears every other, but for those that are silenced.
+  void Beat();
+  /// A node that is silenced hears nobody and is heard by nobody.
+  void Silence(int index) { m_silenced.insert(index); }
+  void EndSilence(int index) { m_silenced.erase(index); }
+
   /// Turns of all nodes with time going on in between.
   void Run(Milliseconds time);
   /// As Run(), with one node only.
@@ -62,6 +69,7 @@
   WorkerFarm m_farm;
   int m_incarnations = 0;
   std::vector<std::unique_ptr<TestNode>> m_nodes;
+  std::set<int> m_silenced;
 };
 
 }  // namespace papayalift
