--- a/src/libraries/node/lease_keeper.cc
+++ b/src/libraries/node/lease_keeper.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "libraries/log/log_event.h"
 #include "libraries/node/gang_finish.h"
 #include "libraries/node/gang_stop.h"
 #include "libraries/node/ownership.h"
@@ -28,11 +29,12 @@
 }  // namespace
 
 LeaseKeeper::LeaseKeeper(const GangContext& context, const FleetState& state,
-                         const Liveness& liveness, const NodeId& self, SessionRunner& runner,
-                         Milliseconds renewal_interval)
+                         const Membership& membership, StoreProgress& progress, const NodeId& self,
+                         SessionRunner& runner, Milliseconds renewal_interval)
     : m_context(context),
       m_state(state),
-      m_liveness(liveness),
+      m_membership(membership),
+      m_progress(progress),
       m_self(self),
       m_runner(runner),
       m_renewal_interval(renewal_interval) {}
@@ -54,39 +56,56 @@
 }
 
 void LeaseKeeper::Round() {
+  // The view is taken after the revision, so that it holds all that the confirmation speaks of.
+  const std::optional<Milliseconds> confirmed_at = m_progress.ConfirmedAt(m_state.followed());
   const std::shared_ptr<const FleetView> view = m_state.View();
   if (view->bundle == nullptr) {
     return;
   }
-  std::vector<Renewal> renewals = Due(*view);
-  SendRenewals(renewals);
+  const std::optional<RenewalBasis> basis =
+      RenewalBasisOf(m_context.clock.Now(), confirmed_at, m_membership.Statements(*view));
+  if (!basis) {
+    m_context.metrics.Count("papayalift_renewal_rounds_withheld_total");
+    return;
+  }
+  std::vector<Renewal> renewals = Due(*view, *basis);
+  SendRenewals(renewals, *basis);
   for (const Renewal& renewal : renewals) {
     Judge(renewal);
   }
 }
 
-std::vector<LeaseKeeper::Renewal> LeaseKeeper::Due(const FleetView& view) {
+std::vector<LeaseKeeper::Renewal> LeaseKeeper::Due(const FleetView& view,
+                                                   const RenewalBasis& basis) {
   std::vector<Renewal> renewals;
   std::map<AttemptId, Memory> memory;
-  const std::vector<NodeId> live = m_liveness.Live(view);
+  const std::vector<NodeId> live = m_membership.Live(view);
   const Milliseconds now = m_context.clock.Now();
   for (const auto& [id, placement] : view.placements) {
     const auto job = view.jobs.find(id);
     const bool renewed = placement->value.phase == PlacementPhase::kCommitted &&
                          job != view.jobs.end() && OwnerOf(id, live) == m_self &&
-                         !m_runner.IsBusy(id);
+                         !m_runner.IsBusy(id) &&
+                         !basis.stopping.contains(placement->value.attempt_id);
     if (!renewed) {
       continue;
     }
     const auto known = m_memory.find(placement->value.attempt_id);
     Memory& kept = memory[placement->value.attempt_id];
-    kept = known == m_memory.end() ? Memory{now, Milliseconds(0), now} : known->second;
+    kept = known == m_memory.end() ? Memory{now, Milliseconds(0), now, now - m_context.run_lease}
+                                   : known->second;
     if (!IsDue(kept)) {
       continue;
     }
     absl::StatusOr<std::vector<WorkerShare>> shares =
         SharesOf(placement->value, view.bundle->bundle);
     if (shares.ok()) {
+      if (known == m_memory.end()) {
+        LogEvent(LogLevel::kInfo, "lease_keeper", "renews a gang")
+            .Job(id)
+            .Attempt(placement->value.attempt_id)
+            .Write();
+      }
       kept.renewed_at = now;
       renewals.push_back(Renewal{placement, job->second, *std::move(shares), {}, 0});
     }
@@ -101,13 +120,20 @@
   return now - memory.renewed_at >= (young ? kYoungInterval : m_renewal_interval);
 }
 
-void LeaseKeeper::SendRenewals(std::vector<Renewal>& renewals) {
-  std::map<WorkerTarget, RenewRequest> by_worker;
+Milliseconds LeaseKeeper::LeaseOf(const Renewal& renewal, const RenewalBasis& basis) const {
+  const Memory& memory = m_memory.at(renewal.placement->value.attempt_id);
+  const Milliseconds from = std::min(memory.lease_from, basis.dated_at);
+  return std::max(Milliseconds(0), m_context.run_lease - (memory.renewed_at - from));
+}
+
+void LeaseKeeper::SendRenewals(std::vector<Renewal>& renewals, const RenewalBasis& basis) {
+  std::map<std::pair<WorkerTarget, Milliseconds>, RenewRequest> by_worker;
   for (const Renewal& renewal : renewals) {
+    const Milliseconds lease = LeaseOf(renewal, basis);
     for (const WorkerShare& share : renewal.shares) {
-      RenewRequest& request = by_worker[share.worker];
+      RenewRequest& request = by_worker[{share.worker, lease}];
       request.worker = share.worker;
-      request.run_lease = m_context.run_lease;
+      request.run_lease = lease;
       request.attempts.push_back(renewal.placement->value.attempt_id);
     }
   }
@@ -146,7 +172,8 @@
   const int failed = CountPhase(renewal.reports, AttemptPhase::kFailed);
   const int known = static_cast<int>(renewal.reports.size());
   if (renewal.silent_workers == 0) {
-    memory.whole_at = now;
+    memory.whole_at = memory.renewed_at;
+    memory.lease_from = memory.renewed_at;
   }
   if (failed > 0) {
     const bool again = renewal.job->value.attempt.value() < kMostAttempts;
@@ -156,7 +183,8 @@
   } else if (succeeded == static_cast<int>(renewal.shares.size())) {
     m_runner.Add(
         GangFinish::Create(m_context, placement.job, placement.zone, placement.attempt_id));
-  } else if (now - memory.whole_at >= m_context.run_lease) {
+  } else if (now - memory.whole_at >= m_context.run_lease - m_renewal_interval) {
+    // NOTE: while the leases of the workers that answer still hold, so that these can checkpoint.
     StopGang(renewal, AfterStop::kQueueAgain, "a worker with one of its tasks does not answer");
   }
 }
