Decisions: Place larger guaranteed tasks first in the proven plan

Counting is only exact when larger tasks go first; the plan did not keep to that.

The plan now places only larger tasks before its own, and checks the rest once more, since sizes between powers of two have no such order.

--- a/src/libraries/decisions/guarantee_book.cc
+++ b/src/libraries/decisions/guarantee_book.cc
@@ -129,9 +129,12 @@
   });
   const std::size_t position = (*packing)[static_cast<std::size_t>(own - m_unused.begin())];
   const ZoneRange& zone = m_reclaimable.zones()[position];
+  // Larger tasks have to go first; smaller ones find as many places wherever this one goes.
   std::vector<Demand> others;
   for (std::size_t index = 0; index < m_unused.size(); ++index) {
-    if ((*packing)[index] == position && &m_unused[index] != &*own) {
+    const bool goes_first =
+        m_unused[index].shape.accelerators_per_task > claim.blocks.accelerators_per_task;
+    if ((*packing)[index] == position && goes_first) {
       others.push_back(m_unused[index]);
     }
   }
@@ -141,7 +144,9 @@
   for (std::size_t at = zone.workers.begin; at < zone.workers.end; ++at) {
     FillWorker(rest.workers()[at], claim.blocks, blocks);
   }
-  if (static_cast<int>(blocks.size()) < claim.blocks.tasks.value()) {
+  const bool whole = static_cast<int>(blocks.size()) == claim.blocks.tasks.value();
+  // Where sizes are no powers of two, the order of sizes alone proves nothing.
+  if (!whole || !StaysReclaimableWith(claim, zone.zone, blocks)) {
     return std::nullopt;
   }
   return std::pair(zone.zone, std::move(blocks));
