--- a/src/libraries/node/scheduler.h
+++ b/src/libraries/node/scheduler.h
@@ -10,6 +10,7 @@
 #include "libraries/base/duty_thread.h"
 #include "libraries/base/stop_signal.h"
 #include "libraries/decisions/decision.h"
+#include "libraries/decisions/zone_history.h"
 #include "libraries/node/attempt_namer.h"
 #include "libraries/node/fleet_state.h"
 #include "libraries/node/gang_context.h"
@@ -58,6 +59,8 @@
   Retention m_retention;
   /// When this node first saw a reservation that no session of its own works on.
   std::map<AttemptId, Milliseconds> m_orphans;
+  /// As this node saw it since it started.
+  ZoneHistory m_zone_history;
   /// Of the last pass that started gangs; gone once each of them has had its turn.
   std::weak_ptr<ReserveChain> m_chain;
   mutable std::mutex m_mutex;
