--- a/src/libraries/lab/claim_report.h
+++ b/src/libraries/lab/claim_report.h
@@ -12,6 +12,8 @@
   int missed = 0;
   /// Missed ones that were open during a zone change.
   int missed_in_zone_changes = 0;
+  /// Missed ones for which the quota of their own workspace once left no room while they waited.
+  int missed_at_own_quota = 0;
 };
 
 }  // namespace papayalift
--- a/src/libraries/lab/guarantee_meter.cc
+++ b/src/libraries/lab/guarantee_meter.cc
@@ -1,110 +1,119 @@
 #include "libraries/lab/guarantee_meter.h"
 
-#include <algorithm>
+#include "libraries/decisions/guaranteed_shape.h"
 
 namespace papayalift {
 
 namespace {
 
-bool FitsInto(const Shape& shape, const Shape& guaranteed) {
-  return shape.tasks <= guaranteed.tasks &&
-         shape.accelerators_per_task <= guaranteed.accelerators_per_task;
-}
-
-/// Takes the smallest of the free shapes that is large enough.
-bool TakeShape(const Shape& shape, std::vector<Shape>& free) {
-  const auto found = std::find_if(free.begin(), free.end(), [&shape](const Shape& guaranteed) {
-    return FitsInto(shape, guaranteed);
-  });
-  if (found == free.end()) {
-    return false;
-  }
-  free.erase(found);
-  return true;
-}
-
 double Seconds(Milliseconds time) { return std::chrono::duration<double>(time).count(); }
 
 }  // namespace
 
-GuaranteeMeter::GuaranteeMeter(const Scenario& scenario, const TimeWindows& zone_changes)
-    : m_timing(scenario.timing), m_zone_changes(zone_changes) {
-  for (const WorkspacePlan& plan : scenario.workspaces) {
-    std::vector<Shape> shapes;
-    for (const Guarantee& guarantee : plan.spec.guarantees) {
-      shapes.insert(shapes.end(), static_cast<std::size_t>(guarantee.count), guarantee.shape);
+GuaranteeMeter::GuaranteeMeter(const LabState& state, const TimeWindows& zone_changes)
+    : m_state(state), m_timing(state.scenario.timing), m_zone_changes(zone_changes) {
+  const std::vector<WorkspacePlan>& workspaces = state.scenario.workspaces;
+  for (std::size_t position = 0; position < workspaces.size(); ++position) {
+    for (const Guarantee& guarantee : workspaces[position].spec.guarantees) {
+      m_guaranteed[{position, guarantee.shape}] += guarantee.count;
     }
-    std::stable_sort(shapes.begin(), shapes.end(), [](const Shape& left, const Shape& right) {
-      return left.Total() < right.Total();
-    });
-    m_shapes.push_back(std::move(shapes));
+  }
+  m_counts_against.reserve(state.jobs.size());
+  for (std::size_t index = 0; index < state.jobs.size(); ++index) {
+    m_counts_against.push_back(GuaranteedShapeFor(state.jobs[index].spec.shape,
+                                                  workspaces[state.runs[index].workspace].spec));
   }
 }
 
-void GuaranteeMeter::Observe(const LabState& state) {
-  FreeShapes free = m_shapes;
-  TakeByHolders(state, free);
-  std::map<std::size_t, Milliseconds> open;
-  TakeByWaiting(state, Urgency::kUrgent, free, open);
-  TakeByWaiting(state, Urgency::kNormal, free, open);
-  for (const auto& [index, since] : m_open) {
-    const JobRun& run = state.runs[index];
+void GuaranteeMeter::Observe() {
+  FreeShapes free = m_guaranteed;
+  for (const std::size_t index : m_state.holding) {
+    TakeShape(index, free);
+  }
+  OpenClaims open;
+  TakeByWaiting(Urgency::kUrgent, free, open);
+  TakeByWaiting(Urgency::kNormal, free, open);
+  NoteQuotas(open);
+  for (const auto& [index, claim] : m_open) {
+    const JobRun& run = m_state.runs[index];
     if (run.state != RunState::kHolding) {
       continue;
     }
     if (run.phase == PlacementPhase::kCommitted) {
-      Close(state, index, since);
+      Close(index, claim);
     } else if (run.phase == PlacementPhase::kReserved) {
-      open[index] = since;
+      open[index] = claim;
     }
   }
   m_open = std::move(open);
 }
 
-void GuaranteeMeter::Finish(const LabState& state) {
-  for (const auto& [index, since] : m_open) {
-    Close(state, index, since);
+void GuaranteeMeter::Finish() {
+  for (const auto& [index, claim] : m_open) {
+    Close(index, claim);
   }
   m_open.clear();
 }
 
-void GuaranteeMeter::TakeByHolders(const LabState& state, FreeShapes& free) const {
-  for (const std::size_t index : state.holding) {
-    const JobRun& run = state.runs[index];
-    if (run.phase != PlacementPhase::kStopping) {
-      TakeShape(state.jobs[index].spec.shape, free[run.workspace]);
-    }
+bool GuaranteeMeter::TakeShape(std::size_t index, FreeShapes& free) const {
+  const std::optional<Shape>& shape = m_counts_against[index];
+  if (!shape) {
+    return false;
   }
+  int& left = free[{m_state.runs[index].workspace, *shape}];
+  if (left == 0) {
+    return false;
+  }
+  --left;
+  return true;
 }
 
-void GuaranteeMeter::TakeByWaiting(const LabState& state, Urgency urgency, FreeShapes& free,
-                                   std::map<std::size_t, Milliseconds>& open) const {
-  for (const std::size_t index : state.waiting) {
-    const JobSpec& spec = state.jobs[index].spec;
-    std::vector<Shape>& shapes = free[state.runs[index].workspace];
-    if (spec.urgency != urgency || shapes.empty() || !TakeShape(spec.shape, shapes)) {
-      continue;
+void GuaranteeMeter::TakeByWaiting(Urgency urgency, FreeShapes& free, OpenClaims& open) const {
+  for (const std::size_t index : m_state.waiting) {
+    if (m_state.jobs[index].spec.urgency == urgency && TakeShape(index, free)) {
+      const auto known = m_open.find(index);
+      open[index] = known == m_open.end() ? OpenClaim{m_state.now} : known->second;
     }
-    const auto known = m_open.find(index);
-    open[index] = known == m_open.end() ? state.now : known->second;
   }
 }
 
-void GuaranteeMeter::Close(const LabState& state, std::size_t index, Milliseconds since) {
-  const bool urgent = state.jobs[index].spec.urgency == Urgency::kUrgent;
+std::vector<AcceleratorCount> GuaranteeMeter::HeldByWorkspace() const {
+  std::vector<AcceleratorCount> held(m_state.scenario.workspaces.size());
+  for (const std::size_t index : m_state.holding) {
+    held[m_state.runs[index].workspace] += m_state.jobs[index].spec.shape.Total();
+  }
+  return held;
+}
+
+void GuaranteeMeter::NoteQuotas(OpenClaims& open) const {
+  if (open.empty()) {
+    return;
+  }
+  const std::vector<AcceleratorCount> held = HeldByWorkspace();
+  for (auto& [index, claim] : open) {
+    const std::size_t workspace = m_state.runs[index].workspace;
+    const AcceleratorCount wanted = held[workspace] + m_state.jobs[index].spec.shape.Total();
+    claim.met_quota |= wanted > m_state.scenario.workspaces[workspace].spec.quota;
+  }
+}
+
+void GuaranteeMeter::Close(std::size_t index, const OpenClaim& claim) {
+  const bool urgent = m_state.jobs[index].spec.urgency == Urgency::kUrgent;
   const Milliseconds limit = urgent ? m_timing.urgent_claim_limit : m_timing.claim_limit;
-  const Milliseconds took = state.now - since;
+  const Milliseconds took = m_state.now - claim.since;
   Tally& tally = urgent ? m_urgent : m_normal;
   tally.seconds.push_back(Seconds(took));
   if (took > limit) {
     ++tally.missed;
-    const bool in_change = m_zone_changes.Overlap(since, state.now) > Milliseconds(0);
+    const bool in_change = m_zone_changes.Overlap(claim.since, m_state.now) > Milliseconds(0);
     tally.missed_in_zone_changes += in_change ? 1 : 0;
+    tally.missed_at_own_quota += claim.met_quota ? 1 : 0;
   }
 }
 
 ClaimReport GuaranteeMeter::ReportOf(const Tally& tally) {
-  return ClaimReport{Summarize(tally.seconds), tally.missed, tally.missed_in_zone_changes};
+  return ClaimReport{Summarize(tally.seconds), tally.missed, tally.missed_in_zone_changes,
+                     tally.missed_at_own_quota};
 }
 
 }  // namespace papayalift
--- a/src/libraries/lab/guarantee_meter.h
+++ b/src/libraries/lab/guarantee_meter.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "libraries/lab/claim_report.h"
@@ -10,16 +12,18 @@
 
 namespace papayalift {
 
-/// Each guaranteed shape of a workspace is taken by one of its gangs that fits into it: by its
-/// running gangs first, then by its waiting jobs, urgent ones before others, each in the order of
-/// submission. A waiting job that takes one is a claim from then on, until all its tasks run.
+/// A job counts against the smallest guaranteed shape of its workspace that holds it. The count of
+/// that shape is taken up by gangs that hold accelerators first, guaranteed or borrowed, then by
+/// waiting jobs, urgent ones before others, each in the order of submission. A waiting job that
+/// takes one is a claim from then on, until all its tasks run.
 class GuaranteeMeter {
  public:
-  GuaranteeMeter(const Scenario& scenario, const TimeWindows& zone_changes);
+  /// `state` must outlive the meter.
+  GuaranteeMeter(const LabState& state, const TimeWindows& zone_changes);
 
-  void Observe(const LabState& state);
+  void Observe();
   /// Closes the claims that are still open.
-  void Finish(const LabState& state);
+  void Finish();
 
   ClaimReport urgent() const { return ReportOf(m_urgent); }
   ClaimReport normal() const { return ReportOf(m_normal); }
@@ -29,21 +33,32 @@
     std::vector<double> seconds;
     int missed = 0;
     int missed_in_zone_changes = 0;
+    int missed_at_own_quota = 0;
   };
-  using FreeShapes = std::vector<std::vector<Shape>>;
+  struct OpenClaim {
+    Milliseconds since{0};
+    bool met_quota = false;
+  };
+  /// By position of the job.
+  using OpenClaims = std::map<std::size_t, OpenClaim>;
+  /// By workspace and shape: how many are not taken.
+  using FreeShapes = std::map<std::pair<std::size_t, Shape>, int>;
 
   static ClaimReport ReportOf(const Tally& tally);
-  void TakeByHolders(const LabState& state, FreeShapes& free) const;
-  void TakeByWaiting(const LabState& state, Urgency urgency, FreeShapes& free,
-                     std::map<std::size_t, Milliseconds>& open) const;
-  void Close(const LabState& state, std::size_t index, Milliseconds since);
+  bool TakeShape(std::size_t index, FreeShapes& free) const;
+  void TakeByWaiting(Urgency urgency, FreeShapes& free, OpenClaims& open) const;
+  /// Accelerators that each workspace holds, by its position.
+  std::vector<AcceleratorCount> HeldByWorkspace() const;
+  void NoteQuotas(OpenClaims& open) const;
+  void Close(std::size_t index, const OpenClaim& claim);
 
+  const LabState& m_state;
   const RunTiming& m_timing;
   const TimeWindows& m_zone_changes;
-  /// By position of the workspace, the smallest first.
-  FreeShapes m_shapes;
-  /// By position of the job: since when.
-  std::map<std::size_t, Milliseconds> m_open;
+  FreeShapes m_guaranteed;
+  /// By position of the job: which guaranteed shape it counts against.
+  std::vector<std::optional<Shape>> m_counts_against;
+  OpenClaims m_open;
   Tally m_urgent;
   Tally m_normal;
 };
--- a/src/libraries/lab/metric.cc
+++ b/src/libraries/lab/metric.cc
@@ -6,9 +6,11 @@
 
 double UrgentMissed(const RunReport& report) { return report.urgent_claims.missed; }
 double NormalMissed(const RunReport& report) { return report.normal_claims.missed; }
-double MissedOutsideZoneChanges(const RunReport& report) {
-  return report.urgent_claims.missed - report.urgent_claims.missed_in_zone_changes +
-         report.normal_claims.missed - report.normal_claims.missed_in_zone_changes;
+double MissedAtOwnQuota(const RunReport& report) {
+  return report.urgent_claims.missed_at_own_quota + report.normal_claims.missed_at_own_quota;
+}
+double MissedInZoneChanges(const RunReport& report) {
+  return report.urgent_claims.missed_in_zone_changes + report.normal_claims.missed_in_zone_changes;
 }
 
 double Violations(const RunReport& report) {
@@ -42,7 +44,8 @@
       {"other claims",
        [](const RunReport& run) { return static_cast<double>(run.normal_claims.wait.count); }},
       {"other claims missed", NormalMissed},
-      {"claims missed outside zone changes", MissedOutsideZoneChanges},
+      {"claims missed at own quota", MissedAtOwnQuota},
+      {"claims missed in zone changes", MissedInZoneChanges},
       {"invariants broken", Violations},
       {"decision p99 (us, wall clock)",
        [](const RunReport& run) { return run.cost.microseconds.p99; }},
--- a/src/libraries/lab/report_codec.cc
+++ b/src/libraries/lab/report_codec.cc
@@ -54,7 +54,8 @@
   return Json{{"claims", claims.wait.count},
               {"wait_s", Encode(claims.wait)},
               {"missed", claims.missed},
-              {"missed_in_zone_changes", claims.missed_in_zone_changes}};
+              {"missed_in_zone_changes", claims.missed_in_zone_changes},
+              {"missed_at_own_quota", claims.missed_at_own_quota}};
 }
 
 Json Encode(const InvariantReport& invariants) {
--- a/src/libraries/lab/simulation.cc
+++ b/src/libraries/lab/simulation.cc
@@ -51,7 +51,7 @@
       m_gangs(m_state, m_events),
       m_zone_changes(ZoneChangesOf(scenario)),
       m_capacity(scenario, m_zone_changes),
-      m_guarantees(scenario, m_zone_changes),
+      m_guarantees(m_state, m_zone_changes),
       m_failing(m_state.bundle.workers.size(), 0) {
   AddEvents(seed);
   m_capacity.Remember(m_state);
@@ -94,7 +94,7 @@
   m_state.now = std::max(m_state.now, all_ended ? m_scenario.timing.length : end);
   m_capacity.Advance(m_state);
   m_gangs.CloseAttempts();
-  m_guarantees.Finish(m_state);
+  m_guarantees.Finish();
   return Report();
 }
 
@@ -106,10 +106,10 @@
     Apply(m_events.Take());
     m_invariants.Check(m_state);
   }
-  m_guarantees.Observe(m_state);
+  m_guarantees.Observe();
   Pass();
   m_invariants.Check(m_state);
-  m_guarantees.Observe(m_state);
+  m_guarantees.Observe();
   m_capacity.Remember(m_state);
 }
 
--- a/tests/lab/guarantee_meter_test.cc
+++ b/tests/lab/guarantee_meter_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include "lab/lab_fixture.h"
+#include "libraries/lab/lab_run.h"
 #include "libraries/lab/simulation.h"
 
 namespace papayalift {
@@ -46,6 +47,19 @@
   cr_assert_eq(report.normal_claims.wait.count, 0);
 }
 
+Test(guarantee_meter, observe_claim_without_room_in_quota_is_counted_apart) {
+  GuaranteeFixture fixture;
+  fixture.AddJobs("pair", kPair, kMinute, kMinute, kNeverCancelled, 1);
+  cr_assert_eq(fixture.RunIdle().normal_claims.missed_at_own_quota, 0);
+  // A wide gang holds the whole quota before the claim comes.
+  fixture.scenario.workspaces.front().spec.quota = AcceleratorCount(8);
+  fixture.AddJobs("wide", Shape{TaskCount(2), AcceleratorCount(4)}, 100 * kMinute, Milliseconds(0),
+                  kNeverCancelled, 1);
+  const RunReport report = *RunPolicy(fixture.scenario, "fifo", 1);
+  cr_assert_eq(report.normal_claims.missed, 1);
+  cr_assert_eq(report.normal_claims.missed_at_own_quota, 1);
+}
+
 Test(guarantee_meter, observe_cancelled_job_withdraws_its_claim) {
   GuaranteeFixture fixture;
   fixture.AddJobs("pair", kPair, kMinute, kMinute, 2 * kMinute, 1);
