Lab: Report what free capacity alone explains of fragmentation

Change: the floor that the number of free accelerators sets stands beside the figure, so that a policy is judged by what it can change. Test by hand: two small gangs, one in each zone.

--- a/src/libraries/lab/capacity_meter.cc
+++ b/src/libraries/lab/capacity_meter.cc
@@ -28,6 +28,10 @@
   return demand;
 }
 
+double ShareUnused(AcceleratorCount usable, AcceleratorCount free) {
+  return free.value() == 0 ? 0.0 : 1.0 - static_cast<double>(usable.value()) / free.value();
+}
+
 double Ratio(double part, double whole) { return whole > 0.0 ? part / whole : 0.0; }
 
 }  // namespace
@@ -45,6 +49,7 @@
     const double time = std::chrono::duration<double>(counted).count();
     m_time_with_free += time;
     m_fragmented_time += m_fragmentation * time;
+    m_floor_time += m_floor * time;
   }
   m_allowed_hours += AcceleratorHours(m_allowed, m_zone_changes.Overlap(m_since, state.now));
   m_since = state.now;
@@ -55,12 +60,15 @@
   m_free = state.fleet.FreeInService(state.zones);
   m_allowed = std::min(m_capacity, DemandWithinQuotas(state));
   const AcceleratorCount usable = state.fleet.UsableBy(m_largest, state.zones);
-  m_fragmentation =
-      m_free.value() == 0 ? 0.0 : 1.0 - static_cast<double>(usable.value()) / m_free.value();
+  const int shape = m_largest.Total().value();
+  m_fragmentation = ShareUnused(usable, m_free);
+  m_floor = ShareUnused(AcceleratorCount(m_free.value() / shape * shape), m_free);
 }
 
 double CapacityMeter::utilisation() const { return Ratio(m_held_hours, m_capacity_hours); }
 
 double CapacityMeter::fragmentation() const { return Ratio(m_fragmented_time, m_time_with_free); }
 
+double CapacityMeter::fragmentation_floor() const { return Ratio(m_floor_time, m_time_with_free); }
+
 }  // namespace papayalift
--- a/src/libraries/lab/capacity_meter.h
+++ b/src/libraries/lab/capacity_meter.h
@@ -21,6 +21,8 @@
   /// Share of the free accelerators that the largest declared shape could not use, averaged over
   /// the time in which any was free while jobs arrived.
   double fragmentation() const;
+  /// What of that the number of free accelerators alone explains, wherever they are.
+  double fragmentation_floor() const;
   /// Integral over the zone changes of the lesser of demand, within quotas, and capacity in
   /// service.
   double allowed_hours() const { return m_allowed_hours; }
@@ -35,10 +37,12 @@
   AcceleratorCount m_free;
   AcceleratorCount m_allowed;
   double m_fragmentation = 0.0;
+  double m_floor = 0.0;
   double m_held_hours = 0.0;
   double m_capacity_hours = 0.0;
   /// In seconds.
   double m_fragmented_time = 0.0;
+  double m_floor_time = 0.0;
   double m_time_with_free = 0.0;
   double m_allowed_hours = 0.0;
 };
--- a/src/libraries/lab/metric.cc
+++ b/src/libraries/lab/metric.cc
@@ -31,6 +31,7 @@
       {"slowdown p95", [](const RunReport& run) { return run.overall.slowdown.p95; }},
       {"longest wait (s)", [](const RunReport& run) { return run.overall.longest_wait; }},
       {"fragmentation", [](const RunReport& run) { return run.fragmentation; }},
+      {"fragmentation floor", [](const RunReport& run) { return run.fragmentation_floor; }},
       {"utilisation", [](const RunReport& run) { return run.utilisation; }},
       {"useful share in zone changes",
        [](const RunReport& run) { return run.UsefulShareInZoneChanges(); }},
--- a/src/libraries/lab/run_report.h
+++ b/src/libraries/lab/run_report.h
@@ -57,6 +57,8 @@
   std::vector<JobGroupReport> by_size;
   std::string largest_shape;
   double fragmentation = 0.0;
+  /// What the number of free accelerators alone explains of it.
+  double fragmentation_floor = 0.0;
   double utilisation = 0.0;
   WorkTally work;
   WorkTally work_in_zone_changes;
--- a/src/libraries/lab/simulation.cc
+++ b/src/libraries/lab/simulation.cc
@@ -215,6 +215,7 @@
   report.by_size = ReportBySize(m_state);
   report.largest_shape = ShapeText(m_capacity.largest_shape());
   report.fragmentation = m_capacity.fragmentation();
+  report.fragmentation_floor = m_capacity.fragmentation_floor();
   report.utilisation = m_capacity.utilisation();
   WorkMeter work(m_zone_changes);
   for (std::size_t index = 0; index < m_state.jobs.size(); ++index) {
--- a/tests/lab/simulation_test.cc
+++ b/tests/lab/simulation_test.cc
@@ -80,6 +80,20 @@
   cr_assert_gt(jobs.refused, 0);
 }
 
+/// Starts the first two jobs, each on the first accelerator of a zone.
+Decision OneInEachZone(const Snapshot& snapshot) {
+  Decision decision;
+  for (std::size_t index = 0; index < snapshot.waiting.size() && index < 2; ++index) {
+    const WorkerView& worker = snapshot.workers[index];
+    decision.starts.push_back(StartDecision{snapshot.waiting[index].job,
+                                            worker.zone,
+                                            Claim::kBorrowed,
+                                            {TaskPlacement{worker.id, AcceleratorSet(1)}},
+                                            "one in each zone"});
+  }
+  return decision;
+}
+
 }  // namespace
 
 Test(simulation, run_same_seed_gives_same_report) {
@@ -131,6 +145,19 @@
   ExpectNear(report.allowed_in_zone_changes, 8 * 20 / 60.0);
 }
 
+Test(simulation, run_small_gangs_in_both_zones_fragments_beyond_the_floor) {
+  LabFixture fixture;
+  fixture.AddJobs("small", Shape{}, 200 * kMinute, Milliseconds(0), kNeverCancelled, 2);
+  fixture.AddJobs("wide", kWholeZone, kMinute, 300 * kMinute, kNeverCancelled, 1);
+  const Scenario& scenario = fixture.scenario;
+  const RunReport spread = Simulation(scenario, 1, [](const Snapshot& snapshot) {
+                             return OneInEachZone(snapshot);
+                           }).Run();
+  // 14 are free: 8 of them could serve a wide gang if they were not 7 in each zone.
+  ExpectNear(spread.fragmentation, 1.0);
+  ExpectNear(spread.fragmentation_floor, 6.0 / 14.0);
+}
+
 Test(simulation, run_wave_of_ten_thousand_cancellations_ends_them_all) {
   LabFixture fixture;
   constexpr int kJobs = 10'000;
