--- a/src/libraries/node/membership.h
+++ b/src/libraries/node/membership.h
@@ -34,7 +34,7 @@
 /// A node is live while the process that its record names is heard from and says that it serves.
 /// Neither the record nor a heartbeat alone is enough, so that a process that comes back at the
 /// same address is a new one. Thread-safe.
-class Membership final : public Liveness, public PeerHandler {
+class Membership : public Liveness, public PeerHandler {
  public:
   /// Names the attempts of `view` that this node is stopping or knows to be stopping.
   using StoppingAttempts = std::function<std::vector<AttemptId>(const FleetView& view)>;
