--- a/src/libraries/lab/comparison_plot.cc
+++ b/src/libraries/lab/comparison_plot.cc
@@ -25,12 +25,17 @@
   return fmt::format(R"(<text x="{:.1f}" y="{:.1f}" text-anchor="middle">{}</text>)", x, y, text);
 }
 
+double RowOf(std::size_t index) {
+  const std::size_t row = index / kColumns;
+  return static_cast<double>(row);
+}
+
 class Panel {
  public:
   Panel(const MetricComparison& metric, std::size_t index)
       : m_metric(metric),
         m_left(static_cast<double>(index % kColumns) * kPanelWidth),
-        m_top(kTitleHeight + static_cast<double>(index / kColumns) * kPanelHeight) {
+        m_top(kTitleHeight + RowOf(index) * kPanelHeight) {
     for (const PolicyEstimate& policy : metric.policies) {
       m_most = std::max(m_most, policy.value.mean + policy.value.half_width);
     }
