--- a/src/libraries/lab/metric.cc
+++ b/src/libraries/lab/metric.cc
@@ -6,9 +6,11 @@
 
 double UrgentMissed(const RunReport& report) { return report.urgent_claims.missed; }
 double NormalMissed(const RunReport& report) { return report.normal_claims.missed; }
-double MissedOutsideZoneChanges(const RunReport& report) {
-  return report.urgent_claims.missed - report.urgent_claims.missed_in_zone_changes +
-         report.normal_claims.missed - report.normal_claims.missed_in_zone_changes;
+double MissedAtOwnQuota(const RunReport& report) {
+  return report.urgent_claims.missed_at_own_quota + report.normal_claims.missed_at_own_quota;
+}
+double MissedInZoneChanges(const RunReport& report) {
+  return report.urgent_claims.missed_in_zone_changes + report.normal_claims.missed_in_zone_changes;
 }
 
 double Violations(const RunReport& report) {
@@ -29,6 +31,7 @@
       {"slowdown p95", [](const RunReport& run) { return run.overall.slowdown.p95; }},
       {"longest wait (s)", [](const RunReport& run) { return run.overall.longest_wait; }},
       {"fragmentation", [](const RunReport& run) { return run.fragmentation; }},
+      {"fragmentation floor", [](const RunReport& run) { return run.fragmentation_floor; }},
       {"utilisation", [](const RunReport& run) { return run.utilisation; }},
       {"useful share in zone changes",
        [](const RunReport& run) { return run.UsefulShareInZoneChanges(); }},
@@ -42,7 +45,8 @@
       {"other claims",
        [](const RunReport& run) { return static_cast<double>(run.normal_claims.wait.count); }},
       {"other claims missed", NormalMissed},
-      {"claims missed outside zone changes", MissedOutsideZoneChanges},
+      {"claims missed at own quota", MissedAtOwnQuota},
+      {"claims missed in zone changes", MissedInZoneChanges},
       {"invariants broken", Violations},
       {"decision p99 (us, wall clock)",
        [](const RunReport& run) { return run.cost.microseconds.p99; }},
--- a/src/libraries/lab/report_codec.cc
+++ b/src/libraries/lab/report_codec.cc
@@ -54,7 +54,8 @@
   return Json{{"claims", claims.wait.count},
               {"wait_s", Encode(claims.wait)},
               {"missed", claims.missed},
-              {"missed_in_zone_changes", claims.missed_in_zone_changes}};
+              {"missed_in_zone_changes", claims.missed_in_zone_changes},
+              {"missed_at_own_quota", claims.missed_at_own_quota}};
 }
 
 Json Encode(const InvariantReport& invariants) {
@@ -75,7 +76,10 @@
       {"overall", Encode(report.overall)},
       {"by_class", Encode(report.by_class)},
       {"by_size", Encode(report.by_size)},
-      {"fragmentation", {{"shape", report.largest_shape}, {"share", report.fragmentation}}},
+      {"fragmentation",
+       {{"shape", report.largest_shape},
+        {"share", report.fragmentation},
+        {"floor", report.fragmentation_floor}}},
       {"utilisation", report.utilisation},
       {"accelerator_hours", Encode(report.work)},
       {"zone_changes",
