--- a/tests/node/gang_stop_test.cc
+++ b/tests/node/gang_stop_test.cc
@@ -72,6 +72,17 @@
   cr_assert_not(fixture.Runs(fixture.attempt));
 }
 
+Test(gang_stop, no_worker_reachable_non_idempotent_is_not_started_again) {
+  RunningGangFixture fixture(Idempotency::kNonIdempotent);
+  fixture.node().workers().Cut(WorkerId("a1"));
+  fixture.node().workers().Cut(WorkerId("a2"));
+  fixture.fleet.ChangeZone("a", ZoneState::kOut);
+  fixture.fleet.Run(Milliseconds(20'000));
+  const JobRecord job = fixture.fleet.Job(fixture.job);
+  cr_assert(job.state == JobState::kFailed);
+  cr_assert(job.verdict == Verdict::kMayHaveRun);
+}
+
 Test(gang_stop, start_granted_late_has_lapsed_before_the_next_attempt) {
   TestFleet fleet(1);
   FleetChecks checks(fleet);
@@ -92,6 +103,8 @@
   node.Step();
   fleet.clock().Advance(kReservationLease - Milliseconds(10));
   fleet.farm().DeliverHeld();
+  // So that the next attempt finds its place in the other zone.
+  fleet.ChangeZone("a", ZoneState::kOut);
   for (int turn = 0; turn < 100; ++turn) {
     fleet.Run(Milliseconds(250));
     AssertHeld(checks.Broken());
--- a/tests/node/lease_keeper_gang_test.cc
+++ b/tests/node/lease_keeper_gang_test.cc
@@ -72,6 +72,8 @@
   fixture.RunChecked(Milliseconds(2'000));
   fixture.fleet.farm().Restart(WorkerId("a1"));
   AssertHeld(fixture.checks.Broken());
+  // The next round, which finds the loss, comes a while after it.
+  fixture.fleet.clock().Advance(Milliseconds(400));
   fixture.RunChecked(Milliseconds(20'000));
   cr_assert(fixture.fleet.farm().Running().empty());
 }
