--- a/tests/node/reserve_chain_test.cc
+++ b/tests/node/reserve_chain_test.cc
@@ -16,7 +16,7 @@
 JobSpec SpecOwnedBy(TestFleet& fleet, int owner, const std::string& name) {
   const std::vector<NodeId> live{fleet.node(0).id(), fleet.node(1).id()};
   for (int count = 0;; ++count) {
-    const JobSpec spec = SpecOf(name + std::to_string(count), 1, 4);
+    JobSpec spec = SpecOf(name + std::to_string(count), 1, 4);
     if (OwnerOf(JobIdOf(spec.workspace, spec.key), live) == fleet.node(owner).id()) {
       return spec;
     }
--- a/tests/node/test_fleet.cc
+++ b/tests/node/test_fleet.cc
@@ -89,6 +89,7 @@
 
 void TestFleet::SetLive(const std::vector<int>& indices) {
   std::vector<NodeId> live;
+  live.reserve(indices.size());
   for (const int index : indices) {
     live.push_back(IdOf(index));
   }
