--- a/tests/node/gang_stop_test.cc
+++ b/tests/node/gang_stop_test.cc
@@ -106,8 +106,9 @@
   // So that the next attempt finds its place in the other zone.
   fleet.ChangeZone("a", ZoneState::kOut);
   for (int turn = 0; turn < 100; ++turn) {
-    fleet.Run(Milliseconds(250));
+    node.Turn();
     AssertHeld(checks.Broken());
+    fleet.clock().Advance(Milliseconds(250));
   }
 }
 
