--- a/bench/call_bench.cc
+++ b/bench/call_bench.cc
@@ -62,6 +62,7 @@
 
   void Run() {
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([this, caller] { CallFrom(caller); });
     }
