--- a/src/libraries/calls/call_router.cc
+++ b/src/libraries/calls/call_router.cc
@@ -69,7 +69,8 @@
 const MinionSpec* CallRouter::Choose(const ServiceSpec& service) {
   std::vector<const MinionSpec*> open;
   for (const MinionSpec& minion : service.minions) {
-    if (m_gate.Admit(minion.zone) == ZoneAdmission::kOpen) {
+    const bool takes_work = m_vms == nullptr || m_vms->TakesWork(minion.id.text());
+    if (takes_work && m_gate.Admit(minion.zone) == ZoneAdmission::kOpen) {
       open.push_back(&minion);
     }
   }
--- a/src/libraries/calls/call_router.h
+++ b/src/libraries/calls/call_router.h
@@ -11,6 +11,7 @@
 #include "libraries/calls/minion_table.h"
 #include "libraries/calls/zone_gate.h"
 #include "libraries/http/http_client.h"
+#include "libraries/membership/vm_list.h"
 #include "libraries/metrics/metrics.h"
 #include "libraries/model/bundle.h"
 
@@ -21,6 +22,9 @@
   CallRouter(const Clock& clock, ZoneGate& gate, std::shared_ptr<HttpClient> client,
              Metrics& metrics, std::uint64_t seed);
 
+  /// Minions that leave by `vms` get nothing new. To be set before the first call.
+  void SetVmList(const VmList& vms) { m_vms = &vms; }
+
   /// Waits for the answer, at most for the request's limit.
   CallResult Route(const CallRequest& request, const ServiceSpec& service);
 
@@ -38,6 +42,7 @@
   ZoneGate& m_gate;
   const std::shared_ptr<HttpClient> m_client;
   Metrics& m_metrics;
+  const VmList* m_vms = nullptr;
   MinionTable m_minions;
   std::mutex m_mutex;
   std::mt19937_64 m_random;
--- /dev/null
+++ b/src/libraries/membership/vm_list_codec.h
@@ -0,0 +1,19 @@
+/// The platform's membership list as JSON: [{"name": "worker-1", "state": "leaving"}].
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "libraries/membership/vm_entry.h"
+
+namespace papayalift {
+
+std::string EncodeVmList(const std::vector<VmEntry>& entries);
+
+/// kInvalidArgument for anything but a whole list; entries with a state that is not known are
+/// left out.
+absl::StatusOr<std::vector<VmEntry>> DecodeVmList(std::string_view text);
+
+}  // namespace papayalift
--- a/src/libraries/node/entry_node.cc
+++ b/src/libraries/node/entry_node.cc
@@ -9,6 +9,7 @@
 #include "libraries/base/hash.h"
 #include "libraries/base/try.h"
 #include "libraries/log/log_event.h"
+#include "libraries/membership/vm_list_follower.h"
 #include "libraries/node/api_server.h"
 #include "libraries/node/lease_keeper.h"
 #include "libraries/node/membership.h"
@@ -30,6 +31,8 @@
 /// A node that has been silent for so long is taken out of the registry; it comes back by itself.
 /// Until then an outage of the key-value service would end the renewals, for want of its word.
 constexpr Milliseconds kRemoveAfter{15'000};
+/// One that the platform calls gone is taken out when it has been silent for so long.
+constexpr Milliseconds kSilentAfter{3'000};
 constexpr Milliseconds kDrainPollInterval{50};
 
 NodeRecord RecordOf(const NodeSettings& settings, const Clock& clock,
@@ -58,6 +61,7 @@
         m_client(std::make_shared<HttpClient>()),
         m_store(settings.store_address, settings.store_limit, m_client),
         m_workers(settings.worker_limit, m_client),
+        m_vm_follower(settings.membership_address, m_client, m_vms),
         m_progress(m_clock),
         m_probe(m_clock, m_store, m_progress),
         m_membership(m_clock, NodeIdentity{settings.id, m_incarnation}, m_state, m_progress),
@@ -74,7 +78,8 @@
                   m_audit,
                   m_metrics,
                   settings.reservation_lease,
-                  settings.run_lease},
+                  settings.run_lease,
+                  &m_vms},
         m_follower(m_store, m_state, m_view, m_metrics),
         m_scheduler(m_context, m_state, m_membership, settings.id, m_namer, m_runner),
         m_lease_keeper(m_context, m_state, m_membership, m_progress, settings.id, m_runner,
@@ -105,6 +110,8 @@
     m_runner.Start(m_settings.start_threads);
     m_follower.Start();
     m_probe.Start();
+    m_vm_follower.Start();
+    m_calls.SetVmList(m_vms);
     m_membership.SetStoppingAttempts(
         [this](const FleetView& view) { return StoppingAttempts(view); });
     m_mesh->Start(m_membership);
@@ -185,7 +192,11 @@
       return;
     }
     const std::vector<NodeId> live = m_membership.Live(view);
-    for (const SilentNode& node : m_membership.SilentFor(view, kRemoveAfter)) {
+    for (const SilentNode& node : m_membership.SilentFor(view, kSilentAfter)) {
+      const bool gone = m_vms.StateOf(node.id.text()) == VmState::kGone;
+      if (!gone && node.silence < kRemoveAfter) {
+        continue;
+      }
       // Where nobody serves yet, any node may: comparing the records keeps it to one.
       if (live.empty() || OwnerOf(JobId(node.id.text()), live) == m_settings.id) {
         LogEvent(LogLevel::kWarning, "entry_node", "a silent node is taken out of the registry")
@@ -212,6 +223,7 @@
     m_metrics.Gauge("papayalift_peer_sent_bytes_total", static_cast<double>(m_mesh->bytes_sent()));
     m_metrics.Gauge("papayalift_peer_received_bytes_total",
                     static_cast<double>(m_mesh->bytes_received()));
+    m_metrics.Gauge("papayalift_leaving_vms", static_cast<double>(m_vms.leaving()));
     m_metrics.Gauge("papayalift_live_nodes", static_cast<double>(m_membership.Live(view).size()));
   }
 
@@ -221,6 +233,7 @@
     m_registration.Join();
     m_mesh->Stop();
     m_probe.Stop();
+    m_vm_follower.Stop();
     m_lease_keeper.Stop();
     m_scheduler.Stop();
     m_runner.Stop();
@@ -236,6 +249,8 @@
   EtcdGatewayClient m_store;
   HttpWorkerGateway m_workers;
   FleetState m_state;
+  VmList m_vms;
+  VmListFollower m_vm_follower;
   StoreProgress m_progress;
   StoreProbe m_probe;
   Membership m_membership;
--- a/src/libraries/node/gang_context.h
+++ b/src/libraries/node/gang_context.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "libraries/base/clock.h"
+#include "libraries/membership/vm_list.h"
 #include "libraries/metrics/metrics.h"
 #include "libraries/node/audit_writer.h"
 #include "libraries/node/view_guard.h"
@@ -19,6 +20,8 @@
   Metrics& metrics;
   Milliseconds reservation_lease;
   Milliseconds run_lease;
+  /// Workers that leave get nothing new; null where the platform has no membership list.
+  const VmList* vms = nullptr;
 };
 
 }  // namespace papayalift
--- a/src/libraries/node/membership.cc
+++ b/src/libraries/node/membership.cc
@@ -124,8 +124,9 @@
   const std::lock_guard<std::mutex> lock(m_mutex);
   std::vector<SilentNode> silent;
   for (const auto& [id, record] : view.nodes) {
-    if (id != m_self.id && SilenceLocked(record->value) >= limit) {
-      silent.push_back(SilentNode{id, record->modified, record->value.incarnation});
+    const Milliseconds silence = SilenceLocked(record->value);
+    if (id != m_self.id && silence >= limit) {
+      silent.push_back(SilentNode{id, record->modified, record->value.incarnation, silence});
     }
   }
   return silent;
--- a/src/libraries/node/membership.h
+++ b/src/libraries/node/membership.h
@@ -29,6 +29,7 @@
   Revision modified;
   /// The record names this process.
   std::string incarnation;
+  Milliseconds silence{0};
 };
 
 /// A node is live while the process that its record names is heard from and says that it serves.
--- a/src/libraries/node/scheduler.cc
+++ b/src/libraries/node/scheduler.cc
@@ -62,7 +62,8 @@
     return;
   }
   const Milliseconds began = m_context.clock.Now();
-  const Decision decision = Decide(BuildSnapshot(*view, m_context.clock.WallNow()), *policy);
+  const Decision decision =
+      Decide(BuildSnapshot(*view, m_context.clock.WallNow(), m_context.vms), *policy);
   m_context.metrics.Observe("papayalift_pass_ms",
                             static_cast<double>((m_context.clock.Now() - began).count()));
   CancelWaiting(*view);
--- a/src/libraries/node/snapshot_builder.cc
+++ b/src/libraries/node/snapshot_builder.cc
@@ -40,14 +40,16 @@
 
 }  // namespace
 
-Snapshot BuildSnapshot(const FleetView& view, Milliseconds wall_now) {
+Snapshot BuildSnapshot(const FleetView& view, Milliseconds wall_now, const VmList* vms) {
   Snapshot snapshot;
   const Bundle& bundle = view.bundle->bundle;
   snapshot.workspaces = bundle.workspaces;
   snapshot.zones = view.zones.value;
   for (const WorkerSpec& worker : bundle.workers) {
-    snapshot.workers.push_back(WorkerView{worker.id, worker.zone, worker.rack, worker.accelerators,
-                                          WorkerHealth::kHealthy});
+    const bool takes_work = vms == nullptr || vms->TakesWork(worker.id.text());
+    snapshot.workers.push_back(
+        WorkerView{worker.id, worker.zone, worker.rack, worker.accelerators,
+                   takes_work ? WorkerHealth::kHealthy : WorkerHealth::kUnavailable});
   }
   for (const auto& [job, placement] : view.placements) {
     snapshot.gangs.push_back(GangOf(placement->value, view, wall_now));
--- a/src/stand_ins/platform/platform_stand_in.cc
+++ b/src/stand_ins/platform/platform_stand_in.cc
@@ -56,10 +56,12 @@
     const char* path;
     HttpResponse (PlatformStandIn::*handler)(const HttpRequest&);
   };
-  static constexpr std::array<Route, 3> kRoutes{{
+  static constexpr std::array<Route, 5> kRoutes{{
       {"/v3/kv/range", &PlatformStandIn::HandleRange},
       {"/v3/kv/txn", &PlatformStandIn::HandleTransaction},
       {"/v3/watch", &PlatformStandIn::HandleWatch},
+      {"/v1/members", &PlatformStandIn::ShowMembers},
+      {"/control/members", &PlatformStandIn::SetMembers},
   }};
   for (const Route& route : kRoutes) {
     if (request.path == route.path) {
--- a/src/stand_ins/platform/platform_stand_in.h
+++ b/src/stand_ins/platform/platform_stand_in.h
@@ -8,6 +8,7 @@
 #include "absl/status/statusor.h"
 #include "libraries/http/http_server.h"
 #include "libraries/store/memory_store.h"
+#include "stand_ins/platform/member_list.h"
 
 namespace papayalift {
 
@@ -27,8 +28,11 @@
   HttpResponse HandleRange(const HttpRequest& request);
   HttpResponse HandleTransaction(const HttpRequest& request);
   HttpResponse HandleWatch(const HttpRequest& request);
+  HttpResponse ShowMembers(const HttpRequest& request) { return m_members.Show(request); }
+  HttpResponse SetMembers(const HttpRequest& request) { return m_members.Set(request); }
 
   MemoryStore m_store;
+  MemberList m_members;
   std::atomic<bool> m_stopping{false};
   std::unique_ptr<HttpServer> m_server;
 };
