Node: Keep answering while the balancer withdraws, then stop listening

Cause: a stopping node went on listening until its end, so a request that came after the last look at what is in flight was cut.

--- a/src/libraries/node/entry_node.cc
+++ b/src/libraries/node/entry_node.cc
@@ -34,6 +34,8 @@
 /// One that the platform calls gone is taken out when it has been silent for so long.
 constexpr Milliseconds kSilentAfter{3'000};
 constexpr Milliseconds kDrainPollInterval{50};
+/// How long a leaving node still answers, for the balancer to see that its health is 503.
+constexpr Milliseconds kWithdrawTime{1'000};
 
 NodeRecord RecordOf(const NodeSettings& settings, const Clock& clock,
                     const std::string& incarnation, const std::string& peer_address) {
@@ -131,8 +133,13 @@
     m_mesh->BeatNow();
     m_state.Wake();
     m_scheduler.Stop();
-    const Milliseconds deadline = m_clock.Now() + m_settings.stop_limit;
-    while (!IsDrained() && !m_hurry && m_clock.Now() < deadline) {
+    const Milliseconds began = m_clock.Now();
+    const Milliseconds deadline = began + m_settings.stop_limit;
+    while (!(IsDrained() && m_clock.Now() - began >= kWithdrawTime) && MayWait(deadline)) {
+      m_stop.WaitFor(kDrainPollInterval);
+    }
+    m_api->StopListening();
+    while (!IsDrained() && MayWait(deadline)) {
       m_stop.WaitFor(kDrainPollInterval);
     }
     const StopOutcome outcome = IsDrained() ? StopOutcome::kClean : StopOutcome::kGaveUp;
@@ -157,6 +164,8 @@
   std::uint16_t api_port() const { return m_api->port(); }
 
  private:
+  bool MayWait(Milliseconds deadline) const { return !m_hurry && m_clock.Now() < deadline; }
+
   bool IsDrained() const { return m_api->requests_in_flight() == 0 && m_runner.size() == 0; }
 
   void KeepRegistry() {
@@ -223,6 +232,7 @@
     m_metrics.Gauge("papayalift_peer_sent_bytes_total", static_cast<double>(m_mesh->bytes_sent()));
     m_metrics.Gauge("papayalift_peer_received_bytes_total",
                     static_cast<double>(m_mesh->bytes_received()));
+    m_metrics.Gauge("papayalift_requests_in_flight", m_api->requests_in_flight());
     m_metrics.Gauge("papayalift_leaving_vms", static_cast<double>(m_vms.leaving()));
     m_metrics.Gauge("papayalift_live_nodes", static_cast<double>(m_membership.Live(view).size()));
   }
