--- a/src/libraries/decisions/decide.cc
+++ b/src/libraries/decisions/decide.cc
@@ -3,101 +3,50 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <map>
+#include <vector>
+
+#include "libraries/decisions/guarantee_stage.h"
+#include "libraries/decisions/pass_state.h"
+#include "libraries/decisions/queue_stage.h"
+#include "libraries/decisions/reclaim.h"
 
 namespace papayalift {
 
 namespace {
 
-class Pass {
- public:
-  Pass(const Snapshot& snapshot, const Policy& policy)
-      : m_snapshot(snapshot), m_policy(policy), m_capacity(CapacityMap::Of(snapshot)) {
-    for (const GangView& gang : snapshot.gangs) {
-      m_used[gang.workspace] += gang.shape.Total();
-    }
-  }
-
-  Decision Run() {
-    StopGangsInZonesOut();
-    for (const WaitingJob* job : m_policy.order->Sort(m_snapshot.waiting)) {
-      Consider(*job);
-    }
-    return std::move(m_decision);
-  }
-
- private:
-  void StopGangsInZonesOut() {
-    for (const GangView& gang : m_snapshot.gangs) {
-      const bool out = m_snapshot.zones.StateOf(gang.zone) == ZoneState::kOut;
-      if (out && gang.phase == PlacementPhase::kCommitted) {
-        m_decision.stops.push_back(
-            StopDecision{gang.job, StopCause::kZoneOut,
-                         fmt::format("zone '{}' was taken out", gang.zone.text())});
-      }
-    }
-  }
-
-  void Consider(const WaitingJob& job) {
-    if (m_blocked) {
-      Wait(job, WaitCause::kBehindLargerGang, "an earlier job has to start first");
-      return;
-    }
-    if (!FitsQuota(job)) {
-      return;
-    }
-    const std::optional<PlacementChoice> choice = m_policy.placer->Place(job.shape, m_capacity);
-    if (!choice) {
-      Wait(job, WaitCause::kCapacity,
-           fmt::format("no zone in service has {} times {} adjacent accelerators free",
-                       job.shape.tasks.value(), job.shape.accelerators_per_task.value()));
-      m_blocked = m_policy.queue_rule == QueueRule::kStopAtFirst;
-      return;
-    }
-    Start(job, *choice);
-  }
-
-  bool FitsQuota(const WaitingJob& job) {
-    const auto workspace = std::find_if(
-        m_snapshot.workspaces.begin(), m_snapshot.workspaces.end(),
-        [&job](const WorkspaceSpec& candidate) { return candidate.id == job.workspace; });
-    if (workspace == m_snapshot.workspaces.end()) {
-      Wait(job, WaitCause::kNeverFits, "the bundle in force does not declare its workspace");
-      return false;
-    }
-    if (m_used[job.workspace] + job.shape.Total() > workspace->quota) {
-      Wait(job, WaitCause::kQuota,
-           fmt::format("workspace '{}' holds {} of its {} accelerators", job.workspace.text(),
-                       m_used[job.workspace].value(), workspace->quota.value()));
-      return false;
+/// Those with most work since their checkpoint first, so that it is saved while the zone is there.
+std::vector<const GangView*> GangsInZonesOut(const Snapshot& snapshot) {
+  std::vector<const GangView*> gangs;
+  for (const GangView& gang : snapshot.gangs) {
+    const bool out = snapshot.zones.StateOf(gang.zone) == ZoneState::kOut;
+    if (out && gang.phase == PlacementPhase::kCommitted) {
+      gangs.push_back(&gang);
     }
-    return true;
-  }
-
-  void Start(const WaitingJob& job, const PlacementChoice& choice) {
-    m_capacity.Hold(choice.tasks);
-    m_used[job.workspace] += job.shape.Total();
-    m_decision.starts.push_back(
-        StartDecision{job.job, choice.zone, Claim::kBorrowed, choice.tasks,
-                      fmt::format("room for the whole gang in zone '{}'", choice.zone.text())});
   }
+  std::stable_sort(gangs.begin(), gangs.end(), [](const GangView* left, const GangView* right) {
+    return WorkLostBy(*left) > WorkLostBy(*right);
+  });
+  return gangs;
+}
 
-  void Wait(const WaitingJob& job, WaitCause cause, std::string reason) {
-    m_decision.waits.push_back(WaitDecision{job.job, cause, std::move(reason)});
+void StopGangsInZonesOut(PassState& state) {
+  for (const GangView* gang : GangsInZonesOut(state.snapshot())) {
+    state.Stop(*gang, StopCause::kZoneOut, JobId(),
+               fmt::format("zone '{}' was taken out", gang->zone.text()));
   }
-
-  const Snapshot& m_snapshot;
-  const Policy& m_policy;
-  CapacityMap m_capacity;
-  std::map<WorkspaceId, AcceleratorCount> m_used;
-  Decision m_decision;
-  bool m_blocked = false;
-};
+}
 
 }  // namespace
 
 Decision Decide(const Snapshot& snapshot, const Policy& policy) {
-  return Pass(snapshot, policy).Run();
+  PassState state(snapshot, policy);
+  StopGangsInZonesOut(state);
+  const std::vector<const WaitingJob*> order = policy.order->Sort(snapshot.waiting);
+  if (policy.guarantee_rule == GuaranteeRule::kReclaim) {
+    GuaranteeStage(state).Run(order);
+  }
+  QueueStage(state).Run(order);
+  return state.TakeDecision();
 }
 
 }  // namespace papayalift
