--- a/src/libraries/node/entry_node.cc
+++ b/src/libraries/node/entry_node.cc
@@ -11,9 +11,11 @@
 #include "libraries/log/log_event.h"
 #include "libraries/membership/vm_list_follower.h"
 #include "libraries/node/api_server.h"
+#include "libraries/node/hold_gate.h"
 #include "libraries/node/lease_keeper.h"
 #include "libraries/node/membership.h"
 #include "libraries/node/node_registry.h"
+#include "libraries/node/operator_change_store.h"
 #include "libraries/node/ownership.h"
 #include "libraries/node/state_follower.h"
 #include "libraries/node/store_probe.h"
@@ -68,6 +70,9 @@
         m_probe(m_clock, m_store, m_progress),
         m_membership(m_clock, NodeIdentity{settings.id, m_incarnation}, m_state, m_progress),
         m_mesh(std::move(mesh)),
+        m_promises(m_clock, m_progress),
+        m_hold_gate(m_state, m_membership, m_promises, m_metrics),
+        m_change_store(m_clock, m_store, m_state, m_membership, m_promises),
         m_view(m_clock, m_store, settings.view_limit),
         m_audit(m_clock, settings.id),
         m_namer(settings.id, m_incarnation),
@@ -87,8 +92,8 @@
         m_lease_keeper(m_context, m_state, m_membership, m_progress, settings.id, m_runner,
                        settings.renewal_interval),
         m_jobs(m_clock, m_store, m_state, m_audit),
-        m_zones(m_store, m_state, m_audit),
-        m_bundles(m_clock, m_store, m_audit),
+        m_zones(m_change_store, m_state, m_audit),
+        m_bundles(m_clock, m_change_store, m_audit),
         m_calls(m_clock, m_view, m_client, m_metrics, Hash64(m_incarnation)) {}
 
   ~Parts() { StopThreads(); }
@@ -106,6 +111,8 @@
     m_probe.Start();
     m_vm_follower.Start();
     m_calls.SetVmList(m_vms);
+    m_membership.SetHoldPromises(m_promises);
+    m_view.SetHoldAdmission(m_hold_gate);
     m_membership.SetStoppingAttempts(
         [this](const FleetView& view) { return StoppingAttempts(view); });
     m_mesh->Start(m_membership);
@@ -257,6 +264,9 @@
   StoreProbe m_probe;
   Membership m_membership;
   const std::unique_ptr<PeerMesh> m_mesh;
+  HoldPromises m_promises;
+  HoldGate m_hold_gate;
+  OperatorChangeStore m_change_store;
   ViewGuard m_view;
   AuditWriter m_audit;
   AttemptNamer m_namer;
--- a/src/libraries/node/membership.cc
+++ b/src/libraries/node/membership.cc
@@ -66,13 +66,18 @@
 }
 
 Heartbeat Membership::Compose(const NodeId& to) {
+  // The promise comes first: what is read after it holds every change that this node has made.
+  const HoldPromise hold =
+      m_promises != nullptr && established() ? m_promises->Give() : HoldPromise::kNone;
+  const KnownChanges made = m_promises != nullptr ? m_promises->own_changes() : KnownChanges{};
   const Revision followed = m_state.followed();
   const std::shared_ptr<const FleetView> view = m_state.View();
   Heartbeat heartbeat;
   heartbeat.node = m_self.id;
   heartbeat.incarnation = m_self.incarnation;
-  heartbeat.bundle = view->bundle == nullptr ? BundleVersion(0) : view->bundle->version;
-  heartbeat.zones = view->zones.value.epoch;
+  heartbeat.hold = hold;
+  heartbeat.bundle = std::max(made.bundle, m_state.rolled_version());
+  heartbeat.zones = std::max(made.zones, view->zones.value.epoch);
   heartbeat.seen = followed;
   heartbeat.store = m_progress.contact();
   heartbeat.store_silence = m_progress.silence();
@@ -139,12 +144,19 @@
   return IsKnownToAllLocked(view) ? NodePhase::kServing : NodePhase::kJoining;
 }
 
-bool Membership::IsKnownToAllLocked(const FleetView& view) const {
+std::optional<Revision> Membership::OwnRecord(const FleetView& view) const {
   const auto own = view.nodes.find(m_self.id);
-  if (own == view.nodes.end() || own->second->value.incarnation != m_self.incarnation) {
+  const bool registered =
+      own != view.nodes.end() && own->second->value.incarnation == m_self.incarnation;
+  return registered ? std::optional<Revision>(own->second->modified) : std::nullopt;
+}
+
+bool Membership::IsKnownToAllLocked(const FleetView& view) const {
+  const std::optional<Revision> own = OwnRecord(view);
+  if (!own) {
     return false;
   }
-  const Revision registered = own->second->modified;
+  const Revision registered = *own;
   if (m_established == registered) {
     return true;
   }
--- a/src/libraries/node/membership.h
+++ b/src/libraries/node/membership.h
@@ -10,6 +10,7 @@
 
 #include "libraries/base/clock.h"
 #include "libraries/node/fleet_state.h"
+#include "libraries/node/hold_promises.h"
 #include "libraries/node/liveness.h"
 #include "libraries/node/store_progress.h"
 #include "libraries/peers/peer_handler.h"
@@ -52,6 +53,14 @@
   Heartbeat Compose(const NodeId& to) override;
   void Heard(const Heartbeat& heartbeat) override;
 
+  /// Gives hold promises with the heartbeats. To be set before the threads start.
+  void SetHoldPromises(HoldPromises& promises) { m_promises = &promises; }
+
+  const NodeId& self() const { return m_self.id; }
+
+  /// The revision of this process's record in `view`; nothing where it is not registered there.
+  std::optional<Revision> OwnRecord(const FleetView& view) const;
+
   /// From now on this node tells its peers that it leaves, and owns nothing.
   void Leave();
 
@@ -81,6 +90,7 @@
   StoreProgress& m_progress;
   PeerTable m_table;
   StoppingAttempts m_stopping;
+  HoldPromises* m_promises = nullptr;
   mutable std::mutex m_mutex;
   bool m_leaving = false;
   /// The revision of this node's record that all others are known to have seen.
--- a/src/libraries/node/view_guard.cc
+++ b/src/libraries/node/view_guard.cc
@@ -12,16 +12,30 @@
     : m_clock(clock), m_store(store), m_view_limit(view_limit) {}
 
 ZoneAdmission ViewGuard::Admit(const ZoneId& zone) {
-  if (!fresh()) {
+  if (!fresh() && !IsHeld()) {
     const std::lock_guard<std::mutex> reading(m_reading);
-    if (!fresh() && !Confirm().ok()) {
+    if (!fresh() && !IsHeld() && !Confirm().ok()) {
       return ZoneAdmission::kUnconfirmed;
     }
   }
+  const bool held = IsHeld();
   const std::lock_guard<std::mutex> lock(m_mutex);
-  if (!FreshLocked()) {
-    return ZoneAdmission::kUnconfirmed;
+  return held || FreshLocked() ? AdmissionLocked(zone) : ZoneAdmission::kUnconfirmed;
+}
+
+bool ViewGuard::IsHeld() const {
+  if (m_hold == nullptr) {
+    return false;
+  }
+  ZoneEpoch epoch;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    epoch = m_zones.value.epoch;
   }
+  return m_hold->MayGoOn(epoch);
+}
+
+ZoneAdmission ViewGuard::AdmissionLocked(const ZoneId& zone) const {
   return m_zones.value.StateOf(zone) == ZoneState::kIn ? ZoneAdmission::kOpen
                                                        : ZoneAdmission::kZoneOut;
 }
--- a/src/libraries/node/view_guard.h
+++ b/src/libraries/node/view_guard.h
@@ -7,6 +7,7 @@
 #include "libraries/base/clock.h"
 #include "libraries/calls/zone_gate.h"
 #include "libraries/model/zone_table.h"
+#include "libraries/node/hold_admission.h"
 #include "libraries/node/versioned.h"
 #include "libraries/store/key_value_service.h"
 
@@ -26,15 +27,21 @@
   /// A newer table, heard from the watch; it does not count as a confirmation.
   void Heard(const Versioned<ZoneTable>& zones);
 
+  /// Lets calls go on where the view can't be confirmed. To be set before the first call.
+  void SetHoldAdmission(HoldAdmission& hold) { m_hold = &hold; }
+
   bool fresh() const;
 
  private:
   bool FreshLocked() const;
+  bool IsHeld() const;
+  ZoneAdmission AdmissionLocked(const ZoneId& zone) const;
   absl::Status Confirm();
 
   const Clock& m_clock;
   KeyValueService& m_store;
   const Milliseconds m_view_limit;
+  HoldAdmission* m_hold = nullptr;
   mutable std::mutex m_mutex;
   /// Held while one thread reads for all.
   std::mutex m_reading;
--- /dev/null
+++ b/tests/membership/hold_promises_test.cc
@@ -0,0 +1,90 @@
+#include "libraries/node/hold_promises.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include "libraries/base/manual_clock.h"
+#include "membership/hold_model.h"
+
+namespace papayalift {
+
+namespace {
+
+/// A node that has run for long, has no store, and one peer that gave its promise just now.
+struct PromiseFixture {
+  PromiseFixture() {
+    clock.Advance(Milliseconds(10'000));
+    peer.heartbeat.hold = HoldPromise::kGiven;
+    peer.heartbeat.zones = ZoneEpoch(3);
+    peer.written_after = clock.Now();
+  }
+
+  bool HoldsAll(const std::vector<std::optional<PeerState>>& statements) {
+    return promises.HoldsAll(statements, KnownChanges{ZoneEpoch(3), BundleVersion(1)});
+  }
+
+  ManualClock clock;
+  StoreProgress progress{clock};
+  HoldPromises promises{clock, progress};
+  PeerState peer;
+};
+
+}  // namespace
+
+Test(hold_promises, calls_go_on_only_where_no_unseen_change_was_accepted) {
+  int admissions = 0;
+  cr_assert(rc::check([&admissions] {
+    constexpr int kSteps = 300;
+    HoldModel model;
+    for (int step = 0; step < kSteps; ++step) {
+      model.Step();
+    }
+    admissions += model.admissions();
+  }));
+  cr_assert_gt(admissions, 100, "the cases must reach the promises at all");
+}
+
+Test(hold_promises, holds_all_with_one_peer_silent_or_without_promise_does_not_hold) {
+  PromiseFixture fixture;
+  cr_assert(fixture.HoldsAll({fixture.peer}));
+  cr_assert_not(fixture.HoldsAll({fixture.peer, std::nullopt}));
+  fixture.peer.heartbeat.hold = HoldPromise::kNone;
+  cr_assert_not(fixture.HoldsAll({fixture.peer}));
+}
+
+Test(hold_promises, holds_all_where_a_peer_knows_a_newer_change_does_not_hold) {
+  PromiseFixture fixture;
+  fixture.peer.heartbeat.zones = ZoneEpoch(4);
+  cr_assert_not(fixture.HoldsAll({fixture.peer}));
+}
+
+Test(hold_promises, change_after_a_promise_waits_until_it_has_run_out) {
+  PromiseFixture fixture;
+  cr_assert(fixture.promises.Give() == HoldPromise::kGiven);
+  fixture.clock.Advance(Milliseconds(1'499));
+  cr_assert_not(fixture.promises.TryBeginChange());
+  fixture.clock.Advance(Milliseconds(1));
+  cr_assert(fixture.promises.TryBeginChange());
+}
+
+Test(hold_promises, give_during_a_change_or_after_an_unclear_one_gives_none) {
+  PromiseFixture fixture;
+  cr_assert(fixture.promises.TryBeginChange());
+  cr_assert(fixture.promises.Give() == HoldPromise::kNone);
+  fixture.promises.EndChange(ChangeResult::kUnclear, KnownChanges{});
+  cr_assert(fixture.promises.Give() == HoldPromise::kNone);
+  fixture.progress.Answered(fixture.clock.Now() + Milliseconds(1), Revision(9));
+  fixture.progress.Failed();
+  cr_assert(fixture.promises.Give() == HoldPromise::kGiven);
+}
+
+Test(hold_promises, change_right_after_a_restart_waits_out_what_was_promised_before) {
+  ManualClock clock;
+  StoreProgress progress(clock);
+  HoldPromises promises(clock, progress);
+  cr_assert_not(promises.TryBeginChange());
+  clock.Advance(Milliseconds(1'500));
+  cr_assert(promises.TryBeginChange());
+}
+
+}  // namespace papayalift
