--- a/src/libraries/node/hold_promises.cc
+++ b/src/libraries/node/hold_promises.cc
@@ -71,7 +71,7 @@
 }
 
 bool HoldPromises::MayGiveLocked() {
-  if (m_unclear_since && m_progress.AnsweredReadSince(*m_unclear_since)) {
+  if (m_unclear_since && m_progress.ConfirmedSince(*m_unclear_since)) {
     m_unclear_since.reset();
   }
   return m_progress.contact() == StoreContact::kUnreachable && m_changes_under_way == 0 &&
--- a/src/libraries/node/hold_promises.h
+++ b/src/libraries/node/hold_promises.h
@@ -25,7 +25,8 @@
   kApplied,
   /// Surely nothing was written.
   kNotApplied,
-  /// It may still be applied: no promise is given until the service has answered again.
+  /// It may still be applied: no promise is given until this node's copy of the records is
+  /// confirmed from a later moment, and so shows whether it was.
   kUnclear,
 };
 
@@ -63,7 +64,7 @@
   mutable std::mutex m_mutex;
   std::optional<Milliseconds> m_promised_until;
   int m_changes_under_way = 0;
-  /// When the last change ended unclear, until a read that was sent later is answered.
+  /// When the last change ended unclear, until the copy is confirmed from later on.
   std::optional<Milliseconds> m_unclear_since;
   KnownChanges m_own_changes;
 };
--- a/src/libraries/node/membership.cc
+++ b/src/libraries/node/membership.cc
@@ -66,6 +66,7 @@
 }
 
 Heartbeat Membership::Compose(const NodeId& to) {
+  m_progress.ConfirmedAt(m_state.followed());
   // The promise comes first: what is read after it holds every change that this node has made.
   const HoldPromise hold =
       m_promises != nullptr && established() ? m_promises->Give() : HoldPromise::kNone;
--- a/src/libraries/node/store_progress.cc
+++ b/src/libraries/node/store_progress.cc
@@ -15,7 +15,6 @@
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_contact = StoreContact::kReachable;
   m_answered_at = m_clock.Now();
-  m_newest_read = std::max(m_newest_read.value_or(sent_at), sent_at);
   if (m_samples.size() == kMostSamples) {
     m_samples.pop_front();
   }
@@ -39,9 +38,9 @@
   return m_confirmed_at;
 }
 
-bool StoreProgress::AnsweredReadSince(Milliseconds moment) const {
+bool StoreProgress::ConfirmedSince(Milliseconds moment) const {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  return m_newest_read && *m_newest_read > moment;
+  return m_confirmed_at && *m_confirmed_at > moment;
 }
 
 StoreContact StoreProgress::contact() const {
--- a/src/libraries/node/store_progress.h
+++ b/src/libraries/node/store_progress.h
@@ -24,8 +24,8 @@
   /// `followed`; nothing where there is none.
   std::optional<Milliseconds> ConfirmedAt(Revision followed);
 
-  /// Whether a read that was sent after `moment` has been answered.
-  bool AnsweredReadSince(Milliseconds moment) const;
+  /// Whether ConfirmedAt() has found a moment after `moment`.
+  bool ConfirmedSince(Milliseconds moment) const;
 
   StoreContact contact() const;
   /// Since the last answer; since the start where there was none.
@@ -44,8 +44,6 @@
   std::deque<Sample> m_samples;
   std::optional<Milliseconds> m_confirmed_at;
   std::optional<Milliseconds> m_answered_at;
-  /// When the newest read that was answered had been sent.
-  std::optional<Milliseconds> m_newest_read;
   StoreContact m_contact = StoreContact::kUnreachable;
 };
 
--- a/tests/membership/hold_promises_test.cc
+++ b/tests/membership/hold_promises_test.cc
@@ -75,6 +75,9 @@
   cr_assert(fixture.promises.Give() == HoldPromise::kNone);
   fixture.progress.Answered(fixture.clock.Now() + Milliseconds(1), Revision(9));
   fixture.progress.Failed();
+  fixture.progress.ConfirmedAt(Revision(8));
+  cr_assert(fixture.promises.Give() == HoldPromise::kNone, "answered, but not followed");
+  fixture.progress.ConfirmedAt(Revision(9));
   cr_assert(fixture.promises.Give() == HoldPromise::kGiven);
 }
 
