--- a/src/libraries/node/entry_node.cc
+++ b/src/libraries/node/entry_node.cc
@@ -18,6 +18,7 @@
 #include "libraries/node/operator_change_store.h"
 #include "libraries/node/ownership.h"
 #include "libraries/node/state_follower.h"
+#include "libraries/node/stopping_attempts.h"
 #include "libraries/node/store_probe.h"
 #include "libraries/peers/peer_mesh.h"
 #include "libraries/settings/ip_address.h"
@@ -114,7 +115,7 @@
     m_membership.SetHoldPromises(m_promises);
     m_view.SetHoldAdmission(m_hold_gate);
     m_membership.SetStoppingAttempts(
-        [this](const FleetView& view) { return StoppingAttempts(view); });
+        [this](const FleetView& view) { return StoppingAttempts(view, m_runner); });
     m_mesh->Start(m_membership);
     m_registration.Start([this] { KeepRegistry(); });
     m_scheduler.Start();
@@ -215,17 +216,6 @@
     }
   }
 
-  /// What this node knows to be stopping, by itself or by the records.
-  std::vector<AttemptId> StoppingAttempts(const FleetView& view) const {
-    std::vector<AttemptId> stopping;
-    for (const auto& [job, placement] : view.placements) {
-      if (placement->value.phase == PlacementPhase::kStopping || m_runner.IsBusy(job)) {
-        stopping.push_back(placement->value.attempt_id);
-      }
-    }
-    return stopping;
-  }
-
   void ShowMetrics(const FleetView& view) {
     m_metrics.Gauge("papayalift_store_calls_total", static_cast<double>(m_store.calls()));
     m_metrics.Gauge("papayalift_peer_sent_bytes_total", static_cast<double>(m_mesh->bytes_sent()));
