--- a/src/libraries/node/operator_change_store.cc
+++ b/src/libraries/node/operator_change_store.cc
@@ -105,7 +105,7 @@
   }
   Transaction guarded = transaction;
   guarded.Expect(keys::NodeKey(m_membership.self()), *own);
-  const TransactionOutcome outcome = m_store.Commit(guarded);
+  TransactionOutcome outcome = m_store.Commit(guarded);
   m_promises.EndChange(ResultOf(outcome), ChangesOf(transaction));
   return outcome;
 }
