--- a/src/libraries/calls/call_router.cc
+++ b/src/libraries/calls/call_router.cc
@@ -79,7 +79,8 @@
                                      std::string& reason) {
   std::vector<const MinionSpec*> open;
   for (const MinionSpec& minion : service.minions) {
-    if (m_gate.Admit(minion.zone) == ZoneAdmission::kOpen) {
+    const bool takes_work = m_vms == nullptr || m_vms->TakesWork(minion.id.text());
+    if (takes_work && m_gate.Admit(minion.zone) == ZoneAdmission::kOpen) {
       open.push_back(&minion);
     }
   }
--- a/src/libraries/calls/call_router.h
+++ b/src/libraries/calls/call_router.h
@@ -13,6 +13,7 @@
 #include "libraries/calls/minion_table.h"
 #include "libraries/calls/zone_gate.h"
 #include "libraries/http/http_client.h"
+#include "libraries/membership/vm_list.h"
 #include "libraries/metrics/metrics.h"
 #include "libraries/model/bundle.h"
 
@@ -41,6 +42,9 @@
   CallRouter(const Clock& clock, ZoneGate& gate, std::shared_ptr<HttpClient> client,
              Metrics& metrics, std::uint64_t seed, const CallPolicy& policy = CallPolicy{});
 
+  /// Minions that leave by `vms` get nothing new. To be set before the first call.
+  void SetVmList(const VmList& vms) { m_vms = &vms; }
+
   /// Waits for the answer, at most for the request's limit. Each of `live_nodes` entry nodes keeps
   /// to its share of a minion's connections; where all shares are used up the call is refused.
   CallResult Route(const CallRequest& request, const ServiceSpec& service, int live_nodes = 1);
@@ -61,6 +65,7 @@
   ZoneGate& m_gate;
   const std::shared_ptr<HttpClient> m_client;
   Metrics& m_metrics;
+  const VmList* m_vms = nullptr;
   const MinionChoice m_choice;
   const RetryBudget m_budget;
   MinionTable m_minions;
--- a/src/libraries/node/entry_node.cc
+++ b/src/libraries/node/entry_node.cc
@@ -9,10 +9,13 @@
 #include "libraries/base/hash.h"
 #include "libraries/base/try.h"
 #include "libraries/log/log_event.h"
+#include "libraries/membership/vm_list_follower.h"
 #include "libraries/node/api_server.h"
+#include "libraries/node/hold_gate.h"
 #include "libraries/node/lease_keeper.h"
 #include "libraries/node/membership.h"
 #include "libraries/node/node_registry.h"
+#include "libraries/node/operator_change_store.h"
 #include "libraries/node/ownership.h"
 #include "libraries/node/state_follower.h"
 #include "libraries/node/stopping_attempts.h"
@@ -31,6 +34,8 @@
 /// A node that has been silent for so long is taken out of the registry; it comes back by itself.
 /// Until then an outage of the key-value service would end the renewals, for want of its word.
 constexpr Milliseconds kRemoveAfter{15'000};
+/// One that the platform calls gone is taken out when it has been silent for so long.
+constexpr Milliseconds kSilentAfter{3'000};
 constexpr Milliseconds kDrainPollInterval{50};
 /// A balancer goes on sending until its next health check; a node that leaves before cuts those
 /// requests.
@@ -62,10 +67,14 @@
         m_client(std::make_shared<HttpClient>()),
         m_store(settings.store_address, settings.store_limit, m_client),
         m_workers(settings.worker_limit, m_client),
+        m_vm_follower(settings.membership_address, m_client, m_vms),
         m_progress(m_clock),
         m_probe(m_clock, m_store, m_progress),
         m_membership(m_clock, NodeIdentity{settings.id, m_incarnation}, m_state, m_progress),
         m_mesh(std::move(mesh)),
+        m_promises(m_clock, m_progress),
+        m_hold_gate(m_state, m_membership, m_promises, m_metrics),
+        m_change_store(m_clock, m_store, m_state, m_membership, m_promises),
         m_view(m_clock, m_store, settings.view_limit),
         m_audit(m_clock, settings.id),
         m_namer(settings.id, m_incarnation),
@@ -78,14 +87,15 @@
                   m_audit,
                   m_metrics,
                   settings.reservation_lease,
-                  settings.run_lease},
+                  settings.run_lease,
+                  &m_vms},
         m_follower(m_store, m_state, m_view, m_metrics),
         m_scheduler(m_context, m_state, m_membership, settings.id, m_namer, m_runner),
         m_lease_keeper(m_context, m_state, m_membership, m_progress, settings.id, m_runner,
                        settings.renewal_interval),
         m_jobs(m_clock, m_store, m_state, m_audit),
-        m_zones(m_store, m_state, m_audit),
-        m_bundles(m_clock, m_store, m_audit),
+        m_zones(m_change_store, m_state, m_audit),
+        m_bundles(m_clock, m_change_store, m_audit),
         m_calls(m_clock, m_view, m_client, m_metrics, Hash64(m_incarnation)) {}
 
   ~Parts() { StopThreads(); }
@@ -101,6 +111,10 @@
     m_runner.Start(m_settings.start_threads);
     m_follower.Start();
     m_probe.Start();
+    m_vm_follower.Start();
+    m_calls.SetVmList(m_vms);
+    m_membership.SetHoldPromises(m_promises);
+    m_view.SetHoldAdmission(m_hold_gate);
     m_membership.SetStoppingAttempts(
         [this](const FleetView& view) { return StoppingAttempts(view, m_runner); });
     m_mesh->Start(m_membership);
@@ -121,15 +135,10 @@
     m_state.Wake();
     m_scheduler.Stop();
     const Milliseconds deadline = m_clock.Now() + m_settings.stop_limit;
-    std::int64_t requests = m_api->work_requests();
-    Milliseconds quiet_since = m_clock.Now();
-    while ((!IsDrained() || m_clock.Now() - quiet_since < kQuietBeforeLeaving) && !m_hurry &&
-           m_clock.Now() < deadline) {
+    WaitUntilQuiet(deadline);
+    m_api->StopListening();
+    while (!IsDrained() && MayWait(deadline)) {
       m_stop.WaitFor(kDrainPollInterval);
-      if (m_api->work_requests() != requests) {
-        requests = m_api->work_requests();
-        quiet_since = m_clock.Now();
-      }
     }
     const StopOutcome outcome = IsDrained() ? StopOutcome::kClean : StopOutcome::kGaveUp;
     LogEvent(LogLevel::kInfo, "entry_node", "leaving")
@@ -153,6 +162,22 @@
   std::uint16_t api_port() const { return m_api->port(); }
 
  private:
+  /// Waits until nothing is in flight and no caller has asked for anything for a while.
+  void WaitUntilQuiet(Milliseconds deadline) {
+    std::int64_t requests = m_api->work_requests();
+    Milliseconds quiet_since = m_clock.Now();
+    while ((!IsDrained() || m_clock.Now() - quiet_since < kQuietBeforeLeaving) &&
+           MayWait(deadline)) {
+      m_stop.WaitFor(kDrainPollInterval);
+      if (m_api->work_requests() != requests) {
+        requests = m_api->work_requests();
+        quiet_since = m_clock.Now();
+      }
+    }
+  }
+
+  bool MayWait(Milliseconds deadline) const { return !m_hurry && m_clock.Now() < deadline; }
+
   bool IsDrained() const { return m_api->requests_in_flight() == 0 && m_runner.size() == 0; }
 
   void KeepRegistry() {
@@ -188,7 +213,11 @@
       return;
     }
     const std::vector<NodeId> live = m_membership.Live(view);
-    for (const SilentNode& node : m_membership.SilentFor(view, kRemoveAfter)) {
+    for (const SilentNode& node : m_membership.SilentFor(view, kSilentAfter)) {
+      const bool gone = m_vms.StateOf(node.id.text()) == VmState::kGone;
+      if (!gone && node.silence < kRemoveAfter) {
+        continue;
+      }
       // Where nobody serves yet, any node may: comparing the records keeps it to one.
       if (live.empty() || OwnerOf(JobId(node.id.text()), live) == m_settings.id) {
         LogEvent(LogLevel::kWarning, "entry_node", "a silent node is taken out of the registry")
@@ -204,6 +233,8 @@
     m_metrics.Gauge("papayalift_peer_sent_bytes_total", static_cast<double>(m_mesh->bytes_sent()));
     m_metrics.Gauge("papayalift_peer_received_bytes_total",
                     static_cast<double>(m_mesh->bytes_received()));
+    m_metrics.Gauge("papayalift_requests_in_flight", m_api->requests_in_flight());
+    m_metrics.Gauge("papayalift_leaving_vms", static_cast<double>(m_vms.leaving()));
     m_metrics.Gauge("papayalift_live_nodes", static_cast<double>(m_membership.Live(view).size()));
   }
 
@@ -213,6 +244,7 @@
     m_registration.Join();
     m_mesh->Stop();
     m_probe.Stop();
+    m_vm_follower.Stop();
     m_lease_keeper.Stop();
     m_scheduler.Stop();
     m_runner.Stop();
@@ -228,10 +260,15 @@
   EtcdGatewayClient m_store;
   HttpWorkerGateway m_workers;
   FleetState m_state;
+  VmList m_vms;
+  VmListFollower m_vm_follower;
   StoreProgress m_progress;
   StoreProbe m_probe;
   Membership m_membership;
   const std::unique_ptr<PeerMesh> m_mesh;
+  HoldPromises m_promises;
+  HoldGate m_hold_gate;
+  OperatorChangeStore m_change_store;
   ViewGuard m_view;
   AuditWriter m_audit;
   AttemptNamer m_namer;
--- a/src/libraries/node/store_progress.cc
+++ b/src/libraries/node/store_progress.cc
@@ -38,6 +38,11 @@
   return m_confirmed_at;
 }
 
+bool StoreProgress::ConfirmedSince(Milliseconds moment) const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_confirmed_at && *m_confirmed_at > moment;
+}
+
 StoreContact StoreProgress::contact() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return m_contact;
--- a/src/libraries/node/store_progress.h
+++ b/src/libraries/node/store_progress.h
@@ -24,6 +24,9 @@
   /// `followed`; nothing where there is none.
   std::optional<Milliseconds> ConfirmedAt(Revision followed);
 
+  /// Whether ConfirmedAt() has found a moment after `moment`.
+  bool ConfirmedSince(Milliseconds moment) const;
+
   StoreContact contact() const;
   /// Since the last answer; since the start where there was none.
   Milliseconds silence() const;
--- a/src/stand_ins/platform/platform_stand_in.cc
+++ b/src/stand_ins/platform/platform_stand_in.cc
@@ -60,13 +60,15 @@
     const char* path;
     HttpResponse (PlatformStandIn::*handler)(const HttpRequest&);
   };
-  static constexpr std::array<Route, 6> kRoutes{{
+  static constexpr std::array<Route, 8> kRoutes{{
       {"/v3/kv/range", &PlatformStandIn::HandleRange},
       {"/v3/kv/txn", &PlatformStandIn::HandleTransaction},
       {"/v3/watch", &PlatformStandIn::HandleWatch},
       {"/control/watches/break", &PlatformStandIn::BreakWatches},
       {"/control/compact", &PlatformStandIn::Compact},
       {"/control/record", &PlatformStandIn::HandleRecord},
+      {"/v1/members", &PlatformStandIn::ShowMembers},
+      {"/control/members", &PlatformStandIn::SetMembers},
   }};
   for (const Route& route : kRoutes) {
     if (request.path == route.path) {
--- a/src/stand_ins/platform/platform_stand_in.h
+++ b/src/stand_ins/platform/platform_stand_in.h
@@ -13,6 +13,7 @@
 #include "libraries/http/http_server.h"
 #include "libraries/store/memory_store.h"
 #include "stand_ins/control/faulty_handler.h"
+#include "stand_ins/platform/member_list.h"
 
 namespace papayalift {
 
@@ -32,11 +33,14 @@
   HttpResponse HandleRange(const HttpRequest& request);
   HttpResponse HandleTransaction(const HttpRequest& request);
   HttpResponse HandleWatch(const HttpRequest& request);
+  HttpResponse ShowMembers(const HttpRequest& request) { return m_members.Show(request); }
+  HttpResponse SetMembers(const HttpRequest& request) { return m_members.Set(request); }
   HttpResponse BreakWatches(const HttpRequest& request);
   HttpResponse Compact(const HttpRequest& request);
   HttpResponse HandleRecord(const HttpRequest& request);
 
   MemoryStore m_store;
+  MemberList m_members;
   std::atomic<bool> m_stopping{false};
   /// A watch ends once this is not what it was when the watch began.
   std::atomic<int> m_watch_generation{0};
