Node: Count waiting from the last stop

Change: a job's record keeps queued_at; a gang that ran gets a new one, one that never started keeps its place.

--- a/src/libraries/model/job_codec.cc
+++ b/src/libraries/model/job_codec.cc
@@ -1,5 +1,7 @@
 #include "libraries/model/job_codec.h"
 
+#include <algorithm>
+
 #include "libraries/base/try.h"
 #include "libraries/model/accelerator_set.h"
 #include "libraries/model/job_names.h"
@@ -46,6 +48,7 @@
       json.value("cancel_requested", false) ? CancelRequest::kRequested : CancelRequest::kNone;
   job.reason = json.value("reason", "");
   job.submitted_at = MillisecondsAt(json, "submitted_at_ms");
+  job.queued_at = std::max(job.submitted_at, MillisecondsAt(json, "queued_at_ms"));
   job.started_at = MillisecondsAt(json, "started_at_ms");
   job.finished_at = MillisecondsAt(json, "finished_at_ms");
   job.checkpoint = MillisecondsAt(json, "checkpoint_ms");
@@ -90,6 +93,7 @@
               {"cancel_requested", job.cancel == CancelRequest::kRequested},
               {"reason", job.reason},
               {"submitted_at_ms", job.submitted_at.count()},
+              {"queued_at_ms", job.queued_at.count()},
               {"started_at_ms", job.started_at.count()},
               {"finished_at_ms", job.finished_at.count()},
               {"checkpoint_ms", job.checkpoint.count()},
--- a/src/libraries/model/job_record.h
+++ b/src/libraries/model/job_record.h
@@ -35,6 +35,8 @@
   std::string reason;
   /// Wall clock.
   Milliseconds submitted_at{0};
+  /// Since when it waits: its submission, or when it was last queued again.
+  Milliseconds queued_at{0};
   Milliseconds started_at{0};
   Milliseconds finished_at{0};
   /// Work that its last checkpoint holds.
--- a/src/libraries/node/gang_stop.cc
+++ b/src/libraries/node/gang_stop.cc
@@ -183,6 +183,8 @@
     job.reason += "; it is non-idempotent and may have run, so it is not started again";
   } else {
     job.state = JobState::kQueued;
+    // One that never started keeps its place; one that ran waits behind those it was stopped for.
+    job.queued_at = ran ? m_context.clock.WallNow() : job.queued_at;
   }
   if (IsFinal(job.state)) {
     job.finished_at = m_context.clock.WallNow();
--- a/src/libraries/node/job_desk.cc
+++ b/src/libraries/node/job_desk.cc
@@ -39,6 +39,7 @@
   }
   job.spec = spec;
   job.submitted_at = m_clock.WallNow();
+  job.queued_at = job.submitted_at;
   job.reason = "it waits for its first pass";
   const std::string key = keys::JobKey(job.id);
   Transaction transaction;
--- a/src/libraries/node/snapshot_builder.cc
+++ b/src/libraries/node/snapshot_builder.cc
@@ -32,7 +32,7 @@
   waiting.workspace = job.spec.workspace;
   waiting.shape = job.spec.shape;
   waiting.urgency = job.spec.urgency;
-  waiting.waiting_for = wall_now - job.submitted_at;
+  waiting.waiting_for = wall_now - job.queued_at;
   waiting.attained = job.attained;
   waiting.declared_run_time = job.spec.declared_run_time;
   return waiting;
--- a/tests/node/gang_stop_test.cc
+++ b/tests/node/gang_stop_test.cc
@@ -133,6 +133,26 @@
   cr_assert_eq(running.begin()->second.size(), 2U);
 }
 
+Test(gang_stop, gang_that_ran_waits_from_its_stop_on) {
+  RunningGangFixture fixture;
+  const Milliseconds submitted_at = fixture.fleet.Job(fixture.job).submitted_at;
+  fixture.fleet.farm().Restart(WorkerId("a1"));
+  fixture.fleet.Run(Milliseconds(3'000));
+  const JobRecord job = fixture.fleet.Job(fixture.job);
+  cr_assert(job.attempt == AttemptNumber(2));
+  cr_assert(job.queued_at >= submitted_at + Milliseconds(1'000));
+  cr_assert(job.submitted_at == submitted_at);
+}
+
+Test(gang_stop, gang_that_never_started_keeps_its_place) {
+  TestFleet fleet{1};
+  const JobId job = fleet.Submit(SpecOf("pair", 2, 4));
+  const Milliseconds submitted_at = fleet.Job(job).submitted_at;
+  fleet.node(0).workers().FailNext(WorkerId("a1"), PacketFault::kDropped);
+  fleet.Run(Milliseconds(3'000));
+  cr_assert(fleet.Job(job).queued_at == submitted_at);
+}
+
 Test(gang_stop, all_tasks_succeeded_before_the_stop_is_success) {
   RunningGangFixture fixture(Idempotency::kNonIdempotent);
   // No turn of the node sees the end of the tasks before the zone goes out.
