Calls: Test that a leaving minion gets no call

Cause: the router skips minions that the platform's list says are leaving, and no test held it to that.

--- a/tests/calls/call_router_test.cc
+++ b/tests/calls/call_router_test.cc
@@ -105,6 +105,19 @@
 
 }  // namespace
 
+Test(call_router, minion_that_leaves_gets_no_call) {
+  RouterFixture fixture(2);
+  VmList vms;
+  fixture.router.SetVmList(vms);
+  vms.Update({VmEntry{"minion-0", VmState::kLeaving}, VmEntry{"minion-1", VmState::kLive}});
+  constexpr int kCalls = 20;
+  for (int index = 0; index < kCalls; ++index) {
+    cr_assert(fixture.Call(Idempotency::kNonIdempotent).verdict == Verdict::kRan);
+  }
+  cr_assert_eq(fixture.minions[0]->served(), 0);
+  cr_assert_eq(fixture.minions[1]->served(), kCalls);
+}
+
 Test(call_router, full_minion_refuses_and_another_is_tried) {
   RouterFixture fixture(2);
   fixture.minions[0]->Behave(Behaving(Conduct::kRefuses));
