Node: Split the API server and share what stood twice

Change: api_request reads paths, queries and operators' bodies; api_operator_handlers holds zones and bundles; path_route serves the three stand-ins; log_severity the two files.

--- a/src/libraries/log/json_log_sink.cc
+++ b/src/libraries/log/json_log_sink.cc
@@ -6,32 +6,16 @@
 #include <boost/log/utility/setup/console.hpp>
 #include <iostream>
 
-namespace papayalift {
-
-namespace {
+#include "libraries/log/log_severity.h"
 
-boost::log::trivial::severity_level LeastSeverity(LogLevel level) {
-  switch (level) {
-    case LogLevel::kDebug:
-      return boost::log::trivial::debug;
-    case LogLevel::kInfo:
-      return boost::log::trivial::info;
-    case LogLevel::kWarning:
-      return boost::log::trivial::warning;
-    case LogLevel::kError:
-      return boost::log::trivial::error;
-  }
-  return boost::log::trivial::info;
-}
-
-}  // namespace
+namespace papayalift {
 
 void InstallJsonLogSink(LogLevel least) {
   boost::log::add_console_log(std::cerr,
                               boost::log::keywords::format = boost::log::expressions::stream
                                                              << boost::log::expressions::smessage,
                               boost::log::keywords::auto_flush = true);
-  boost::log::core::get()->set_filter(boost::log::trivial::severity >= LeastSeverity(least));
+  boost::log::core::get()->set_filter(boost::log::trivial::severity >= SeverityOf(least));
 }
 
 }  // namespace papayalift
--- a/src/libraries/log/log_event.cc
+++ b/src/libraries/log/log_event.cc
@@ -1,31 +1,13 @@
 #include "libraries/log/log_event.h"
 
-#include <boost/log/trivial.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "libraries/base/boot_clock.h"
+#include "libraries/log/log_severity.h"
 
 namespace papayalift {
 
-namespace {
-
-boost::log::trivial::severity_level SeverityOf(LogLevel level) {
-  switch (level) {
-    case LogLevel::kDebug:
-      return boost::log::trivial::debug;
-    case LogLevel::kInfo:
-      return boost::log::trivial::info;
-    case LogLevel::kWarning:
-      return boost::log::trivial::warning;
-    case LogLevel::kError:
-      return boost::log::trivial::error;
-  }
-  return boost::log::trivial::error;
-}
-
-}  // namespace
-
 LogEvent::LogEvent(LogLevel level, std::string component, std::string message)
     : m_level(level), m_component(std::move(component)), m_message(std::move(message)) {}
 
--- a/src/libraries/node/api_server.cc
+++ b/src/libraries/node/api_server.cc
@@ -4,17 +4,14 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 #include "libraries/calls/call_codec.h"
 #include "libraries/model/audit_codec.h"
-#include "libraries/model/bundle_codec.h"
 #include "libraries/model/job_codec.h"
-#include "libraries/model/json_document.h"
 #include "libraries/model/keys.h"
-#include "libraries/model/zone_codec.h"
 #include "libraries/node/api_answers.h"
+#include "libraries/node/api_request.h"
 #include "libraries/node/job_explanation.h"
 #include "libraries/node/status_page.h"
 #include "libraries/node/summary_metrics.h"
@@ -29,35 +26,6 @@
 constexpr std::size_t kMostAuditRows = 20;
 constexpr Milliseconds kRecentAudit{3'600'000};
 
-/// The path's part `index`, counted from 0: "/v1/jobs/abc" has "v1", "jobs", "abc".
-std::string PathPart(const std::string& path, int index) {
-  std::size_t start = 1;
-  for (int skipped = 0; skipped < index; ++skipped) {
-    const std::size_t slash = path.find('/', start);
-    if (slash == std::string::npos) {
-      return "";
-    }
-    start = slash + 1;
-  }
-  return path.substr(start, path.find('/', start) - start);
-}
-
-/// Whether `path` has the form of `pattern`, in which "*" stands for any one part.
-bool Matches(const std::string& path, const std::string& pattern) {
-  if (std::count(path.begin(), path.end(), '/') !=
-      std::count(pattern.begin(), pattern.end(), '/')) {
-    return false;
-  }
-  const std::int64_t parts = std::count(pattern.begin(), pattern.end(), '/');
-  for (int index = 0; index < parts; ++index) {
-    const std::string wanted = PathPart(pattern, index);
-    if (wanted != "*" && wanted != PathPart(path, index)) {
-      return false;
-    }
-  }
-  return true;
-}
-
 /// Whether a request is a caller's or an operator's, and not a look at the node itself.
 bool IsWork(const std::string& path) {
   return path != "/healthz" && path != "/metrics" && path != "/v1/status";
@@ -65,47 +33,6 @@
 
 JobId JobOfPath(const HttpRequest& request) { return JobId(PathPart(request.path, 2)); }
 
-std::int64_t NumberOr(const std::string& text, std::int64_t fallback) {
-  std::int64_t number = 0;
-  const std::from_chars_result parsed =
-      std::from_chars(text.data(), text.data() + text.size(), number);
-  return parsed.ec == std::errc{} ? number : fallback;
-}
-
-std::string QueryOr(const HttpRequest& request, const std::string& key) {
-  const auto found = request.query.find(key);
-  return found == request.query.end() ? "" : found->second;
-}
-
-/// What operators send with a change.
-struct OperatorRequest {
-  OperatorId actor;
-  std::string reason;
-  std::string text;
-  std::string digest;
-  BundleVersion version;
-  BundleVersion seen;
-  std::string state;
-};
-
-absl::StatusOr<OperatorRequest> DecodeOperatorRequest(std::string_view body) {
-  return DecodeRecord<OperatorRequest>(
-      body, [](const Json& json) -> absl::StatusOr<OperatorRequest> {
-        OperatorRequest request;
-        request.actor = IdAt<OperatorId>(json, "operator");
-        request.reason = json.value("reason", "");
-        request.text = json.value("text", "");
-        request.digest = json.value("digest", "");
-        request.version = BundleVersion(json.value("version", std::int64_t{0}));
-        request.seen = BundleVersion(json.value("seen", std::int64_t{0}));
-        request.state = json.value("state", "");
-        if (request.actor.empty()) {
-          return absl::InvalidArgumentError("'operator' is missing: say who makes the change");
-        }
-        return request;
-      });
-}
-
 }  // namespace
 
 absl::StatusOr<std::unique_ptr<ApiServer>> ApiServer::Create(const std::string& address,
@@ -152,7 +79,7 @@
   }};
   bool path_known = false;
   for (const Route& route : kRoutes) {
-    if (!Matches(request.path, route.pattern)) {
+    if (!MatchesPattern(request.path, route.pattern)) {
       continue;
     }
     path_known = true;
@@ -339,83 +266,4 @@
   return response;
 }
 
-HttpResponse ApiServer::ListZones(const HttpRequest& /*request*/) {
-  const absl::StatusOr<RangeAnswer> answer = m_parts.store.Range(SingleKey(keys::kZones));
-  if (!answer.ok()) {
-    return ErrorAnswer(answer.status());
-  }
-  ZoneTable zones;
-  if (!answer->records.empty()) {
-    const absl::StatusOr<ZoneTable> decoded = DecodeZones(answer->records.front().value);
-    if (!decoded.ok()) {
-      return ErrorAnswer(decoded.status());
-    }
-    zones = *decoded;
-  }
-  return ZonesAnswer(zones, *m_parts.state.View());
-}
-
-HttpResponse ApiServer::ChangeZone(const HttpRequest& request) {
-  const absl::StatusOr<OperatorRequest> asked = DecodeOperatorRequest(request.body);
-  if (!asked.ok()) {
-    return ErrorAnswer(asked.status());
-  }
-  if (asked->state != "in" && asked->state != "out") {
-    return ErrorAnswer(absl::InvalidArgumentError("'state' must be \"in\" or \"out\""));
-  }
-  ZoneChange change;
-  change.zone = ZoneId(PathPart(request.path, 2));
-  change.state = asked->state == "in" ? ZoneState::kIn : ZoneState::kOut;
-  change.actor = asked->actor;
-  change.reason = asked->reason;
-  const absl::StatusOr<ZoneTable> zones = m_parts.zones.Change(change);
-  return zones.ok() ? ZonesAnswer(*zones, *m_parts.state.View()) : ErrorAnswer(zones.status());
-}
-
-HttpResponse ApiServer::SubmitBundle(const HttpRequest& request) {
-  const absl::StatusOr<OperatorRequest> asked = DecodeOperatorRequest(request.body);
-  if (!asked.ok()) {
-    return ErrorAnswer(asked.status());
-  }
-  const absl::StatusOr<BundleRecord> record = m_parts.bundles.Submit(asked->text, asked->actor);
-  return record.ok() ? JsonResponse(EncodeBundleRecord(*record)) : ErrorAnswer(record.status());
-}
-
-HttpResponse ApiServer::SignOffBundle(const HttpRequest& request) {
-  const absl::StatusOr<OperatorRequest> asked = DecodeOperatorRequest(request.body);
-  if (!asked.ok()) {
-    return ErrorAnswer(asked.status());
-  }
-  const BundleVersion version(NumberOr(PathPart(request.path, 2), 0));
-  const absl::StatusOr<BundleRecord> record =
-      m_parts.bundles.SignOff(version, asked->digest, asked->actor);
-  return record.ok() ? JsonResponse(EncodeBundleRecord(*record)) : ErrorAnswer(record.status());
-}
-
-HttpResponse ApiServer::RollBundle(const HttpRequest& request) {
-  const absl::StatusOr<OperatorRequest> asked = DecodeOperatorRequest(request.body);
-  if (!asked.ok()) {
-    return ErrorAnswer(asked.status());
-  }
-  const BundleVersion version(NumberOr(PathPart(request.path, 2), 0));
-  const absl::StatusOr<CurrentBundle> current =
-      m_parts.bundles.Roll(version, asked->seen, asked->actor);
-  return current.ok() ? JsonResponse(EncodeCurrentBundle(*current)) : ErrorAnswer(current.status());
-}
-
-HttpResponse ApiServer::ShowBundle(const HttpRequest& request) {
-  const BundleVersion version(NumberOr(PathPart(request.path, 2), 0));
-  const absl::StatusOr<BundleRecord> record = m_parts.bundles.Read(version);
-  return record.ok() ? JsonResponse(EncodeBundleRecord(*record)) : ErrorAnswer(record.status());
-}
-
-HttpResponse ApiServer::BundleHistory(const HttpRequest& /*request*/) {
-  const absl::StatusOr<std::vector<BundleRecord>> history = m_parts.bundles.History();
-  if (!history.ok()) {
-    return ErrorAnswer(history.status());
-  }
-  const absl::StatusOr<CurrentBundle> current = m_parts.bundles.Current();
-  return current.ok() ? BundleHistoryAnswer(*history, *current) : ErrorAnswer(current.status());
-}
-
 }  // namespace papayalift
--- a/src/services/stand_in_commands.cc
+++ b/src/services/stand_in_commands.cc
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 #include <memory>
+#include <type_traits>
 
 #include "libraries/log/json_log_sink.h"
 #include "libraries/settings/ip_address.h"
@@ -34,7 +35,7 @@
     PrintUsageError(context, std::string(address.status().message()));
     return;
   }
-  const auto stand_in = create(*address);
+  const std::invoke_result_t<Create, const IpAddress&> stand_in = create(*address);
   if (!stand_in.ok()) {
     PrintUsageError(context, std::string(stand_in.status().message()));
     return;
--- a/src/stand_ins/minion/minion_stand_in.cc
+++ b/src/stand_ins/minion/minion_stand_in.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "libraries/calls/call_codec.h"
+#include "libraries/http/path_route.h"
 #include "stand_ins/control/control_codec.h"
 #include "stand_ins/control/record_query.h"
 
@@ -42,24 +43,13 @@
 }
 
 HttpResponse MinionStandIn::Handle(const HttpRequest& request) {
-  struct Route {
-    const char* path;
-    HttpResponse (MinionStandIn::*handler)(const HttpRequest&);
-  };
-  static constexpr std::array<Route, 4> kRoutes{{
+  static constexpr std::array<PathRoute<MinionStandIn>, 4> kRoutes{{
       {"/v1/report", &MinionStandIn::Report},
       {"/v1/call", &MinionStandIn::Serve},
       {"/control/conduct", &MinionStandIn::HandleConduct},
       {"/control/record", &MinionStandIn::HandleRecord},
   }};
-  for (const Route& route : kRoutes) {
-    if (request.path == route.path) {
-      return (this->*route.handler)(request);
-    }
-  }
-  HttpResponse response;
-  response.status = HttpStatus::kNotFound;
-  return response;
+  return RouteByPath(*this, kRoutes, request);
 }
 
 HttpResponse MinionStandIn::Report(const HttpRequest& /*request*/) {
--- a/src/stand_ins/platform/platform_stand_in.cc
+++ b/src/stand_ins/platform/platform_stand_in.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <utility>
 
+#include "libraries/http/path_route.h"
 #include "stand_ins/platform/gateway_requests.h"
 
 namespace papayalift {
@@ -56,11 +57,7 @@
 }
 
 HttpResponse PlatformStandIn::Handle(const HttpRequest& request) {
-  struct Route {
-    const char* path;
-    HttpResponse (PlatformStandIn::*handler)(const HttpRequest&);
-  };
-  static constexpr std::array<Route, 8> kRoutes{{
+  static constexpr std::array<PathRoute<PlatformStandIn>, 8> kRoutes{{
       {"/v3/kv/range", &PlatformStandIn::HandleRange},
       {"/v3/kv/txn", &PlatformStandIn::HandleTransaction},
       {"/v3/watch", &PlatformStandIn::HandleWatch},
@@ -70,14 +67,7 @@
       {"/v1/members", &PlatformStandIn::ShowMembers},
       {"/control/members", &PlatformStandIn::SetMembers},
   }};
-  for (const Route& route : kRoutes) {
-    if (request.path == route.path) {
-      return (this->*route.handler)(request);
-    }
-  }
-  HttpResponse response;
-  response.status = HttpStatus::kNotFound;
-  return response;
+  return RouteByPath(*this, kRoutes, request);
 }
 
 HttpResponse PlatformStandIn::HandleRange(const HttpRequest& request) {
--- a/src/stand_ins/worker/worker_stand_in.cc
+++ b/src/stand_ins/worker/worker_stand_in.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <utility>
 
+#include "libraries/http/path_route.h"
 #include "libraries/worker/worker_codec.h"
 #include "stand_ins/control/control_codec.h"
 #include "stand_ins/control/record_query.h"
@@ -46,11 +47,7 @@
 }
 
 HttpResponse WorkerStandIn::Handle(const HttpRequest& request) {
-  struct Route {
-    const char* path;
-    HttpResponse (WorkerStandIn::*handler)(const HttpRequest&);
-  };
-  static constexpr std::array<Route, 7> kRoutes{{
+  static constexpr std::array<PathRoute<WorkerStandIn>, 7> kRoutes{{
       {"/v1/prepare", &WorkerStandIn::HandlePrepare},
       {"/v1/start", &WorkerStandIn::HandleStart},
       {"/v1/stop", &WorkerStandIn::HandleStop},
@@ -59,12 +56,7 @@
       {"/control/forget", &WorkerStandIn::HandleForget},
       {"/control/record", &WorkerStandIn::HandleRecord},
   }};
-  for (const Route& route : kRoutes) {
-    if (request.path == route.path) {
-      return (this->*route.handler)(request);
-    }
-  }
-  return ResponseOf(absl::NotFoundError("no such path"));
+  return RouteByPath(*this, kRoutes, request);
 }
 
 HttpResponse WorkerStandIn::HandlePrepare(const HttpRequest& request) {
