Bundles: Keep the newest fifty versions

Change: a roll removes versions that lie 50 or more below it, at most 60 at once, in its transaction. Conclusion: what the service keeps is bounded; each submission still reads all kept versions.

--- a/bench/capacity/capacity_report.cc
+++ b/bench/capacity/capacity_report.cc
@@ -176,14 +176,13 @@
   const double writes = jobs * measured.gang.store_writes + changes * kWritesPerChange;
   const double reads = jobs * measured.gang.store_reads +
                        changes * (kWritesPerChange + size.entry_nodes) + size.entry_nodes;
-  const double bytes =
-      size.jobs_per_day * size.days_kept *
-          (measured.state.job_record_bytes + measured.gang.store_writes_bytes) +
-      size.configuration_changes_per_day * size.days_kept * measured.state.bundle_bytes;
+  const double bytes = size.jobs_per_day * size.days_kept * measured.state.job_record_bytes +
+                       size.jobs_per_day * size.audit_days_kept * measured.gang.store_writes_bytes +
+                       size.bundles_kept * measured.state.bundle_bytes;
   fmt::print(
       "\n| key-value service | a second | limit | |\n| --- | ---: | ---: | --- |\n"
       "| writes | {:.3f} | {:.0f} | {} |\n| reads, waiting watches counted | {:.2f} | {:.0f} | {} |"
-      "\n| kept, records of {} days with audit and bundles | {:.0f} MB | | |\n",
+      "\n| kept: jobs of {} days, audit, newest bundles | {:.0f} MB | | |\n",
       writes, limits.writes_per_second, Against(writes, limits.writes_per_second), reads,
       limits.reads_per_second, Against(reads, limits.reads_per_second), size.days_kept,
       bytes / kMegabyte);
--- a/bench/capacity/target_size.h
+++ b/bench/capacity/target_size.h
@@ -14,6 +14,8 @@
   int entry_nodes = 21;
   /// How long the records of ended jobs stay.
   int days_kept = 7;
+  int audit_days_kept = 30;
+  int bundles_kept = 50;
 
   /// The most gangs that run at once when each task holds an accelerator.
   int gangs() const { return accelerators / 4; }
--- a/src/libraries/node/bundle_desk.cc
+++ b/src/libraries/node/bundle_desk.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "libraries/base/try.h"
 #include "libraries/decisions/bundle_check.h"
 #include "libraries/model/bundle_codec.h"
@@ -14,6 +16,20 @@
 namespace {
 
 constexpr int kSubmitTries = 5;
+/// Versions that stay readable, the one in force included.
+constexpr std::int64_t kVersionsKept = 50;
+/// Removed at most with one roll; the service bounds the writes of a transaction.
+constexpr std::int64_t kMostVersionsRemoved = 60;
+
+/// Bundles are large and many: only the newest stay. Removing one that is gone already does
+/// nothing.
+void RemoveOldVersions(Transaction& transaction, BundleVersion rolled) {
+  const std::int64_t oldest_kept = rolled.value() - kVersionsKept + 1;
+  const std::int64_t first = std::max<std::int64_t>(1, oldest_kept - kMostVersionsRemoved);
+  for (std::int64_t version = first; version < oldest_kept; ++version) {
+    transaction.Delete(keys::BundleKey(BundleVersion(version)));
+  }
+}
 
 absl::StatusOr<Versioned<CurrentBundle>> ReadCurrent(KeyValueService& store) {
   const RangeAnswer answer = TRY(store.Range(SingleKey(keys::kCurrentBundle)));
@@ -138,6 +154,7 @@
   transaction.Expect(keys::kCurrentBundle, current.modified)
       .Expect(keys::BundleKey(version), draft.modified)
       .Put(keys::kCurrentBundle, EncodeCurrentBundle(next));
+  RemoveOldVersions(transaction, version);
   m_audit.Add(transaction, actor.text(), "bundle roll", keys::BundleKey(version),
               fmt::format("after version {}", seen.value()));
   TRY(Resolve(m_store.Commit(transaction),
--- a/src/libraries/node/bundle_desk.h
+++ b/src/libraries/node/bundle_desk.h
@@ -25,6 +25,7 @@
                                        const OperatorId& actor);
 
   /// Puts `version` in force if `seen` still is. kAborted tells what is in force by now.
+  /// Removes versions far below the one rolled.
   /// kFailedPrecondition: not signed off, or not above what is in force.
   absl::StatusOr<CurrentBundle> Roll(BundleVersion version, BundleVersion seen,
                                      const OperatorId& actor);
--- a/tests/node/bundle_desk_test.cc
+++ b/tests/node/bundle_desk_test.cc
@@ -43,6 +43,22 @@
   cr_assert(fixture.fleet.RolledVersion() == fixture.second);
 }
 
+Test(bundle_desk, roll_of_many_versions_keeps_the_newest_fifty) {
+  constexpr int kRolls = 120;
+  TestFleet fleet{1};
+  BundleDesk& desk = fleet.node(0).bundles();
+  for (int roll = 0; roll < kRolls; ++roll) {
+    const BundleVersion seen = desk.Current().value().version;
+    const BundleRecord draft = desk.Submit(SmallerBundleText(), OperatorId("op")).value();
+    cr_assert(desk.SignOff(draft.version, draft.digest, OperatorId("op")).ok());
+    cr_assert(desk.Roll(draft.version, seen, OperatorId("op")).ok());
+  }
+  const std::vector<BundleRecord> history = desk.History().value();
+  cr_assert_eq(history.size(), 50U);
+  cr_assert(history.back().version == desk.Current().value().version);
+  cr_assert_not(desk.Read(BundleVersion(1)).ok());
+}
+
 Test(bundle_desk, roll_delayed_behind_another_changes_nothing) {
   TwoOperatorFixture fixture;
   fixture.fleet.node(0).store().FailNextCommit(CommitFault::kDelayed);
