--- a/bench/capacity/gang_costs.cc
+++ b/bench/capacity/gang_costs.cc
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-#include <atomic>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -93,6 +93,7 @@
     plan.job = Versioned<JobRecord>{submitted.job, read.records.front().modified};
     plan.placement = PlacementNumber(0, kTasks);
     plan.placement.phase = PlacementPhase::kReserved;
+    plan.chain = std::make_shared<ReserveChain>(std::map<ZoneId, Revision>());
     for (int index = 0; index < kTasks; ++index) {
       const std::string address =
           fmt::format("127.0.0.1:{}", m_stand_ins[static_cast<std::size_t>(index)]->port());
--- a/src/libraries/node/gang_start.h
+++ b/src/libraries/node/gang_start.h
@@ -18,7 +18,7 @@
   Versioned<JobRecord> job;
   PlacementRecord placement;
   std::vector<WorkerShare> shares;
-  /// Shared by all gangs that one pass decided to start.
+  /// Shared by all gangs that one pass decided to start; never null.
   std::shared_ptr<ReserveChain> chain;
   Revision zones;
   Revision current_bundle;
