Leader: Begin once the manifest is there, and log failed reads

Ruled out: failed reads (none, by a trial print), a lost watch (events came). Change: each change of a feed may begin the term; a failed read is logged; a node without a manifest asks for one each second, since it is not ready without.

--- a/src/libraries/leader/leader_election.cc
+++ b/src/libraries/leader/leader_election.cc
@@ -29,8 +29,8 @@
 
 void LeaderElection::Start() { Follow(); }
 
-void LeaderElection::NoteContact(Milliseconds sent_at) {
-  m_contact_at = std::max(m_contact_at, sent_at);
+void LeaderElection::NoteContact(Milliseconds at) {
+  m_contact_at = std::max(m_contact_at, at);
   if (m_contact_lost) {
     m_contact_lost = false;
     LogEvent(LogLevel::kInfo, "election", "store reached again").Write();
@@ -80,9 +80,8 @@
 
 void LeaderElection::WatchTerm(Revision after) {
   const std::uint64_t round = m_round;
-  const Milliseconds sent_at = Now();
   m_store.Watch(kTermKey, after, m_settings.watch_wait,
-                [this, round, sent_at, after](const WatchAnswer& answer) {
+                [this, round, after](const WatchAnswer& answer) {
                   if (round != m_round) {
                     return;
                   }
@@ -90,7 +89,7 @@
                     Follow();
                     return;
                   }
-                  NoteContact(sent_at);
+                  NoteContact(Now());
                   if (answer.changes.empty()) {
                     WatchTerm(std::max(after, answer.at));
                   } else if (answer.changes.back().kind == WriteKind::kDelete) {
--- a/src/libraries/leader/leader_election.h
+++ b/src/libraries/leader/leader_election.h
@@ -51,7 +51,7 @@
   Milliseconds confirmed_at() const { return m_confirmed_at; }
   void NoteConfirmed(Milliseconds sent_at);
 
-  /// Time since a store call was sent that was answered.
+  /// Time since the store is known to have been in reach.
   Milliseconds contact_age() const { return m_timers.clock().Now() - m_contact_at; }
 
  private:
@@ -66,7 +66,7 @@
   void Win(Revision revision, StoreLease lease, Milliseconds sent_at);
   void Renew();
   void OnRenewed(Milliseconds sent_at, const LeaseAnswer& answer);
-  void NoteContact(Milliseconds sent_at);
+  void NoteContact(Milliseconds at);
   Milliseconds Now() const { return m_timers.clock().Now(); }
 
   Timers& m_timers;
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -24,6 +24,13 @@
 /// A placement older than this when its write is answered is not ordered any more.
 constexpr Milliseconds kOldestPlacement{1'500};
 
+void LogReadFailure(const std::string& prefix, const std::string& error) {
+  LogEvent(LogLevel::kWarning, "leader", "the store could not be read; trying again")
+      .Field("prefix", prefix)
+      .Reason(error)
+      .Write();
+}
+
 }  // namespace
 
 std::shared_ptr<LeaderSession> LeaderSession::Create(const LeaderContext& context,
@@ -84,61 +91,69 @@
   m_context.store.ReadAll(m_feeds[index].prefix,
                           [weak = weak_from_this(), index](const ReadAnswer& answer) {
                             const Self self = weak.lock();
-                            if (self == nullptr || self->m_is_closed) {
-                              return;
-                            }
-                            if (answer.result != ReadResult::kOk) {
-                              self->m_context.timers.After(kFeedRetryPause, [weak, index] {
-                                const Self again = weak.lock();
-                                if (again != nullptr && !again->m_is_closed) {
-                                  again->LoadFeed(index);
-                                }
-                              });
-                              return;
+                            if (self != nullptr && !self->m_is_closed) {
+                              self->OnFeedLoaded(index, answer);
                             }
-                            Feed& feed = self->m_feeds[index];
-                            (self.get()->*feed.take_items)(answer);
-                            feed.is_loaded = true;
-                            self->WatchFeed(index, answer.at);
-                            self->BeginIfReady();
-                            self->PlanSoon();
                           });
 }
 
+void LeaderSession::OnFeedLoaded(std::size_t index, const ReadAnswer& answer) {
+  Feed& feed = m_feeds[index];
+  if (answer.result != ReadResult::kOk) {
+    LogReadFailure(feed.prefix, answer.error);
+    RetryLater([index](LeaderSession& self) { self.LoadFeed(index); });
+    return;
+  }
+  (this->*feed.take_items)(answer);
+  feed.is_loaded = true;
+  WatchFeed(index, answer.at);
+  BeginIfReady();
+  PlanSoon();
+}
+
 void LeaderSession::WatchFeed(std::size_t index, Revision after) {
   m_context.store.Watch(m_feeds[index].prefix, after, kFeedWait,
                         [weak = weak_from_this(), index, after](const WatchAnswer& answer) {
                           const Self self = weak.lock();
-                          if (self == nullptr || self->m_is_closed) {
-                            return;
-                          }
-                          if (answer.result == WatchResult::kForgotten) {
-                            LogEvent(LogLevel::kWarning, "leader",
-                                     "the store has forgotten changes; reading anew")
-                                .Field("prefix", self->m_feeds[index].prefix)
-                                .Write();
-                            self->LoadFeed(index);
-                            return;
-                          }
-                          if (answer.result == WatchResult::kFailed) {
-                            self->m_context.timers.After(kFeedRetryPause, [weak, index, after] {
-                              const Self again = weak.lock();
-                              if (again != nullptr && !again->m_is_closed) {
-                                again->WatchFeed(index, after);
-                              }
-                            });
-                            return;
-                          }
-                          for (const WatchedChange& change : answer.changes) {
-                            (self.get()->*self->m_feeds[index].take_change)(change);
+                          if (self != nullptr && !self->m_is_closed) {
+                            self->OnFeedChanged(index, after, answer);
                           }
-                          if (!answer.changes.empty()) {
-                            self->PlanSoon();
-                          }
-                          self->WatchFeed(index, std::max(after, answer.at));
                         });
 }
 
+void LeaderSession::OnFeedChanged(std::size_t index, Revision after, const WatchAnswer& answer) {
+  const Feed& feed = m_feeds[index];
+  if (answer.result == WatchResult::kForgotten) {
+    LogEvent(LogLevel::kWarning, "leader", "the store has forgotten changes; reading anew")
+        .Field("prefix", feed.prefix)
+        .Write();
+    LoadFeed(index);
+    return;
+  }
+  if (answer.result == WatchResult::kFailed) {
+    LogReadFailure(feed.prefix, answer.error);
+    RetryLater([index, after](LeaderSession& self) { self.WatchFeed(index, after); });
+    return;
+  }
+  for (const WatchedChange& change : answer.changes) {
+    (this->*feed.take_change)(change);
+  }
+  if (!answer.changes.empty()) {
+    BeginIfReady();
+    PlanSoon();
+  }
+  WatchFeed(index, std::max(after, answer.at));
+}
+
+void LeaderSession::RetryLater(std::function<void(LeaderSession&)> action) {
+  m_context.timers.After(kFeedRetryPause, [weak = weak_from_this(), action = std::move(action)] {
+    const Self self = weak.lock();
+    if (self != nullptr && !self->m_is_closed) {
+      action(*self);
+    }
+  });
+}
+
 void LeaderSession::LoadProgress() {
   m_context.store.ReadAll(kProgressPrefix, [weak = weak_from_this()](const ReadAnswer& answer) {
     const Self self = weak.lock();
@@ -146,12 +161,8 @@
       return;
     }
     if (answer.result != ReadResult::kOk) {
-      self->m_context.timers.After(kFeedRetryPause, [weak] {
-        const Self again = weak.lock();
-        if (again != nullptr && !again->m_is_closed) {
-          again->LoadProgress();
-        }
-      });
+      LogReadFailure(kProgressPrefix, answer.error);
+      self->RetryLater([](LeaderSession& session) { session.LoadProgress(); });
       return;
     }
     self->TakeProgress(answer);
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -62,7 +62,10 @@
 
   // What is read and watched.
   void LoadFeed(std::size_t index);
+  void OnFeedLoaded(std::size_t index, const ReadAnswer& answer);
   void WatchFeed(std::size_t index, Revision after);
+  void OnFeedChanged(std::size_t index, Revision after, const WatchAnswer& answer);
+  void RetryLater(std::function<void(LeaderSession&)> action);
   void LoadProgress();
   void TakeProgress(const ReadAnswer& answer);
   void TakeAcceptedItems(const ReadAnswer& answer);
--- a/src/services/edge_process.cc
+++ b/src/services/edge_process.cc
@@ -164,6 +164,10 @@
   }
 
   void KeepHouse() {
+    if (m_view.manifest() == nullptr) {
+      // Until there is one the node is not ready, and no request would ask for it.
+      m_view.Confirm(Milliseconds(0), [](Freshness) {});
+    }
     m_settings_watch.Look();
     WriteLeftOutLines();
     StandardOutput().Flush();
