--- a/src/services/stand_in_commands.cc
+++ b/src/services/stand_in_commands.cc
@@ -4,11 +4,13 @@
 #include <memory>
 #include <type_traits>
 
+#include "libraries/base/boot_clock.h"
 #include "libraries/log/json_log_sink.h"
 #include "libraries/settings/ip_address.h"
 #include "services/command_output.h"
 #include "services/commands.h"
 #include "services/process_signals.h"
+#include "stand_ins/fleet/fleet_stand_in.h"
 #include "stand_ins/minion/minion_stand_in.h"
 #include "stand_ins/platform/platform_stand_in.h"
 #include "stand_ins/worker/worker_stand_in.h"
@@ -23,6 +25,7 @@
   std::string address;
   int accelerators = 8;
   int slots = 8;
+  int minions = 8;
 };
 
 /// Runs whatever `create` makes on the options' address until a signal ends it.
@@ -45,6 +48,31 @@
   }
 }
 
+void RunFleet(CommandContext& context, const StandInOptions& options) {
+  InstallJsonLogSink(LogLevel::kWarning);
+  ProcessSignals::Install();
+  static const BootClock kClock;
+  const absl::StatusOr<std::unique_ptr<EventLoop>> loop = EventLoop::Create(kClock);
+  const absl::StatusOr<IpAddress> address = ParseIpAddress(options.address);
+  if (!loop.ok() || !address.ok()) {
+    PrintUsageError(context, std::string((loop.ok() ? address.status() : loop.status()).message()));
+    return;
+  }
+  const absl::StatusOr<std::unique_ptr<FleetStandIn>> fleet =
+      FleetStandIn::Create(**loop, address->port, options.minions);
+  if (!fleet.ok()) {
+    PrintUsageError(context, std::string(fleet.status().message()));
+    return;
+  }
+  ProcessSignals::WakeBy((*loop)->wake_descriptor());
+  (*loop)->SetAfterRound([raw = loop->get()] {
+    if (ProcessSignals::count() > 0) {
+      raw->Stop();
+    }
+  });
+  (*loop)->Run();
+}
+
 CLI::App* AddStandIn(CLI::App& parent, const std::string& name, const std::string& help,
                      StandInOptions& options) {
   CLI::App* const command = parent.add_subcommand(name, help);
@@ -66,6 +94,10 @@
       return PlatformStandIn::Create(address.host, address.port);
     });
   });
+  CLI::App* const fleet =
+      AddStandIn(*parent, "fleet", "The users' platform: its store and some minions", *options);
+  fleet->add_option("--minions", options->minions, "How many")->check(CLI::Range(1, 1'000));
+  fleet->callback([&context, options] { RunFleet(context, *options); });
   CLI::App* const worker = AddStandIn(*parent, "worker", "One worker", *options);
   worker->add_option("--accelerators", options->accelerators, "How many it has")
       ->check(CLI::Range(1, AcceleratorSet::kLargestWorker));
--- a/tests/leader/fake_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -1,12 +1,10 @@
-#include "leader/fake_minions.h"
+#include "stand_ins/fleet/fleet_minions.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
 
-#include "libraries/journal/journal_keys.h"
-
 namespace papayalift {
 
 namespace {
@@ -22,7 +20,7 @@
 
 }  // namespace
 
-void FakeMinions::Add(const MinionId& id, const RackId& rack, const Resources& capacity) {
+void FleetMinions::Add(const MinionId& id, const RackId& rack, const Resources& capacity) {
   Minion minion;
   minion.id = id;
   minion.rack = rack;
@@ -32,23 +30,23 @@
   Publish(minion);
 }
 
-void FakeMinions::Publish(const Minion& minion) {
+void FleetMinions::Publish(const Minion& minion) {
   m_store.Put(
       "servers/" + minion.id.text(),
       fmt::format(
-          R"({{"service":"pool","address":"10.0.0.1:80","zone":"a","state":"{}","coldLeftMs":0,)"
+          R"({{"service":"pool","address":"{}","zone":"a","state":"{}","coldLeftMs":0,)"
           R"("capacity":{{"cpu":{},"memMb":{},"gpu":{}}},"labels":["kind","{}"],"born":{}}})",
-          minion.state == MinionState::kReady ? "ready" : "draining", minion.capacity.cpu_milli,
-          minion.capacity.memory_mb, minion.capacity.accelerators, minion.rack.text(),
-          minion.born.count()));
+          m_address, minion.state == MinionState::kReady ? "ready" : "draining",
+          minion.capacity.cpu_milli, minion.capacity.memory_mb, minion.capacity.accelerators,
+          minion.rack.text(), minion.born.count()));
 }
 
-void FakeMinions::SetDraining(const MinionId& id) {
+void FleetMinions::SetDraining(const MinionId& id) {
   m_minions.at(id).state = MinionState::kDraining;
   Publish(m_minions.at(id));
 }
 
-void FakeMinions::Restart(const MinionId& id) {
+void FleetMinions::Restart(const MinionId& id) {
   Minion& old = m_minions.at(id);
   Minion fresh;
   fresh.id = id;
@@ -60,15 +58,15 @@
   Publish(fresh);
 }
 
-void FakeMinions::SetReachable(const MinionId& id, bool is_reachable) {
+void FleetMinions::SetReachable(const MinionId& id, bool is_reachable) {
   m_minions.at(id).is_reachable = is_reachable;
 }
 
-void FakeMinions::FailNextOrders(const MinionId& id, std::deque<OrderFault> faults) {
+void FleetMinions::FailNextOrders(const MinionId& id, std::deque<OrderFault> faults) {
   m_minions.at(id).faults = std::move(faults);
 }
 
-OrderFault FakeMinions::NextFault(Minion& minion) {
+OrderFault FleetMinions::NextFault(Minion& minion) {
   if (minion.faults.empty()) {
     return OrderFault::kNone;
   }
@@ -77,13 +75,13 @@
   return fault;
 }
 
-MinionTime FakeMinions::ClockOf(const Minion& minion) const {
+MinionTime FleetMinions::ClockOf(const Minion& minion) const {
   const double lived = static_cast<double>((m_timers.clock().Now() - minion.born).count());
   const bool is_slow = minion.id.text().back() % 2 == 0;
   return MinionTime(static_cast<std::int64_t>(lived * (is_slow ? kSlowClock : 1)));
 }
 
-const StepSpec* FakeMinions::StepOf(const TaskName& task) const {
+const StepSpec* FleetMinions::StepOf(const TaskName& task) const {
   const auto job = m_jobs.find(task.job);
   if (job == m_jobs.end() || static_cast<std::size_t>(task.step) >= job->second.work.steps.size()) {
     return nullptr;
@@ -91,12 +89,12 @@
   return &job->second.work.steps[static_cast<std::size_t>(task.step)];
 }
 
-void FakeMinions::Break(const std::string& rule, const TaskName& task) {
+void FleetMinions::Break(const std::string& rule, const TaskName& task) {
   m_broken.push_back(
       fmt::format("{} ms: {}: {}", m_timers.clock().Now().count(), rule, TaskNameText(task)));
 }
 
-Resources FakeMinions::TakenOn(const Minion& minion) const {
+Resources FleetMinions::TakenOn(const Minion& minion) const {
   Resources taken;
   for (const auto& [task, run] : minion.runs) {
     if (const StepSpec* const step = StepOf(task); step != nullptr) {
@@ -108,8 +106,8 @@
 
 // --- orders ---
 
-void FakeMinions::Start(const MinionAddress& address, const StartOrder& order,
-                        std::function<void(OrderAnswer)> answer) {
+void FleetMinions::Start(const MinionAddress& address, const StartOrder& order,
+                         std::function<void(OrderAnswer)> answer) {
   Minion& minion = m_minions.at(address.id);
   const OrderFault fault = NextFault(minion);
   if (!minion.is_reachable || fault == OrderFault::kLost) {
@@ -142,7 +140,7 @@
 }
 
 /// What a process has taken in ends with it.
-void FakeMinions::CarryOutLater(const MinionId& id, std::function<void(Minion&)> action) {
+void FleetMinions::CarryOutLater(const MinionId& id, std::function<void(Minion&)> action) {
   m_timers.After(kLateBy, [this, id, born = m_minions.at(id).born, action = std::move(action)] {
     if (m_minions.at(id).born == born) {
       action(m_minions.at(id));
@@ -150,7 +148,7 @@
   });
 }
 
-OrderAnswer FakeMinions::CarryOutStart(Minion& minion, const StartOrder& order) {
+OrderAnswer FleetMinions::CarryOutStart(Minion& minion, const StartOrder& order) {
   AdvanceAll();
   if (order.token < minion.token) {
     return OrderAnswer{OrderResult::kFenced, ClockOf(minion), "fence"};
@@ -180,13 +178,13 @@
   return OrderAnswer{OrderResult::kDone, ClockOf(minion), ""};
 }
 
-void FakeMinions::CheckStart(const Minion& minion, const StartOrder& order) {
+void FleetMinions::CheckStart(const Minion& minion, const StartOrder& order) {
   const StepSpec* const step = StepOf(order.task);
-  if (step == nullptr) {
+  if (step == nullptr && !m_accepts_unknown) {
     Break("unasked", order.task);
     return;
   }
-  if (!(TakenOn(minion) + step->needs).Fits(minion.capacity)) {
+  if (step != nullptr && !(TakenOn(minion) + step->needs).Fits(minion.capacity)) {
     Break("over capacity on " + minion.id.text(), order.task);
   }
   if (m_acknowledged_done.contains(order.task)) {
@@ -197,7 +195,7 @@
       Break("runs twice, also on " + id.text(), order.task);
     }
   }
-  for (const int earlier : step->after) {
+  for (const int earlier : step == nullptr ? std::vector<int>() : step->after) {
     const StepSpec& before =
         m_jobs.at(order.task.job).work.steps[static_cast<std::size_t>(earlier)];
     for (int index = 0; index < before.count; ++index) {
@@ -208,8 +206,8 @@
   }
 }
 
-void FakeMinions::Stop(const MinionAddress& address, const StopOrder& order,
-                       std::function<void(OrderAnswer)> answer) {
+void FleetMinions::Stop(const MinionAddress& address, const StopOrder& order,
+                        std::function<void(OrderAnswer)> answer) {
   Minion& minion = m_minions.at(address.id);
   const OrderFault fault = NextFault(minion);
   if (!minion.is_reachable || fault == OrderFault::kLost || fault == OrderFault::kRefused) {
@@ -235,7 +233,7 @@
   }
 }
 
-OrderAnswer FakeMinions::CarryOutStop(Minion& minion, const StopOrder& order) {
+OrderAnswer FleetMinions::CarryOutStop(Minion& minion, const StopOrder& order) {
   AdvanceAll();
   if (order.token < minion.token) {
     return OrderAnswer{OrderResult::kFenced, ClockOf(minion), "fence"};
@@ -258,8 +256,8 @@
   return OrderAnswer{OrderResult::kDone, ClockOf(minion), ""};
 }
 
-void FakeMinions::Hold(const MinionAddress& address, const HoldOrder& order,
-                       std::function<void(HoldAnswer)> answer) {
+void FleetMinions::Hold(const MinionAddress& address, const HoldOrder& order,
+                        std::function<void(HoldAnswer)> answer) {
   Minion& minion = m_minions.at(address.id);
   if (!minion.is_reachable) {
     m_timers.After(order.wait + kOrderLimit, [answer] { answer(HoldAnswer{}); });
@@ -268,8 +266,8 @@
   PollHold(address.id, minion.born, order, m_timers.clock().Now() + order.wait, std::move(answer));
 }
 
-void FakeMinions::PollHold(const MinionId& id, Milliseconds born, const HoldOrder& order,
-                           Milliseconds until, std::function<void(HoldAnswer)> answer) {
+void FleetMinions::PollHold(const MinionId& id, Milliseconds born, const HoldOrder& order,
+                            Milliseconds until, std::function<void(HoldAnswer)> answer) {
   Minion& minion = m_minions.at(id);
   if (minion.born != born) {
     // The connection went with the process that held it.
@@ -288,7 +286,7 @@
   });
 }
 
-HoldAnswer FakeMinions::CarryOutHold(Minion& minion, const HoldOrder& order) {
+HoldAnswer FleetMinions::CarryOutHold(Minion& minion, const HoldOrder& order) {
   AdvanceAll();
   HoldAnswer answer;
   if (order.token < minion.token) {
@@ -318,13 +316,13 @@
 
 // --- runs ---
 
-void FakeMinions::TakeLease(Minion& minion, MinionTime until) {
+void FleetMinions::TakeLease(Minion& minion, MinionTime until) {
   const MinionTime most(ClockOf(minion).value() + kLongestLease.count());
   const MinionTime granted = std::min(until, most);
   minion.lease_until = std::max(minion.lease_until.value_or(granted), granted);
 }
 
-void FakeMinions::BeginIfWhole(const TaskName& task, AttemptNumber attempt) {
+void FleetMinions::BeginIfWhole(const TaskName& task, AttemptNumber attempt) {
   const StepSpec* const step = StepOf(task);
   std::vector<Run*> members;
   for (auto& [id, minion] : m_minions) {
@@ -349,13 +347,13 @@
   }
 }
 
-void FakeMinions::AdvanceAll() {
+void FleetMinions::AdvanceAll() {
   for (auto& [id, minion] : m_minions) {
     Advance(minion);
   }
 }
 
-void FakeMinions::Advance(Minion& minion) {
+void FleetMinions::Advance(Minion& minion) {
   if (minion.lease_until.has_value() && ClockOf(minion) > *minion.lease_until) {
     while (!minion.runs.empty()) {
       End(minion, minion.runs.begin()->first, EndKind::kLapsed);
@@ -372,13 +370,13 @@
   }
 }
 
-void FakeMinions::EndRun(Minion& minion, const Run& run) {
+void FleetMinions::EndRun(Minion& minion, const Run& run) {
   const auto job = m_jobs.find(run.task.job);
   const bool fails = job != m_jobs.end() && run.attempt.value() <= job->second.failing_attempts;
   End(minion, run.task, fails ? EndKind::kFailed : EndKind::kDone);
 }
 
-void FakeMinions::End(Minion& minion, const TaskName& task, EndKind kind) {
+void FleetMinions::End(Minion& minion, const TaskName& task, EndKind kind) {
   const Run run = minion.runs.at(task);
   minion.runs.erase(task);
   AttemptNumber& barred = minion.barred[task];
@@ -391,12 +389,12 @@
 
 // --- what was seen ---
 
-int FakeMinions::starts(const JobId& job) const {
+int FleetMinions::starts(const JobId& job) const {
   const auto found = m_starts.find(job);
   return found == m_starts.end() ? 0 : found->second;
 }
 
-int FakeMinions::starts() const {
+int FleetMinions::starts() const {
   int sum = 0;
   for (const auto& [job, count] : m_starts) {
     sum += count;
@@ -404,7 +402,7 @@
   return sum;
 }
 
-std::vector<MinionId> FakeMinions::RunningOn(const JobId& job) const {
+std::vector<MinionId> FleetMinions::RunningOn(const JobId& job) const {
   std::vector<MinionId> found;
   for (const auto& [id, minion] : m_minions) {
     for (const auto& [task, run] : minion.runs) {
@@ -416,27 +414,4 @@
   return found;
 }
 
-// --- one node's way to them ---
-
-void FakeMinionPort::Start(const MinionAddress& minion, const StartOrder& order,
-                           std::function<void(OrderAnswer)> callback) {
-  m_timers.After(kWay, [this, minion, order, guarded = Guard<OrderAnswer>(std::move(callback))] {
-    m_minions.Start(minion, order, guarded);
-  });
-}
-
-void FakeMinionPort::Stop(const MinionAddress& minion, const StopOrder& order,
-                          std::function<void(OrderAnswer)> callback) {
-  m_timers.After(kWay, [this, minion, order, guarded = Guard<OrderAnswer>(std::move(callback))] {
-    m_minions.Stop(minion, order, guarded);
-  });
-}
-
-void FakeMinionPort::Hold(const MinionAddress& minion, const HoldOrder& order,
-                          std::function<void(HoldAnswer)> callback) {
-  m_timers.After(kWay, [this, minion, order, guarded = Guard<HoldAnswer>(std::move(callback))] {
-    m_minions.Hold(minion, order, guarded);
-  });
-}
-
 }  // namespace papayalift
--- a/tests/leader/fake_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -1,17 +1,18 @@
-/// Minions that run tasks in virtual time, with fences, leases, lives and clocks of their own.
+/// Minions that run tasks, with fences, leases, lives and clocks of their own.
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "leader/fake_store_port.h"
-#include "leader/virtual_timers.h"
-#include "libraries/work/minion_port.h"
+#include "libraries/loop/timers.h"
+#include "libraries/work/run_messages.h"
 #include "libraries/work/work_spec.h"
+#include "stand_ins/fleet/fleet_store.h"
 
 namespace papayalift {
 
@@ -36,12 +37,17 @@
 };
 
 /// All minions of a test, and what they have seen; broken rules are collected.
-class FakeMinions {
+class FleetMinions {
  public:
-  FakeMinions(VirtualTimers& timers, FakeStore& store) : m_timers(timers), m_store(store) {}
+  FleetMinions(Timers& timers, FleetStore& store) : m_timers(timers), m_store(store) {}
 
+  /// Where they say that they are reached.
+  void ListenAt(const std::string& address) { m_address = address; }
   void Add(const MinionId& id, const RackId& rack, const Resources& capacity);
+  /// Jobs that were not made known are run too, and only checked for running twice.
+  void AcceptUnknownJobs() { m_accepts_unknown = true; }
   void Know(const JobId& id, KnownJob job) { m_jobs[id] = std::move(job); }
+  bool Has(const MinionId& id) const { return m_minions.contains(id); }
   void SetDraining(const MinionId& id);
   /// Kills everything there; a new life begins at once under the same id.
   void Restart(const MinionId& id);
@@ -108,8 +114,10 @@
   const StepSpec* StepOf(const TaskName& task) const;
   void Break(const std::string& rule, const TaskName& task);
 
-  VirtualTimers& m_timers;
-  FakeStore& m_store;
+  bool m_accepts_unknown = false;
+  std::string m_address = "10.0.0.1:80";
+  Timers& m_timers;
+  FleetStore& m_store;
   std::map<MinionId, Minion> m_minions;
   std::map<JobId, KnownJob> m_jobs;
   std::map<JobId, int> m_starts;
@@ -119,34 +127,4 @@
   std::vector<std::string> m_broken;
 };
 
-/// One node's way to the minions.
-class FakeMinionPort final : public MinionPort {
- public:
-  FakeMinionPort(VirtualTimers& timers, FakeMinions& minions)
-      : m_timers(timers), m_minions(minions) {}
-
-  void Start(const MinionAddress& minion, const StartOrder& order,
-             std::function<void(OrderAnswer)> callback) override;
-  void Stop(const MinionAddress& minion, const StopOrder& order,
-            std::function<void(OrderAnswer)> callback) override;
-  void Hold(const MinionAddress& minion, const HoldOrder& order,
-            std::function<void(HoldAnswer)> callback) override;
-
-  void Abandon() { m_is_abandoned = true; }
-
- private:
-  template <typename Answer>
-  std::function<void(Answer)> Guard(std::function<void(Answer)> callback) {
-    return [this, callback = std::move(callback)](const Answer& answer) {
-      if (!m_is_abandoned) {
-        callback(answer);
-      }
-    };
-  }
-
-  VirtualTimers& m_timers;
-  FakeMinions& m_minions;
-  bool m_is_abandoned = false;
-};
-
 }  // namespace papayalift
--- /dev/null
+++ b/src/stand_ins/fleet/fleet_stand_in.cc
@@ -0,0 +1,117 @@
+#include "stand_ins/fleet/fleet_stand_in.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+
+#include "libraries/base/enum_names.h"
+#include "libraries/model/json_document.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr Resources kMinionCapacity{16'000, 32'768, 8};
+constexpr int kMinionsOnARack = 4;
+constexpr char kControlPrefix[] = "/stand-in/";
+
+constexpr std::array<EnumName<StoreCallFault>, 3> kStoreFaults{
+    {{StoreCallFault::kBusy, "busy"},
+     {StoreCallFault::kAnswerLost, "answer-lost"},
+     {StoreCallFault::kLate, "late"}}};
+constexpr std::array<EnumName<OrderFault>, 4> kOrderFaults{
+    {{OrderFault::kLost, "lost"},
+     {OrderFault::kAnswerLost, "answer-lost"},
+     {OrderFault::kLate, "late"},
+     {OrderFault::kRefused, "refused"}}};
+
+std::string QueryValue(const HttpRequest& request, const std::string& name) {
+  const auto found = request.query.find(name);
+  return found == request.query.end() ? "" : found->second;
+}
+
+template <typename Fault, std::size_t kSize>
+std::deque<Fault> FaultsOf(const HttpRequest& request,
+                           const std::array<EnumName<Fault>, kSize>& names) {
+  const std::optional<Fault> fault = EnumFromText(names, QueryValue(request, "fault"));
+  if (!fault.has_value()) {
+    return {};
+  }
+  constexpr std::size_t kMostFaults = 1'000;
+  const std::string count = QueryValue(request, "count");
+  return std::deque<Fault>(
+      count.empty() ? 1
+                    : std::min<std::size_t>(kMostFaults, std::strtoul(count.c_str(), nullptr, 10)),
+      *fault);
+}
+
+}  // namespace
+
+FleetStandIn::FleetStandIn(EventLoop& loop)
+    : m_store(loop),
+      m_minions(loop, m_store),
+      m_store_wire(loop, m_store),
+      m_minion_wire(m_minions) {}
+
+absl::StatusOr<std::unique_ptr<FleetStandIn>> FleetStandIn::Create(EventLoop& loop,
+                                                                   std::uint16_t port,
+                                                                   int minions) {
+  std::unique_ptr<FleetStandIn> stand_in(new FleetStandIn(loop));
+  stand_in->m_minions.ListenAt(fmt::format("127.0.0.1:{}", port));
+  stand_in->m_minions.AcceptUnknownJobs();
+  for (int number = 0; number < minions; ++number) {
+    stand_in->m_minions.Add(MinionId(fmt::format("minion-{}", number)),
+                            RackId(fmt::format("rack-{}", number / kMinionsOnARack)),
+                            kMinionCapacity);
+  }
+  absl::StatusOr<std::unique_ptr<AsyncHttpServer>> server = AsyncHttpServer::Create(
+      loop, "127.0.0.1", port, HttpServerLimits{},
+      [raw = stand_in.get()](const HttpRequest& request, const HttpResponder& respond) {
+        raw->Handle(request, respond);
+      });
+  if (!server.ok()) {
+    return server.status();
+  }
+  stand_in->m_server = *std::move(server);
+  return stand_in;
+}
+
+void FleetStandIn::Handle(const HttpRequest& request, const HttpResponder& respond) {
+  if (request.path.starts_with(kControlPrefix)) {
+    HandleControl(request, respond);
+  } else if (request.path.starts_with("/kv-")) {
+    m_store_wire.Handle(request, respond);
+  } else {
+    m_minion_wire.Handle(request, respond);
+  }
+}
+
+void FleetStandIn::HandleControl(const HttpRequest& request, const HttpResponder& respond) {
+  const std::string action = request.path.substr(std::string(kControlPrefix).size());
+  HttpResponse response;
+  if (action == "put") {
+    m_store.Put(QueryValue(request, "key"), request.body);
+  } else if (action == "remove") {
+    m_store.Remove(QueryValue(request, "key"));
+  } else if (action == "forget") {
+    m_store.ForgetHistory();
+  } else if (action == "fail-store") {
+    m_store_wire.FailNext(FaultsOf(request, kStoreFaults));
+  } else if (action == "fail-minion") {
+    m_minions.FailNextOrders(MinionId(QueryValue(request, "minion")),
+                             FaultsOf(request, kOrderFaults));
+  } else if (action == "restart") {
+    m_minions.Restart(MinionId(QueryValue(request, "minion")));
+  } else if (action == "starts") {
+    response.body = std::to_string(m_minions.starts(JobId(QueryValue(request, "job"))));
+  } else if (action == "broken") {
+    response.body = Json(m_minions.broken()).dump();
+  } else {
+    response.status = HttpStatus::kNotFound;
+  }
+  respond(response);
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/stand_ins/fleet/fleet_store.cc
@@ -0,0 +1,123 @@
+#include "stand_ins/fleet/fleet_store.h"
+
+#include <utility>
+
+namespace papayalift {
+
+const StoreItem* FleetStore::Find(const std::string& key) const {
+  const auto found = m_items.find(key);
+  return found == m_items.end() ? nullptr : &found->second;
+}
+
+CommitAnswer FleetStore::Apply(const Transaction& transaction) {
+  ExpireLeases();
+  CommitAnswer answer;
+  answer.result = TransactionResult::kApplied;
+  for (const Comparison& comparison : transaction.comparisons()) {
+    const StoreItem* const item = Find(comparison.key);
+    StoreItem shown =
+        item == nullptr ? StoreItem{comparison.key, "", Revision(0), Revision(0)} : *item;
+    if (shown.revision != comparison.modified) {
+      answer.result = TransactionResult::kConflict;
+    }
+    answer.items.push_back(std::move(shown));
+  }
+  if (answer.result == TransactionResult::kConflict) {
+    return answer;
+  }
+  answer.items.clear();
+  m_revision = m_revision.Next();
+  for (const Write& write : transaction.writes()) {
+    if (write.kind == WriteKind::kDelete) {
+      if (m_items.erase(write.key) > 0) {
+        Note(WatchedChange{StoreItem{write.key, "", m_revision, Revision(0)}, WriteKind::kDelete});
+      }
+      continue;
+    }
+    StoreItem& item = m_items[write.key];
+    item = StoreItem{write.key, write.value, m_revision,
+                     item.created.value() == 0 ? m_revision : item.created};
+    m_lease_of_key[write.key] = write.lease;
+    Note(WatchedChange{item, WriteKind::kPut});
+  }
+  answer.revision = m_revision;
+  return answer;
+}
+
+std::vector<StoreItem> FleetStore::ItemsBelow(const std::string& prefix) const {
+  std::vector<StoreItem> items;
+  for (auto entry = m_items.lower_bound(prefix);
+       entry != m_items.end() && entry->first.starts_with(prefix); ++entry) {
+    items.push_back(entry->second);
+  }
+  return items;
+}
+
+void FleetStore::Put(const std::string& key, const std::string& value) {
+  Apply(Transaction().Put(key, value));
+}
+
+void FleetStore::Remove(const std::string& key) { Apply(Transaction().Delete(key)); }
+
+StoreLease FleetStore::Grant(Milliseconds time_to_live) {
+  const StoreLease lease(++m_last_lease);
+  m_leases[lease] = Lease{time_to_live, m_timers.clock().Now() + time_to_live};
+  return lease;
+}
+
+bool FleetStore::Keep(StoreLease lease) {
+  ExpireLeases();
+  const auto found = m_leases.find(lease);
+  if (found == m_leases.end()) {
+    return false;
+  }
+  found->second.ends_at = m_timers.clock().Now() + found->second.time_to_live;
+  return true;
+}
+
+void FleetStore::End(StoreLease lease) {
+  m_leases.erase(lease);
+  for (auto entry = m_lease_of_key.begin(); entry != m_lease_of_key.end();) {
+    if (entry->second == lease) {
+      const std::string key = entry->first;
+      entry = m_lease_of_key.erase(entry);
+      if (m_items.erase(key) > 0) {
+        m_revision = m_revision.Next();
+        Note(WatchedChange{StoreItem{key, "", m_revision, Revision(0)}, WriteKind::kDelete});
+      }
+    } else {
+      ++entry;
+    }
+  }
+}
+
+void FleetStore::ExpireLeases() {
+  std::vector<StoreLease> ended;
+  for (const auto& [lease, state] : m_leases) {
+    if (state.ends_at <= m_timers.clock().Now()) {
+      ended.push_back(lease);
+    }
+  }
+  for (const StoreLease lease : ended) {
+    End(lease);
+  }
+}
+
+void FleetStore::Note(WatchedChange change) { m_history.push_back(std::move(change)); }
+
+std::optional<std::vector<WatchedChange>> FleetStore::ChangesAfter(const std::string& prefix,
+                                                                   Revision after) const {
+  const_cast<FleetStore*>(this)->ExpireLeases();
+  if (after < m_forgotten) {
+    return std::nullopt;
+  }
+  std::vector<WatchedChange> changes;
+  for (const WatchedChange& change : m_history) {
+    if (change.item.revision > after && change.item.key.starts_with(prefix)) {
+      changes.push_back(change);
+    }
+  }
+  return changes;
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/stand_ins/fleet/store_wire.h
@@ -0,0 +1,47 @@
+/// The store of the stand-in as the platform speaks it, with faults on demand.
+#pragma once
+
+#include <deque>
+#include <string>
+
+#include "libraries/http/async_http_server.h"
+#include "libraries/loop/timers.h"
+#include "stand_ins/fleet/fleet_store.h"
+
+namespace papayalift {
+
+/// What becomes of one call on the store.
+enum class StoreCallFault {
+  kNone,
+  /// Refused; nothing is done.
+  kBusy,
+  /// Done, and not answered.
+  kAnswerLost,
+  /// Not answered, and done seconds later where its conditions still hold.
+  kLate,
+};
+
+class StoreWire {
+ public:
+  StoreWire(Timers& timers, FleetStore& store) : m_timers(timers), m_store(store) {}
+
+  void Handle(const HttpRequest& request, const HttpResponder& respond);
+
+  /// The next transactions meet these, in order.
+  void FailNext(std::deque<StoreCallFault> faults) { m_faults = std::move(faults); }
+
+ private:
+  void HandleKey(const HttpRequest& request, const HttpResponder& respond);
+  void HandleRange(const HttpRequest& request, const HttpResponder& respond);
+  void HandleWatch(const HttpRequest& request, const HttpResponder& respond);
+  void PollWatch(const std::string& prefix, Revision after, Milliseconds until,
+                 const HttpResponder& respond);
+  void HandleTransaction(const HttpRequest& request, const HttpResponder& respond);
+  void HandleLease(const HttpRequest& request, const HttpResponder& respond);
+
+  Timers& m_timers;
+  FleetStore& m_store;
+  std::deque<StoreCallFault> m_faults;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/leader/fake_minion_port.h
@@ -0,0 +1,42 @@
+/// A node's way to the minions of a test.
+#pragma once
+
+#include <utility>
+
+#include "leader/virtual_timers.h"
+#include "libraries/work/minion_port.h"
+#include "stand_ins/fleet/fleet_minions.h"
+
+namespace papayalift {
+
+/// One node's way to the minions.
+class FakeMinionPort final : public MinionPort {
+ public:
+  FakeMinionPort(VirtualTimers& timers, FleetMinions& minions)
+      : m_timers(timers), m_minions(minions) {}
+
+  void Start(const MinionAddress& minion, const StartOrder& order,
+             std::function<void(OrderAnswer)> callback) override;
+  void Stop(const MinionAddress& minion, const StopOrder& order,
+            std::function<void(OrderAnswer)> callback) override;
+  void Hold(const MinionAddress& minion, const HoldOrder& order,
+            std::function<void(HoldAnswer)> callback) override;
+
+  void Abandon() { m_is_abandoned = true; }
+
+ private:
+  template <typename Answer>
+  std::function<void(Answer)> Guard(std::function<void(Answer)> callback) {
+    return [this, callback = std::move(callback)](const Answer& answer) {
+      if (!m_is_abandoned) {
+        callback(answer);
+      }
+    };
+  }
+
+  VirtualTimers& m_timers;
+  FleetMinions& m_minions;
+  bool m_is_abandoned = false;
+};
+
+}  // namespace papayalift
--- a/tests/leader/job_journal_test.cc
+++ b/tests/leader/job_journal_test.cc
@@ -40,7 +40,7 @@
 
   const JobId id{"00000000000000aa"};
   VirtualTimers timers;
-  FakeStore store{timers};
+  FleetStore store{timers};
   FakeStorePort port{timers, store};
   platform::PlatformDirectory directory;
   ManifestView view{timers, port, directory};
--- a/tests/leader/leader_election_test.cc
+++ b/tests/leader/leader_election_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 struct Candidate {
-  Candidate(VirtualTimers& timers, FakeStore& store, const std::string& name)
+  Candidate(VirtualTimers& timers, FleetStore& store, const std::string& name)
       : port(timers, store),
         election(timers, port, ElectionSettings{.node = name},
                  ElectionCallbacks{[this](Term term) { terms.push_back(term); },
@@ -33,7 +33,7 @@
   Candidate& follower() { return left.election.is_leader() ? right : left; }
 
   VirtualTimers timers;
-  FakeStore store{timers};
+  FleetStore store{timers};
   Candidate left{timers, store, "left"};
   Candidate right{timers, store, "right"};
 };
@@ -73,7 +73,7 @@
 
 Test(leader_election, claim_with_a_lost_answer_is_recognised) {
   VirtualTimers timers;
-  FakeStore store(timers);
+  FleetStore store(timers);
   Candidate only(timers, store, "only");
   only.port.FailNextCommits({StoreFault::kAnswerLost});
   timers.Run(Milliseconds(4'000));
@@ -82,7 +82,7 @@
 
 Test(leader_election, claim_that_is_done_late_blocks_nobody_for_long) {
   VirtualTimers timers;
-  FakeStore store(timers);
+  FleetStore store(timers);
   Candidate only(timers, store, "only");
   only.port.FailNextCommits({StoreFault::kDoneLate});
   timers.Run(Milliseconds(10'000));
--- a/tests/leader/test_office.cc
+++ b/tests/leader/test_office.cc
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-OfficeNode::OfficeNode(VirtualTimers& timers, FakeStore& store, FakeMinions& minions,
+OfficeNode::OfficeNode(VirtualTimers& timers, FleetStore& store, FleetMinions& minions,
                        const std::string& name)
     : m_timers(timers),
       m_store(timers, store),
--- a/tests/leader/test_office.h
+++ b/tests/leader/test_office.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "leader/fake_minions.h"
+#include "leader/fake_minion_port.h"
 #include "leader/fake_store_port.h"
 #include "leader/virtual_timers.h"
 #include "libraries/front_desk/front_desk.h"
@@ -17,7 +17,7 @@
 /// One node: front desk, election and, while it leads, a session.
 class OfficeNode {
  public:
-  OfficeNode(VirtualTimers& timers, FakeStore& store, FakeMinions& minions,
+  OfficeNode(VirtualTimers& timers, FleetStore& store, FleetMinions& minions,
              const std::string& name);
   ~OfficeNode();
 
@@ -63,8 +63,8 @@
   WorkState StateOf(const JobId& id);
 
   VirtualTimers timers;
-  FakeStore store{timers};
-  FakeMinions minions{timers, store};
+  FleetStore store{timers};
+  FleetMinions minions{timers, store};
 
  private:
   std::unique_ptr<OfficeNode> MakeNode(std::size_t index);
