Leader: Start again what stands still, and doubt minions that fail in a row

Cause: tasks on some minions stand still (srv_grey hang), and a minion that fails all it starts got the next task after 4 s. Change: a run whose percentage has not risen for 2.5 s is stopped and starts elsewhere; each further failure in a row doubles the time for which a minion is avoided, unless the job has failed on several. Tried and taken out: starting again what is several times slower than estimated.

--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -7,6 +7,7 @@
 #include "libraries/journal/job_progress_codec.h"
 #include "libraries/journal/journal_keys.h"
 #include "libraries/leader/plan_snapshot_maker.h"
+#include "libraries/leader/run_progress.h"
 #include "libraries/log/log_event.h"
 #include "libraries/planner/plan_starts.h"
 
@@ -21,6 +22,12 @@
 constexpr Milliseconds kTickInterval{400};
 /// A minion on which a task has just failed gets no work unless nothing else has room.
 constexpr Milliseconds kAvoidAfterFailure{4'000};
+/// Each further failure in a row doubles that.
+constexpr int kMostDoublings = 3;
+constexpr std::size_t kMinionsBeforeTheJobIsBlamed = 1;
+constexpr Milliseconds kAvoidAfterStall{5'000};
+/// Of a new measurement of a minion's speed against what was known.
+constexpr double kSpeedWeight = 0.2;
 /// A placement older than this when its write is answered is not ordered any more.
 constexpr Milliseconds kOldestPlacement{1'500};
 
@@ -70,7 +77,7 @@
           [this](const TrackedRun& run, RunLoss loss, const std::string& reason) {
             OnLost(run, loss, reason);
           },
-          [this](const TrackedRun& run, const ActiveRun& active) { OnActive(run, active); },
+          [this](TrackedRun& run, const ActiveRun& active) { OnActive(run, active); },
           [this] { m_context.election.StepDown("a minion has seen a higher token"); },
           [this] { PlanSoon(); }});
   LoadProgress();
@@ -462,11 +469,19 @@
   }
 }
 
+/// A job that has failed on several minions is taken to be at fault itself.
+void LeaderSession::BlameMinion(TrackedMinion& minion, const TrackedJob& job) {
+  if (job.failed_on.size() > kMinionsBeforeTheJobIsBlamed) {
+    return;
+  }
+  const int doublings = std::min(minion.health.failures_in_a_row++, kMostDoublings);
+  minion.health.avoid_until = Now() + kAvoidAfterFailure * (1 << doublings);
+}
+
 void LeaderSession::TakeFailure(TrackedJob& job, const MinionId& minion_id, const EndedRun& end) {
   TrackedMinion& minion = *m_state.FindMinion(minion_id);
-  ++minion.health.failures_in_a_row;
-  minion.health.avoid_until = Now() + kAvoidAfterFailure;
   job.failed_on.insert(minion_id);
+  BlameMinion(minion, job);
   const std::size_t step = static_cast<std::size_t>(end.task.step);
   const bool is_gang = job.accepted.work.steps[step].kind == StepKind::kGang;
   int failures = 0;
@@ -539,12 +554,29 @@
   PlanSoon();
 }
 
-void LeaderSession::OnActive(const TrackedRun& run, const ActiveRun& active) {
+void LeaderSession::OnActive(TrackedRun& run, const ActiveRun& active) {
   TrackedJob* const job = m_state.FindJob(run.task.job);
   const TaskProgress* const task = m_state.FindTask(run.task);
   if (job != nullptr && task != nullptr && task->attempt == run.attempt) {
     TakeCheckpoint(*job, run.task, active.checkpoint);
+    StopIfItStandsStill(*job, run);
+  }
+}
+
+void LeaderSession::StopIfItStandsStill(const TrackedJob& job, TrackedRun& run) {
+  const StepSpec& step = job.accepted.work.steps[static_cast<std::size_t>(run.task.step)];
+  TrackedMinion& minion = *m_state.FindMinion(run.minion);
+  if (const std::optional<double> speed = MeasuredSpeed(run, step, Now())) {
+    minion.health.speed += (*speed - minion.health.speed) * kSpeedWeight;
+    minion.health.speed_at = Now();
+  }
+  if (JudgeProgress(run, step, Now()) == ProgressVerdict::kFine || run.stop_wanted ||
+      job.is_cancelled) {
+    return;
   }
+  minion.health.avoid_until = Now() + kAvoidAfterStall;
+  m_context.metrics.Count("papayalift_runs_given_up_total");
+  m_supervisor->Stop(run, "it stands still");
 }
 
 void LeaderSession::StopStep(TrackedJob& job, int step, const std::string& reason) {
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -84,8 +84,10 @@
   // What becomes of runs.
   void OnEnded(const MinionId& minion, const EndedRun& end);
   void OnLost(const TrackedRun& run, RunLoss loss, const std::string& reason);
-  void OnActive(const TrackedRun& run, const ActiveRun& active);
+  void OnActive(TrackedRun& run, const ActiveRun& active);
+  void StopIfItStandsStill(const TrackedJob& job, TrackedRun& run);
   void TakeDone(TrackedJob& job, const EndedRun& end);
+  void BlameMinion(TrackedMinion& minion, const TrackedJob& job);
   void TakeFailure(TrackedJob& job, const MinionId& minion, const EndedRun& end);
   void TakeCheckpoint(TrackedJob& job, const TaskName& task, const std::string& checkpoint);
   void BackToWaiting(TrackedJob& job, const TaskName& task);
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -41,8 +41,11 @@
   Milliseconds decided_at{0};
   std::optional<Milliseconds> running_since;
   int percent = 0;
-  /// When the percentage last rose, and the run's age in this attempt then.
+  /// When the percentage last rose.
   Milliseconds progressed_at{0};
+  /// What the first report said; a run from a checkpoint does not begin at 0.
+  std::optional<int> first_percent;
+  Milliseconds first_percent_at{0};
 };
 
 /// An end that was listed and not yet stored.
@@ -88,6 +91,8 @@
   Milliseconds avoid_until{0};
   int failures_in_a_row = 0;
   double speed = 1;
+  /// When the speed was last measured.
+  Milliseconds speed_at{0};
 };
 
 struct TrackedMinion {
--- a/src/libraries/leader/plan_snapshot_maker.cc
+++ b/src/libraries/leader/plan_snapshot_maker.cc
@@ -11,6 +11,8 @@
 /// Work on another rack takes about three times as long, so waiting for the rack pays for twice the
 /// work's own time.
 constexpr int kRackPatienceInEstimates = 2;
+/// A minion that was slow longer ago may be sound again.
+constexpr Milliseconds kSpeedHolds{6'000};
 
 bool IsUsable(const LeaderState& state, const TrackedMinion& minion, Milliseconds now) {
   return minion.entry.has_value() && minion.entry->state == MinionState::kReady &&
@@ -18,7 +20,7 @@
          now >= minion.health.avoid_until && !state.evacuated.contains(minion.entry->zone);
 }
 
-PlanMinion MinionOf(const TrackedMinion& minion) {
+PlanMinion MinionOf(const TrackedMinion& minion, Milliseconds now) {
   PlanMinion planned;
   planned.id = minion.id;
   planned.service = minion.entry->service;
@@ -26,7 +28,8 @@
   planned.labels = minion.entry->labels;
   planned.capacity = minion.entry->capacity;
   planned.free = minion.entry->capacity - minion.taken;
-  planned.speed = minion.health.speed;
+  const bool is_recent = now - minion.health.speed_at < kSpeedHolds;
+  planned.speed = is_recent ? minion.health.speed : 1;
   for (const auto& [task, run] : minion.runs) {
     if (run.stop_wanted) {
       planned.being_freed += run.needs;
@@ -70,7 +73,7 @@
   PlanSnapshot Make() {
     for (const auto& [id, minion] : m_state.minions) {
       if (IsUsable(m_state, minion, m_clock.Now())) {
-        m_snapshot.minions.push_back(MinionOf(minion));
+        m_snapshot.minions.push_back(MinionOf(minion, m_clock.Now()));
       }
     }
     for (auto& [id, job] : m_state.jobs) {
--- /dev/null
+++ b/src/libraries/leader/run_progress.h
@@ -0,0 +1,25 @@
+/// Judges from its percentages whether a run gets on.
+#pragma once
+
+#include <optional>
+
+#include "libraries/leader/leader_state.h"
+#include "libraries/work/work_spec.h"
+
+namespace papayalift {
+
+enum class ProgressVerdict {
+  kFine,
+  /// Nothing has been done for some time.
+  kStalled,
+};
+
+/// Takes what a report says of the run at `now`.
+void NoteProgress(TrackedRun& run, int percent, Milliseconds now);
+
+ProgressVerdict JudgeProgress(const TrackedRun& run, const StepSpec& step, Milliseconds now);
+
+/// Work done a second against the estimate's; empty while too little was seen.
+std::optional<double> MeasuredSpeed(const TrackedRun& run, const StepSpec& step, Milliseconds now);
+
+}  // namespace papayalift
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "libraries/leader/run_progress.h"
 #include "libraries/log/log_event.h"
 
 namespace papayalift {
@@ -119,7 +120,6 @@
     if (run->state == RunState::kOrdered) {
       run->state = RunState::kRunning;
       run->running_since = Now();
-      run->progressed_at = Now();
     }
     Hold(minion);
     return;
@@ -395,11 +395,7 @@
     if (run->state == RunState::kOrdered) {
       run->state = RunState::kRunning;
     }
-    run->running_since = run->running_since.value_or(Now());
-    if (active.percent > run->percent) {
-      run->percent = active.percent;
-      run->progressed_at = Now();
-    }
+    NoteProgress(*run, active.percent, Now());
     m_callbacks.on_active(*run, active);
   }
 }
@@ -433,12 +429,13 @@
     if (IsListed(report, run) || run.state == RunState::kDecided) {
       continue;
     }
-    if (run.stop_answered_at.has_value() && *run.stop_answered_at <= sent_at) {
-      gone.push_back(task);
-    } else if (run.orders_sent == 0) {
+    const bool was_stopped = run.stop_answered_at.has_value() && *run.stop_answered_at <= sent_at;
+    const bool was_there =
+        run.answered_at.has_value() && *run.answered_at < sent_at && !run.stop_wanted;
+    if (!was_stopped && run.orders_sent == 0) {
       // A former leader's placement; its orders are refused from this report on.
       never_started.push_back(task);
-    } else if (run.answered_at.has_value() && *run.answered_at < sent_at && !run.stop_wanted) {
+    } else if (was_stopped || was_there) {
       gone.push_back(task);
     }
   }
--- a/src/libraries/planner/placement_search.cc
+++ b/src/libraries/planner/placement_search.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// Below this a minion is used only where nothing else has room.
-constexpr double kSlowSpeed = 0.6;
+constexpr double kSlowSpeed = 0.4;
 
 /// A minion with how many tasks of the unit it can take.
 struct Candidate {
--- /dev/null
+++ b/tests/journal/journal_codec_test.cc
@@ -0,0 +1,71 @@
+#include <criterion/criterion.h>
+
+#include "libraries/journal/accepted_job_codec.h"
+#include "libraries/journal/job_progress_codec.h"
+#include "libraries/journal/journal_keys.h"
+#include "libraries/work/task_name.h"
+
+namespace papayalift {
+
+Test(journal_codec, progress_comes_back_as_it_was) {
+  JobProgress progress;
+  progress.state = WorkState::kRunning;
+  progress.steps.resize(1);
+  progress.steps[0].tasks.resize(4);
+  progress.steps[0].tasks[1] =
+      TaskProgress{TaskPhase::kPlaced, AttemptNumber(3), 1, AttemptNumber(2), "0bb8",
+                   MinionId("m"),      MinionLife(1'700)};
+  progress.steps[0].tasks[2] = TaskProgress{
+      TaskPhase::kWaiting, AttemptNumber(2), 2, AttemptNumber(2), "c", MinionId(), MinionLife()};
+  progress.steps[0].tasks[3].phase = TaskPhase::kDone;
+  cr_assert(DecodeJobProgress(EncodeJobProgress(progress)).value() == progress);
+  cr_assert(DecodeWorkState(EncodeJobProgress(progress)).value() == WorkState::kRunning);
+}
+
+Test(journal_codec, accepted_job_comes_back_as_it_was) {
+  AcceptedJob job;
+  job.id = JobId("0123456789abcdef");
+  job.queue = QueueId("q");
+  job.workspace = WorkspaceId("w");
+  job.priority = Priority(2);
+  job.slack_factor = 1.5;
+  job.work.payload = "text \xc3\xa9";
+  job.work.steps.resize(2);
+  job.work.steps[0].kind = StepKind::kGang;
+  job.work.steps[0].count = 7;
+  job.work.steps[0].needs = Resources{1, 2, 3};
+  job.work.steps[0].wants_one_rack = true;
+  job.work.steps[1].after = {0};
+  job.work.steps[1].data_rack = RackId("r");
+  job.work.steps[1].most_per_worker = 2;
+  const AcceptedJob decoded = DecodeAcceptedJob(EncodeAcceptedJob(job)).value();
+  cr_assert_eq(EncodeAcceptedJob(decoded), EncodeAcceptedJob(job));
+  cr_assert_eq(decoded.work.steps[0].count, 7);
+  cr_assert(decoded.work.steps[1].after == std::vector<int>{0});
+}
+
+Test(journal_codec, malformed_records_are_errors) {
+  cr_assert_not(DecodeJobProgress("{}").ok());
+  cr_assert_not(DecodeJobProgress(R"({"state":"running","steps":[[[]]]})").ok());
+  cr_assert_not(DecodeAcceptedJob("nonsense").ok());
+}
+
+Test(journal_keys, keys_name_their_job) {
+  const JobId job("0123456789abcdef");
+  cr_assert(ParseAcceptedKey(AcceptedKey(job))->kind == AcceptedKeyKind::kJob);
+  cr_assert(ParseAcceptedKey(CancelKey(job))->kind == AcceptedKeyKind::kCancel);
+  cr_assert(ParseAcceptedKey(CancelKey(job))->job == job);
+  cr_assert(ParseProgressKey(ProgressKey(job)) == job);
+  cr_assert_not(ParseAcceptedKey("op/config").has_value());
+}
+
+Test(task_name, text_comes_back_and_nonsense_does_not) {
+  const TaskName name{JobId("5c0e7a21d94b36f8"), 0, 1, 17};
+  cr_assert_eq(TaskNameText(name), "5c0e7a21d94b36f8.0.1.17");
+  cr_assert(TaskNameFromText(TaskNameText(name)) == name);
+  for (const char* const text : {"", "a", "a.1", "a.1.2", ".1.2.3", "a.1.2.x", "a.1.-2.3"}) {
+    cr_expect_not(TaskNameFromText(text).has_value(), "%s", text);
+  }
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/leader/run_progress_test.cc
@@ -0,0 +1,67 @@
+#include "libraries/leader/run_progress.h"
+
+#include <criterion/criterion.h>
+
+namespace papayalift {
+
+namespace {
+
+constexpr Milliseconds kEstimate{8'000};
+
+struct ProgressFixture {
+  explicit ProgressFixture(StepKind kind = StepKind::kSingles) {
+    step.kind = kind;
+    step.estimate = kEstimate;
+    run.running_since = Milliseconds(0);
+  }
+
+  ProgressVerdict ReportAt(int milliseconds, int percent) {
+    NoteProgress(run, percent, Milliseconds(milliseconds));
+    return JudgeProgress(run, step, Milliseconds(milliseconds));
+  }
+
+  StepSpec step;
+  TrackedRun run;
+};
+
+}  // namespace
+
+Test(run_progress, steady_run_is_fine) {
+  ProgressFixture fixture;
+  for (int second = 0; second <= 8; second += 2) {
+    cr_assert(fixture.ReportAt(second * 1'000, second * 12) == ProgressVerdict::kFine);
+  }
+}
+
+Test(run_progress, run_that_stands_still_is_stalled) {
+  ProgressFixture fixture;
+  fixture.ReportAt(0, 0);
+  fixture.ReportAt(2'000, 20);
+  cr_assert(fixture.ReportAt(4'000, 20) == ProgressVerdict::kFine);
+  cr_assert(fixture.ReportAt(6'000, 20) == ProgressVerdict::kStalled);
+}
+
+Test(run_progress, gang_that_still_gathers_is_fine) {
+  ProgressFixture fixture(StepKind::kGang);
+  fixture.ReportAt(0, 0);
+  cr_assert(fixture.ReportAt(4'000, 0) == ProgressVerdict::kFine);
+  cr_assert(fixture.ReportAt(6'000, 0) == ProgressVerdict::kStalled);
+}
+
+Test(run_progress, run_twice_as_long_as_estimated_is_fine) {
+  ProgressFixture fixture;
+  for (int second = 0; second <= 16; second += 2) {
+    cr_assert(fixture.ReportAt(second * 1'000, second * 6) == ProgressVerdict::kFine);
+  }
+}
+
+Test(run_progress, run_from_a_checkpoint_is_measured_from_there) {
+  ProgressFixture fixture;
+  fixture.ReportAt(0, 60);
+  fixture.ReportAt(2'000, 85);
+  const std::optional<double> speed = MeasuredSpeed(fixture.run, fixture.step, Milliseconds(2'000));
+  cr_assert(speed.has_value());
+  cr_assert_float_eq(*speed, 1.0, 0.01);
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/loop/async_http_test.cc
@@ -0,0 +1,109 @@
+#include <criterion/criterion.h>
+
+#include "libraries/base/boot_clock.h"
+#include "libraries/http/async_http_client.h"
+#include "libraries/http/async_http_server.h"
+
+namespace papayalift {
+
+namespace {
+
+/// A client and a server on one loop.
+struct AsyncFixture {
+  explicit AsyncFixture(AsyncHttpHandler handler) {
+    server = AsyncHttpServer::Create(*loop, "127.0.0.1", 0, HttpServerLimits{}, std::move(handler))
+                 .value();
+  }
+
+  AsyncHttpCall Call(HttpMethod method, const std::string& path, const std::string& body = "") {
+    AsyncHttpCall call;
+    call.call.method = method;
+    call.call.url = "http://127.0.0.1:" + std::to_string(server->port()) + path;
+    call.call.body = body;
+    call.call.limit = Milliseconds(20'000);
+    call.headers.push_back("X-Key: secret");
+    return call;
+  }
+
+  HttpOutcome Send(AsyncHttpCall call) {
+    HttpOutcome result;
+    client.Send(std::move(call), [this, &result](HttpOutcome outcome) {
+      result = std::move(outcome);
+      loop->Stop();
+    });
+    loop->Run();
+    return result;
+  }
+
+  BootClock clock;
+  std::unique_ptr<EventLoop> loop = EventLoop::Create(clock).value();
+  AsyncHttpClient client{*loop, 10};
+  std::unique_ptr<AsyncHttpServer> server;
+};
+
+}  // namespace
+
+Test(async_http, request_arrives_whole_and_is_answered) {
+  HttpRequest seen;
+  AsyncFixture fixture([&seen](const HttpRequest& request, const HttpResponder& respond) {
+    seen = request;
+    HttpResponse response;
+    response.status = HttpStatus::kAccepted;
+    response.body = "fine";
+    respond(response);
+  });
+  const HttpOutcome outcome =
+      fixture.Send(fixture.Call(HttpMethod::kPost, "/a/b?c=d", std::string(100'000, 'x')));
+  cr_assert(outcome.reach == CallReach::kAnswered);
+  cr_assert(outcome.status == HttpStatus::kAccepted);
+  cr_assert_eq(outcome.body, "fine");
+  cr_assert_eq(seen.path, "/a/b");
+  cr_assert_eq(seen.query.at("c"), "d");
+  cr_assert_eq(seen.headers.at("x-key"), "secret");
+  cr_assert_eq(seen.body.size(), 100'000);
+}
+
+Test(async_http, answer_that_comes_later_is_delivered) {
+  AsyncFixture* self = nullptr;
+  AsyncFixture fixture([&self](const HttpRequest& request, const HttpResponder& respond) {
+    cr_assert(request.method == HttpMethod::kDelete);
+    self->loop->After(Milliseconds(30), [respond] { respond(HttpResponse{}); });
+  });
+  self = &fixture;
+  const HttpOutcome outcome = fixture.Send(fixture.Call(HttpMethod::kDelete, "/x"));
+  cr_assert(outcome.reach == CallReach::kAnswered);
+  cr_assert_eq(fixture.server->requests_in_flight(), 0);
+}
+
+Test(async_http, call_without_answer_is_unclear) {
+  AsyncFixture fixture([](const HttpRequest&, const HttpResponder&) {});
+  AsyncHttpCall call = fixture.Call(HttpMethod::kGet, "/silent");
+  call.call.limit = Milliseconds(200);
+  cr_assert(fixture.Send(std::move(call)).reach == CallReach::kUnclear);
+}
+
+Test(async_http, call_to_nobody_was_not_sent) {
+  AsyncFixture fixture([](const HttpRequest&, const HttpResponder&) {});
+  AsyncHttpCall call = fixture.Call(HttpMethod::kPost, "/");
+  // Nothing listens on the discard port.
+  call.call.url = "http://127.0.0.1:9/";
+  cr_assert(fixture.Send(std::move(call)).reach == CallReach::kNotSent);
+}
+
+Test(async_http, late_answer_to_a_client_that_left_does_no_harm) {
+  HttpResponder kept;
+  AsyncFixture fixture([&kept](const HttpRequest&, const HttpResponder& respond) {
+    if (!kept) {
+      kept = respond;
+    } else {
+      respond(HttpResponse{});
+    }
+  });
+  AsyncHttpCall call = fixture.Call(HttpMethod::kGet, "/left");
+  call.call.limit = Milliseconds(100);
+  fixture.Send(std::move(call));
+  kept(HttpResponse{});
+  cr_assert(fixture.Send(fixture.Call(HttpMethod::kGet, "/next")).reach == CallReach::kAnswered);
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/loop/timer_queue_test.cc
@@ -0,0 +1,42 @@
+#include "libraries/loop/timer_queue.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+namespace papayalift {
+
+Test(timer_queue, timers_run_in_order_of_time) {
+  TimerQueue queue;
+  std::string order;
+  queue.Add(Milliseconds(20), [&order] { order += "b"; });
+  queue.Add(Milliseconds(10), [&order] { order += "a"; });
+  queue.Add(Milliseconds(30), [&order] { order += "c"; });
+  cr_assert_eq(queue.RunDue(Milliseconds(20)), 2);
+  cr_assert_eq(order, "ab");
+  cr_assert_eq(queue.next_due()->count(), 30);
+}
+
+Test(timer_queue, cancelled_timer_does_not_run) {
+  TimerQueue queue;
+  int runs = 0;
+  const TimerId id = queue.Add(Milliseconds(10), [&runs] { ++runs; });
+  queue.Cancel(id);
+  queue.Cancel(id);
+  queue.RunDue(Milliseconds(100));
+  cr_assert_eq(runs, 0);
+}
+
+Test(timer_queue, timer_may_add_and_cancel_others) {
+  TimerQueue queue;
+  int runs = 0;
+  const TimerId victim = queue.Add(Milliseconds(11), [&runs] { runs += 100; });
+  queue.Add(Milliseconds(10), [&queue, &runs, victim] {
+    queue.Cancel(victim);
+    queue.Add(Milliseconds(12), [&runs] { ++runs; });
+  });
+  queue.RunDue(Milliseconds(20));
+  cr_assert_eq(runs, 1);
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/platform/consumer_wire_test.cc
@@ -0,0 +1,53 @@
+#include "platform/consumer_wire.h"
+
+#include <criterion/criterion.h>
+
+namespace papayalift::platform {
+
+Test(consumer_wire, request_is_decoded_with_host_key_and_budget) {
+  HttpRequest request;
+  request.method = HttpMethod::kPost;
+  request.path = "/a/b";
+  request.headers = {{"host", "shop.example:80"}, {"x-key", "k"}, {"x-deadline-ms", "1500"}};
+  const JobRequest decoded = DecodeJobRequest(request);
+  cr_assert(decoded.kind == JobRequestKind::kSubmit);
+  cr_assert_eq(decoded.host, "shop.example");
+  cr_assert_eq(decoded.key, "k");
+  cr_assert_eq(decoded.budget.count(), 1'500);
+}
+
+Test(consumer_wire, odd_budget_falls_back) {
+  HttpRequest request;
+  for (const char* const text : {"", "x", "-5", "0"}) {
+    request.headers["x-deadline-ms"] = text;
+    cr_expect_eq(DecodeJobRequest(request).budget.count(), 3'000, "%s", text);
+  }
+}
+
+Test(consumer_wire, only_what_never_runs_is_answered_503) {
+  const auto status_of = [](JobReplyKind kind) {
+    return static_cast<int>(EncodeJobReply(JobReply{kind, JobId()}).status);
+  };
+  cr_assert_eq(status_of(JobReplyKind::kUnavailable), 503);
+  cr_assert_eq(status_of(JobReplyKind::kUnsupported), 503);
+  cr_assert_eq(status_of(JobReplyKind::kUnclear), 504);
+  cr_assert_eq(status_of(JobReplyKind::kNoSuchJob), 410);
+  cr_assert_eq(status_of(JobReplyKind::kNoSuchQueue), 404);
+  cr_assert_eq(status_of(JobReplyKind::kBadKey), 401);
+}
+
+Test(consumer_wire, refusal_says_when_to_come_back) {
+  const HttpResponse response = EncodeJobReply(JobReply{JobReplyKind::kUnavailable, JobId()});
+  cr_assert_eq(response.headers.at("Retry-After"), "1");
+}
+
+Test(consumer_wire, state_and_pending_are_in_the_body) {
+  JobReply state{JobReplyKind::kState, JobId()};
+  state.state = WorkState::kRunning;
+  cr_assert_eq(EncodeJobReply(state).body, R"({"state":"running"})");
+  JobReply pending{JobReplyKind::kPending, JobId()};
+  pending.pending = 12;
+  cr_assert_eq(EncodeJobReply(pending).body, R"({"pending":12})");
+}
+
+}  // namespace papayalift::platform
--- /dev/null
+++ b/tests/platform/edge_settings_test.cc
@@ -0,0 +1,65 @@
+#include "platform/edge_settings.h"
+
+#include <criterion/criterion.h>
+
+namespace papayalift::platform {
+
+namespace {
+
+const char kWhole[] = R"(
+nodeName = "edge-1"
+ip = "10.1.0.19"
+zone = "casa"
+firstStart = true
+somethingNew = 7
+[listen]
+frontend = "10.1.0.19:8521"
+ready = "10.1.0.19:8523"
+[bounds]
+graceS = 6.5
+holdMaxMs = 9000
+status_s = 100
+[platform]
+address = "10.200.1.7:8524"
+ttlMinMs = 1500
+)";
+
+std::string Without(const std::string& line) {
+  std::string text = kWhole;
+  const std::size_t at = text.find(line);
+  return text.replace(at, text.find('\n', at) - at, "");
+}
+
+}  // namespace
+
+Test(edge_settings, whole_file_is_read) {
+  const EdgeSettings settings = ParseEdgeSettings(kWhole, "file").value();
+  cr_assert_eq(settings.metrics_address, "10.1.0.19:7000");
+  cr_assert_eq(settings.stop_grace.count(), 6'500);
+  cr_assert_eq(settings.longest_lease.count(), 9'000);
+  cr_assert_eq(settings.retention.count(), 100'000);
+  cr_assert_eq(settings.shortest_store_lease.count(), 1'500);
+  cr_assert(settings.is_first_start);
+}
+
+Test(edge_settings, bounds_have_defaults) {
+  const EdgeSettings settings = ParseEdgeSettings(Without("holdMaxMs"), "file").value();
+  cr_assert_eq(settings.longest_lease.count(), 10'000);
+}
+
+Test(edge_settings, missing_or_malformed_fields_are_named) {
+  const absl::Status missing = ParseEdgeSettings(Without("nodeName"), "file").status();
+  cr_assert(std::string(missing.message()).find("nodeName") != std::string::npos);
+  const std::string malformed = Without("frontend") + "\n[listen2]\n";
+  cr_assert_not(ParseEdgeSettings(malformed, "file").ok());
+  cr_assert_not(ParseEdgeSettings("no toml [", "file").ok());
+}
+
+Test(edge_settings, changes_are_named) {
+  const EdgeSettings before = ParseEdgeSettings(kWhole, "file").value();
+  EdgeSettings after = before;
+  after.longest_lease = Milliseconds(5'000);
+  cr_assert(ChangedFields(before, after) == std::vector<std::string>{"longest_lease"});
+}
+
+}  // namespace papayalift::platform
--- /dev/null
+++ b/tests/platform/platform_directory_test.cc
@@ -0,0 +1,93 @@
+#include "platform/platform_directory.h"
+
+#include <criterion/criterion.h>
+
+namespace papayalift::platform {
+
+namespace {
+
+const char kEntry[] =
+    R"({"service":"pool","address":"10.128.0.9:8080","zone":"casa","version":"v1","slots":8,)"
+    R"("state":"draining","coldLeftMs":40,"capacity":{"cpu":16000,"memMb":32768,"gpu":2},)"
+    R"("labels":["a","r1-3"],"clockMs":482113,"sequence":4,"born":1700000000123})";
+
+}  // namespace
+
+Test(platform_directory, minion_entry_is_decoded_into_our_words) {
+  const PlatformDirectory directory;
+  const MinionEntry entry = directory.DecodeMinion(MinionId("i-1"), kEntry).value();
+  cr_assert(entry.id == MinionId("i-1"));
+  cr_assert(entry.state == MinionState::kDraining);
+  cr_assert(entry.rack == RackId("r1-3"));
+  cr_assert(entry.capacity == (Resources{16'000, 32'768, 2}));
+  cr_assert_eq(entry.life.value(), 1'700'000'000'123);
+  cr_assert_eq(entry.cold_left.count(), 40);
+}
+
+Test(platform_directory, entry_of_another_writer_names_no_minion) {
+  const PlatformDirectory directory;
+  for (
+      const char* const text :
+      {"", "\xff\xfe", "[]", "{}", R"({"service":7})",
+       R"({"service":"p","address":"x","zone":"z","state":"ready","capacity":{},"labels":[]})",
+       R"({"service":"p","address":"1.2.3.4:5","zone":"z","state":"odd","capacity":{},"labels":[]})",
+       R"({"service":"p","address":"1.2.3.4:5","zone":"z","state":"ready","capacity":{"cpu":-1},"labels":[]})",
+       R"({"service":"p","address":"1.2.3.4:5","zone":"z","state":"ready","capacity":{},"labels":7})"}) {
+    cr_expect_not(directory.DecodeMinion(MinionId("i"), text).ok(), "%s", text);
+  }
+}
+
+Test(platform_directory, manifest_is_decoded_with_queues_and_workspaces) {
+  const PlatformDirectory directory;
+  const FleetManifest manifest =
+      directory
+          .DecodeManifest(
+              R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/a/","service":"s",)"
+              R"("priority":2,"maxAttempts":4,"slackFactor":1.5,"targetLatencyMs":300},)"
+              R"({"name":"r2","host":"h","prefix":"/a/b/","service":"s","public":true}],)"
+              R"("tenants":[{"name":"t","apiKeys":["k1","k2"],"guaranteed":{"gpu":72}}]})")
+          .value();
+  cr_assert_eq(manifest.version.value(), 7);
+  cr_assert(manifest.FindQueueByPath("h", "/a/x")->id == QueueId("r"));
+  cr_assert(manifest.FindQueueByPath("h", "/a/b/x")->id == QueueId("r2"));
+  cr_assert_not(manifest.FindQueueByPath("h", "/a/b/x")->needs_key);
+  cr_assert_null(manifest.FindQueueByPath("other", "/a/x"));
+  cr_assert(manifest.FindWorkspaceByKey("k2")->id == WorkspaceId("t"));
+  cr_assert_eq(manifest.FindWorkspaceByKey("k2")->guaranteed.value(), 72);
+}
+
+Test(platform_directory, work_is_decoded_field_by_field) {
+  const PlatformDirectory directory;
+  const WorkSpec work =
+      directory
+          .DecodeWork(R"({"spec":"x","phases":[{"count":4,"cpu":500,"memMb":256,"gpu":1,)"
+                      R"("estimateMs":900,"affinity":"r1-3","gang":true,"rackLocal":true},)"
+                      R"({"count":2,"after":[0],"checkpointing":true,"constraints":"a",)"
+                      R"("antiAffinity":1}]})")
+          .value();
+  cr_assert_eq(work.steps.size(), 2);
+  cr_assert(work.steps[0].kind == StepKind::kGang);
+  cr_assert(work.steps[0].wants_one_rack);
+  cr_assert(work.steps[0].data_rack == RackId("r1-3"));
+  cr_assert(work.steps[1].after == std::vector<int>{0});
+  cr_assert(work.steps[1].saves_checkpoints);
+  cr_assert_eq(work.steps[1].required_label, "a");
+  cr_assert_eq(work.steps[1].most_per_worker, 1);
+}
+
+Test(platform_directory, work_that_is_not_built_is_unimplemented) {
+  const PlatformDirectory directory;
+  cr_assert(absl::IsUnimplemented(
+      directory.DecodeWork(R"({"repeats":3,"phases":[{"count":1}]})").status()));
+  cr_assert(absl::IsUnimplemented(
+      directory.DecodeWork(R"({"phases":[{"count":1,"fillCount":true}]})").status()));
+}
+
+Test(platform_directory, evacuation_keys_name_their_zone) {
+  const PlatformDirectory directory;
+  cr_assert(directory.EvacuatedZone(directory.EvacuationKey(ZoneId("z"))) == ZoneId("z"));
+  cr_assert_not(directory.EvacuatedZone(directory.ManifestKey()).has_value());
+  cr_assert(directory.MinionOfKey(directory.MinionKey(MinionId("i"))) == MinionId("i"));
+}
+
+}  // namespace papayalift::platform
