--- a/src/libraries/leader/job_journal.cc
+++ b/src/libraries/leader/job_journal.cc
@@ -14,8 +14,10 @@
 /// Ends that come close together go into one write.
 constexpr Milliseconds kGatherTime{8};
 constexpr Milliseconds kRetryPause{150};
-/// The platform's transactions take 32 entries; some go to the term, the record and the manifest.
-constexpr std::size_t kMostMinionConditions = 20;
+/// What the store takes in one transaction: conditions, writes and removals together.
+constexpr std::size_t kMostEntries = 32;
+/// The condition on the cancellation and the removal of the waiting key come last.
+constexpr std::size_t kEntriesToCome = 2;
 
 const StoreItem* FindItem(const std::vector<StoreItem>& items, const std::string& key) {
   for (const StoreItem& item : items) {
@@ -119,9 +121,10 @@
   for (const ZoneId& zone : zones) {
     write.transaction.Expect(m_directory.EvacuationKey(zone), Revision(0));
   }
-  std::size_t conditions = 0;
   for (const MinionId& id : minions) {
-    if (++conditions > kMostMinionConditions) {
+    const std::size_t entries =
+        write.transaction.comparisons().size() + write.transaction.writes().size();
+    if (entries + kEntriesToCome >= kMostEntries) {
       // NOTE: what does not fit rests on the registry's watch alone.
       break;
     }
--- a/tests/leader/fake_store_port.cc
+++ b/tests/leader/fake_store_port.cc
@@ -1,5 +1,6 @@
 #include "leader/fake_store_port.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace papayalift {
@@ -24,6 +25,8 @@
 void FakeStorePort::Commit(const Transaction& transaction,
                            std::function<void(CommitAnswer)> callback) {
   ++m_commits;
+  m_most_entries =
+      std::max(m_most_entries, transaction.comparisons().size() + transaction.writes().size());
   StoreFault fault = StoreFault::kNone;
   if (!m_faults.empty()) {
     fault = m_faults.front();
@@ -100,7 +103,7 @@
 }
 
 void FakeStorePort::PollWatch(const std::string& prefix, Revision after, Milliseconds until,
-                              std::function<void(WatchAnswer)> callback) {
+                              const std::function<void(WatchAnswer)>& callback) {
   Later(kWatchPoll, [this, prefix, after, until, callback] {
     WatchAnswer answer;
     answer.result = WatchResult::kOk;
--- a/tests/leader/fake_store_port.h
+++ b/tests/leader/fake_store_port.h
@@ -44,11 +44,13 @@
   void Abandon() { m_is_abandoned = true; }
 
   int commits() const { return m_commits; }
+  /// Conditions and writes of the largest transaction so far.
+  std::size_t most_entries() const { return m_most_entries; }
 
  private:
   void Later(Milliseconds delay, std::function<void()> action);
   void PollWatch(const std::string& prefix, Revision after, Milliseconds until,
-                 std::function<void(WatchAnswer)> callback);
+                 const std::function<void(WatchAnswer)>& callback);
 
   VirtualTimers& m_timers;
   FleetStore& m_store;
@@ -56,6 +58,7 @@
   bool m_is_reachable = true;
   bool m_is_abandoned = false;
   int m_commits = 0;
+  std::size_t m_most_entries = 0;
 };
 
 }  // namespace papayalift
--- a/tests/leader/job_journal_test.cc
+++ b/tests/leader/job_journal_test.cc
@@ -114,6 +114,35 @@
   cr_assert_eq(fixture.superseded, 0);
 }
 
+Test(job_journal, placement_on_many_minions_in_many_zones_fits_a_transaction) {
+  JournalFixture fixture;
+  constexpr int kMinions = 40;
+  constexpr int kZones = 11;
+  fixture.job().accepted.work.steps[0].count = kMinions;
+  fixture.job().progress = NewProgress(fixture.job().accepted);
+  fixture.job().progress.state = WorkState::kRunning;
+  for (int index = 0; index < kMinions; ++index) {
+    TrackedMinion& minion = fixture.state.minions[MinionId("m" + std::to_string(index))];
+    minion.id = MinionId("m" + std::to_string(index));
+    minion.entry.emplace();
+    minion.entry->zone = ZoneId("z" + std::to_string(index % kZones));
+    TaskProgress& task = fixture.job().progress.steps[0].tasks[static_cast<std::size_t>(index)];
+    task.phase = TaskPhase::kPlaced;
+    task.attempt = AttemptNumber(1);
+    task.minion = minion.id;
+    TrackedRun run;
+    run.task = TaskName{fixture.id, 0, 0, index};
+    run.attempt = task.attempt;
+    run.minion = minion.id;
+    fixture.state.AddRun(minion, run);
+  }
+  fixture.journal->MarkDirty(fixture.job());
+  fixture.timers.Run(Milliseconds(100));
+  constexpr std::size_t kMostEntries = 32;
+  cr_assert_leq(fixture.port.most_entries(), kMostEntries);
+  cr_assert_gt(fixture.port.most_entries(), kMostEntries - 3);
+}
+
 Test(job_journal, write_under_a_lost_term_is_refused) {
   JournalFixture fixture;
   fixture.store.Put(kTermKey, "another");
