--- a/src/libraries/front_desk/front_desk.cc
+++ b/src/libraries/front_desk/front_desk.cc
@@ -65,6 +65,10 @@
   exchange->deadline = exchange->arrived_at + request.budget - kAnswerMargin;
   exchange->request = std::move(request);
   exchange->reply = std::move(reply);
+  // For the log, also where the request is refused before its queue is known.
+  const std::string& path = exchange->request.path;
+  const std::string last = path.substr(path.rfind('/') + 1);
+  exchange->job = JobId(IsJobId(last) ? last : "");
   Route(exchange);
 }
 
--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -107,7 +107,7 @@
 // --- orders ---
 
 void FleetMinions::Start(const MinionAddress& address, const StartOrder& order,
-                         std::function<void(OrderAnswer)> answer) {
+                         const std::function<void(OrderAnswer)>& answer) {
   Minion& minion = m_minions.at(address.id);
   const OrderFault fault = NextFault(minion);
   if (!minion.is_reachable || fault == OrderFault::kLost) {
@@ -207,7 +207,7 @@
 }
 
 void FleetMinions::Stop(const MinionAddress& address, const StopOrder& order,
-                        std::function<void(OrderAnswer)> answer) {
+                        const std::function<void(OrderAnswer)>& answer) {
   Minion& minion = m_minions.at(address.id);
   const OrderFault fault = NextFault(minion);
   if (!minion.is_reachable || fault == OrderFault::kLost || fault == OrderFault::kRefused) {
@@ -257,17 +257,17 @@
 }
 
 void FleetMinions::Hold(const MinionAddress& address, const HoldOrder& order,
-                        std::function<void(HoldAnswer)> answer) {
+                        const std::function<void(HoldAnswer)>& answer) {
   Minion& minion = m_minions.at(address.id);
   if (!minion.is_reachable) {
     m_timers.After(order.wait + kOrderLimit, [answer] { answer(HoldAnswer{}); });
     return;
   }
-  PollHold(address.id, minion.born, order, m_timers.clock().Now() + order.wait, std::move(answer));
+  PollHold(address.id, minion.born, order, m_timers.clock().Now() + order.wait, answer);
 }
 
 void FleetMinions::PollHold(const MinionId& id, Milliseconds born, const HoldOrder& order,
-                            Milliseconds until, std::function<void(HoldAnswer)> answer) {
+                            Milliseconds until, const std::function<void(HoldAnswer)>& answer) {
   Minion& minion = m_minions.at(id);
   if (minion.born != born) {
     // The connection went with the process that held it.
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -55,11 +55,11 @@
   void FailNextOrders(const MinionId& id, std::deque<OrderFault> faults);
 
   void Start(const MinionAddress& minion, const StartOrder& order,
-             std::function<void(OrderAnswer)> answer);
+             const std::function<void(OrderAnswer)>& answer);
   void Stop(const MinionAddress& minion, const StopOrder& order,
-            std::function<void(OrderAnswer)> answer);
+            const std::function<void(OrderAnswer)>& answer);
   void Hold(const MinionAddress& minion, const HoldOrder& order,
-            std::function<void(HoldAnswer)> answer);
+            const std::function<void(HoldAnswer)>& answer);
 
   /// How many starts were carried out, of one task or of all.
   int starts(const JobId& job) const;
@@ -102,7 +102,7 @@
   OrderAnswer CarryOutStop(Minion& minion, const StopOrder& order);
   HoldAnswer CarryOutHold(Minion& minion, const HoldOrder& order);
   void PollHold(const MinionId& id, Milliseconds born, const HoldOrder& order, Milliseconds until,
-                std::function<void(HoldAnswer)> answer);
+                const std::function<void(HoldAnswer)>& answer);
   void TakeLease(Minion& minion, MinionTime until);
   void Advance(Minion& minion);
   void AdvanceAll();
--- a/tests/leader/fake_store_port.cc
+++ b/tests/leader/fake_store_port.cc
@@ -99,7 +99,7 @@
     Later(wait + kCallLimit, [callback] { callback(WatchAnswer{}); });
     return;
   }
-  PollWatch(prefix, after, m_timers.clock().Now() + wait, std::move(callback));
+  PollWatch(prefix, after, m_timers.clock().Now() + wait, callback);
 }
 
 void FakeStorePort::PollWatch(const std::string& prefix, Revision after, Milliseconds until,
--- a/tests/leader/front_desk_test.cc
+++ b/tests/leader/front_desk_test.cc
@@ -119,6 +119,16 @@
             JobReplyKind::kNoSuchJob);
 }
 
+// Found on the incidents: a refusal could not be found in the logs by its job's id.
+Test(front_desk, refusal_names_its_job) {
+  TestOffice office;
+  office.Run(Milliseconds(1'000));
+  office.node(0).store().SetReachable(false);
+  cr_assert(
+      office.node(0).Ask(JobRequestKind::kSubmit, kPath, "key", BodyOf(SmallJob().work)).job ==
+      NumberedJob(1));
+}
+
 Test(front_desk, submission_without_answer_is_never_called_not_run) {
   TestOffice office;
   office.node(0).Ask(JobRequestKind::kAsk, "/p1/", "key");
