--- a/src/services/commands.h
+++ b/src/services/commands.h
@@ -11,6 +11,7 @@
 
 void AddServeCommand(CLI::App& app, CommandContext& context);
 void AddEdgeCommand(CLI::App& app, CommandContext& context);
+void AddPlatformCommands(CLI::App& app, CommandContext& context);
 void AddDemoCommand(CLI::App& app, CommandContext& context);
 void AddBundleCommands(CLI::App& app, CommandContext& context);
 void AddZoneCommands(CLI::App& app, CommandContext& context);
--- a/src/services/main.cc
+++ b/src/services/main.cc
@@ -26,6 +26,7 @@
   app.fallthrough();
   papayalift::AddServeCommand(app, context);
   papayalift::AddEdgeCommand(app, context);
+  papayalift::AddPlatformCommands(app, context);
   papayalift::AddDemoCommand(app, context);
   papayalift::AddBundleCommands(app, context);
   papayalift::AddZoneCommands(app, context);
