--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -309,13 +309,23 @@
   answer.report.life = MinionLife(minion.born.count());
   answer.report.ended = minion.ended;
   for (const auto& [task, run] : minion.runs) {
-    answer.report.active.push_back(ActiveRun{task, run.attempt, run.checkpoint, 0});
+    answer.report.active.push_back(ActiveRun{task, run.attempt, run.checkpoint, PercentOf(run)});
   }
   return answer;
 }
 
 // --- runs ---
 
+int FleetMinions::PercentOf(const Run& run) const {
+  if (!run.began_at.has_value()) {
+    return 0;
+  }
+  constexpr std::int64_t kWholePercent = 100;
+  const std::int64_t whole = std::max<std::int64_t>(1, (*run.ends_at - *run.began_at).count());
+  const std::int64_t worked = (m_timers.clock().Now() - *run.began_at).count();
+  return static_cast<int>(std::min(kWholePercent, worked * kWholePercent / whole));
+}
+
 void FleetMinions::TakeLease(Minion& minion, MinionTime until) {
   const MinionTime most(ClockOf(minion).value() + kLongestLease.count());
   const MinionTime granted = std::min(until, most);
@@ -342,6 +352,7 @@
   }
   const auto job = m_jobs.find(task.job);
   for (Run* const run : members) {
+    run->began_at = m_timers.clock().Now();
     run->ends_at =
         m_timers.clock().Now() + (job == m_jobs.end() ? Milliseconds(1'000) : job->second.duration);
   }
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -72,6 +72,8 @@
   struct Run {
     TaskName task;
     AttemptNumber attempt;
+    /// Once it works: a gang's members wait for each other.
+    std::optional<Milliseconds> began_at;
     std::optional<Milliseconds> ends_at;
     Milliseconds came_at{0};
     bool is_stopping = false;
@@ -103,6 +105,7 @@
   HoldAnswer CarryOutHold(Minion& minion, const HoldOrder& order);
   void PollHold(const MinionId& id, Milliseconds born, const HoldOrder& order, Milliseconds until,
                 const std::function<void(HoldAnswer)>& answer);
+  int PercentOf(const Run& run) const;
   void TakeLease(Minion& minion, MinionTime until);
   void Advance(Minion& minion);
   void AdvanceAll();
