Planner: Look only at the racks that count, and plan less often where it takes long

Each unit looked at all minions once for each rack. Change: minions by rack, the cheap question first, no search where the free accelerators don't suffice together; a plan that takes long waits four times as long.

--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -19,6 +19,8 @@
 constexpr Milliseconds kFeedRetryPause{200};
 /// Events that come close together are planned for at once.
 constexpr Milliseconds kPlanDelay{3};
+constexpr int kPausePerPlanTime = 4;
+constexpr Milliseconds kLongestPlanDelay{200};
 constexpr Milliseconds kTickInterval{400};
 /// A minion on which a task has just failed gets no work unless nothing else has room.
 constexpr Milliseconds kAvoidAfterFailure{4'000};
@@ -735,7 +737,10 @@
     return;
   }
   m_plan_is_set = true;
-  m_context.timers.After(kPlanDelay, [weak = weak_from_this()] {
+  // A plan that takes long is made less often, so that the rest of the node keeps up.
+  const Milliseconds delay =
+      std::clamp(m_plan_took * kPausePerPlanTime, kPlanDelay, kLongestPlanDelay);
+  m_context.timers.After(delay, [weak = weak_from_this()] {
     const Self self = weak.lock();
     if (self != nullptr && !self->m_is_closed) {
       self->m_plan_is_set = false;
@@ -745,6 +750,7 @@
 }
 
 void LeaderSession::RunPlan() {
+  const Milliseconds began_at = Now();
   const PlanSnapshot snapshot =
       MakePlanSnapshot(m_state, *m_context.view.manifest(), m_context.timers.clock());
   if (snapshot.units.empty()) {
@@ -757,6 +763,8 @@
   for (const PlannedStop& stop : plan.stops) {
     ApplyStop(stop);
   }
+  m_plan_took = Now() - began_at;
+  m_context.metrics.Observe("papayalift_plan_ms", static_cast<double>(m_plan_took.count()));
 }
 
 void LeaderSession::ApplyStart(const PlannedStart& start) {
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -122,6 +122,7 @@
   bool m_has_begun = false;
   bool m_is_closed = false;
   bool m_plan_is_set = false;
+  Milliseconds m_plan_took{0};
   std::shared_ptr<JobJournal> m_journal;
   std::shared_ptr<RunSupervisor> m_supervisor;
 };
--- a/src/libraries/planner/placement_search.cc
+++ b/src/libraries/planner/placement_search.cc
@@ -1,7 +1,6 @@
 #include "libraries/planner/placement_search.h"
 
 #include <algorithm>
-#include <set>
 
 namespace papayalift {
 
@@ -27,10 +26,6 @@
   return fits;
 }
 
-bool IsOnRack(const MinionRoom& room, const RackId* rack) {
-  return rack == nullptr || room.minion->rack == *rack;
-}
-
 /// Sound before slow, not failed before, then the tightest, so that wide holes stay.
 bool ComesBefore(const PlanUnit& unit, RoomMember member, const Candidate& left,
                  const Candidate& right) {
@@ -59,15 +54,26 @@
   return left.room->minion->id < right.room->minion->id;
 }
 
+void AddCandidate(const PlanUnit& unit, const MinionRoom& minion, RoomMember member,
+                  std::vector<Candidate>& candidates) {
+  // The room first: it is the cheaper question, and more often the answer is no.
+  const std::int64_t fits = FitsOn(unit, minion, member);
+  if (fits > 0 && IsEligible(unit, *minion.minion)) {
+    candidates.push_back(Candidate{&minion, fits});
+  }
+}
+
+/// On one rack, or on all.
 std::vector<Candidate> CandidatesOn(const PlanUnit& unit, const PlanRoom& room, RoomMember member,
                                     const RackId* rack) {
   std::vector<Candidate> candidates;
-  for (const MinionRoom& minion : room.minions()) {
-    if (IsOnRack(minion, rack) && IsEligible(unit, *minion.minion)) {
-      const std::int64_t fits = FitsOn(unit, minion, member);
-      if (fits > 0) {
-        candidates.push_back(Candidate{&minion, fits});
-      }
+  if (rack != nullptr) {
+    for (const std::size_t place : room.OnRack(*rack)) {
+      AddCandidate(unit, room.minions()[place], member, candidates);
+    }
+  } else {
+    for (const MinionRoom& minion : room.minions()) {
+      AddCandidate(unit, minion, member, candidates);
     }
   }
   std::sort(candidates.begin(), candidates.end(),
@@ -123,10 +129,11 @@
 /// What one rack holds of the unit while nothing else runs there.
 std::int64_t RackCapacity(const PlanUnit& unit, const PlanRoom& room, const RackId& rack) {
   std::int64_t sum = 0;
-  for (const MinionRoom& minion : room.minions()) {
-    if (minion.minion->rack == rack && IsEligible(unit, *minion.minion)) {
-      sum += unit.spec.needs.TimesIn(minion.minion->capacity,
-                                     static_cast<std::int64_t>(unit.indexes.size()));
+  for (const std::size_t place : room.OnRack(rack)) {
+    const PlanMinion& minion = *room.minions()[place].minion;
+    if (IsEligible(unit, minion)) {
+      sum +=
+          unit.spec.needs.TimesIn(minion.capacity, static_cast<std::int64_t>(unit.indexes.size()));
     }
   }
   return sum;
@@ -147,13 +154,11 @@
   if (!unit.spec.data_rack.empty()) {
     return {unit.spec.data_rack};
   }
-  std::set<RackId> racks;
-  for (const MinionRoom& minion : room.minions()) {
-    if (IsEligible(unit, *minion.minion)) {
-      racks.insert(minion.minion->rack);
-    }
+  std::vector<RackId> racks;
+  for (const auto& [rack, places] : room.racks()) {
+    racks.push_back(rack);
   }
-  return std::vector<RackId>(racks.begin(), racks.end());
+  return racks;
 }
 
 bool ShouldWaitForRack(const PlanUnit& unit, const PlanRoom& room) {
--- a/src/libraries/planner/placement_search.h
+++ b/src/libraries/planner/placement_search.h
@@ -17,7 +17,7 @@
 /// Whether a task of the unit may ever run on the minion, leaving its room aside.
 bool IsEligible(const PlanUnit& unit, const PlanMinion& minion);
 
-/// The racks that have eligible minions.
+/// The racks on which the unit may run near its data or together.
 std::vector<RackId> RacksFor(const PlanUnit& unit, const PlanRoom& room);
 
 /// Places for all tasks of a gang, or empty. `member` says which room counts.
--- a/src/libraries/planner/plan_room.cc
+++ b/src/libraries/planner/plan_room.cc
@@ -19,6 +19,7 @@
   std::int64_t free = 0;
   for (const PlanMinion& minion : snapshot.minions) {
     m_places[minion.id] = m_minions.size();
+    m_racks[minion.rack].push_back(m_minions.size());
     const Resources soon = minion.free + minion.being_freed;
     m_minions.push_back(MinionRoom{&minion, minion.free, soon, soon});
     all += minion.capacity.accelerators;
@@ -34,6 +35,20 @@
   }
 }
 
+const std::vector<std::size_t>& PlanRoom::OnRack(const RackId& rack) const {
+  static const std::vector<std::size_t> kNone;
+  const auto found = m_racks.find(rack);
+  return found == m_racks.end() ? kNone : found->second;
+}
+
+std::int64_t PlanRoom::free_accelerators() const {
+  std::int64_t sum = 0;
+  for (const MinionRoom& minion : m_minions) {
+    sum += minion.free.accelerators;
+  }
+  return sum;
+}
+
 MinionRoom* PlanRoom::Find(const MinionId& id) {
   const auto found = m_places.find(id);
   return found == m_places.end() ? nullptr : &m_minions[found->second];
--- a/src/libraries/planner/plan_room.h
+++ b/src/libraries/planner/plan_room.h
@@ -36,12 +36,20 @@
   /// Counts what is being stopped by this pass.
   void AddSoon(const MinionId& id, const Resources& freed);
 
+  /// The minions of one rack, as places in minions().
+  const std::vector<std::size_t>& OnRack(const RackId& rack) const;
+  /// The racks that have minions, in order.
+  const std::map<RackId, std::vector<std::size_t>>& racks() const { return m_racks; }
+  /// Accelerators that can be used at once, on all minions together.
+  std::int64_t free_accelerators() const;
+
   /// Part of all accelerators that is taken, 0 to 1.
   double accelerator_use() const { return m_accelerator_use; }
 
  private:
   std::vector<MinionRoom> m_minions;
   std::map<MinionId, std::size_t> m_places;
+  std::map<RackId, std::vector<std::size_t>> m_racks;
   double m_accelerator_use = 0;
 };
 
--- a/src/libraries/planner/plan_starts.cc
+++ b/src/libraries/planner/plan_starts.cc
@@ -56,8 +56,12 @@
 
  private:
   void PlanWhole(const PlanUnit& unit) {
-    if (const std::optional<FoundPlaces> now = FindGang(unit, m_room, &MinionRoom::free);
-        now.has_value() && (now->is_near || !unit.is_guaranteed)) {
+    const std::int64_t wanted =
+        unit.spec.needs.accelerators * static_cast<std::int64_t>(unit.indexes.size());
+    const std::optional<FoundPlaces> now = wanted > m_room.free_accelerators()
+                                               ? std::nullopt
+                                               : FindGang(unit, m_room, &MinionRoom::free);
+    if (now.has_value() && (now->is_near || !unit.is_guaranteed)) {
       Start(unit, *now);
     } else if (unit.is_guaranteed) {
       PlanGuaranteed(unit);
