--- a/src/libraries/leader/job_journal.cc
+++ b/src/libraries/leader/job_journal.cc
@@ -86,7 +86,7 @@
   if (!write.placements.empty() || state == WorkState::kDone || state == WorkState::kFailed) {
     write.transaction.Expect(CancelKey(id), Revision(0));
   }
-  if (job.has_waiting_key && state != WorkState::kQueued) {
+  if (job.has_waiting_key && (job.has_begun || HasEnded(state))) {
     write.transaction.Delete(WaitingKey(job.accepted.queue, id));
     write.removes_waiting_key = true;
   }
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -79,6 +79,7 @@
           [this](const TrackedRun& run, RunLoss loss, const std::string& reason) {
             OnLost(run, loss, reason);
           },
+          [this](const TrackedRun& run) { OnStarted(run); },
           [this](TrackedRun& run, const ActiveRun& active) { OnActive(run, active); },
           [this] { m_context.election.StepDown("a minion has seen a higher token"); },
           [this] { PlanSoon(); }});
@@ -384,7 +385,8 @@
 }
 
 void LeaderSession::InheritRuns(TrackedJob& job) {
-  job.has_waiting_key = job.progress.state == WorkState::kQueued;
+  // It may be gone already; removing it again does no harm.
+  job.has_waiting_key = !HasEnded(job.progress.state);
   if (HasEnded(job.progress.state)) {
     job.ended_since = Now();
   }
@@ -556,6 +558,16 @@
   PlanSoon();
 }
 
+void LeaderSession::OnStarted(const TrackedRun& run) {
+  TrackedJob* const job = m_state.FindJob(run.task.job);
+  if (job != nullptr && !job->has_begun) {
+    job->has_begun = true;
+    if (job->has_waiting_key) {
+      m_journal->MarkDirty(*job);
+    }
+  }
+}
+
 void LeaderSession::OnActive(TrackedRun& run, const ActiveRun& active) {
   TrackedJob* const job = m_state.FindJob(run.task.job);
   const TaskProgress* const task = m_state.FindTask(run.task);
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -84,6 +84,7 @@
   // What becomes of runs.
   void OnEnded(const MinionId& minion, const EndedRun& end);
   void OnLost(const TrackedRun& run, RunLoss loss, const std::string& reason);
+  void OnStarted(const TrackedRun& run);
   void OnActive(TrackedRun& run, const ActiveRun& active);
   void StopIfItStandsStill(const TrackedJob& job, TrackedRun& run);
   void TakeDone(TrackedJob& job, const EndedRun& end);
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -77,6 +77,8 @@
   std::optional<ProgressWrite> write;
   std::vector<EndReference> unsaved_ends;
   bool has_waiting_key = true;
+  /// A minion has or had one of its tasks.
+  bool has_begun = false;
   /// Since when this process has known the job, and each of its steps to be ready.
   Milliseconds known_since{0};
   std::vector<std::optional<Milliseconds>> ready_since;
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -120,6 +120,7 @@
     if (run->state == RunState::kOrdered) {
       run->state = RunState::kRunning;
       run->running_since = Now();
+      m_callbacks.on_started(*run);
     }
     Hold(minion);
     return;
@@ -394,6 +395,7 @@
     run->answered_at = run->answered_at.value_or(Now());
     if (run->state == RunState::kOrdered) {
       run->state = RunState::kRunning;
+      m_callbacks.on_started(*run);
     }
     NoteProgress(*run, active.percent, Now());
     m_callbacks.on_active(*run, active);
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -24,6 +24,8 @@
   std::function<void(const MinionId&, const EndedRun&)> on_ended;
   /// The run is gone and its room is free.
   std::function<void(const TrackedRun&, RunLoss, const std::string& reason)> on_lost;
+  /// A minion has it for the first time that this leader knows of.
+  std::function<void(const TrackedRun&)> on_started;
   /// The minion reported it at work.
   std::function<void(TrackedRun&, const ActiveRun&)> on_active;
   /// A minion has seen a higher token.
--- a/tests/leader/front_desk_test.cc
+++ b/tests/leader/front_desk_test.cc
@@ -98,6 +98,21 @@
   cr_assert_eq(office.node(0).Ask(JobRequestKind::kAsk, "/p1/", "key").pending, 0);
 }
 
+// Found on the grown site: a placement that was stored and never ordered counted as begun.
+Test(front_desk, job_whose_start_is_not_answered_is_still_waiting) {
+  TestOffice office;
+  for (const char* const id : {"m0", "m1", "m2", "m3"}) {
+    office.minions.FailNextOrders(MinionId(id),
+                                  {OrderFault::kLost, OrderFault::kLost, OrderFault::kLost});
+  }
+  office.Submit(NumberedJob(1), SmallJob());
+  office.Run(Milliseconds(1'000));
+  cr_assert_eq(office.minions.starts(), 0);
+  cr_assert_eq(office.node(0).Ask(JobRequestKind::kAsk, "/p1/", "key").pending, 1);
+  office.Run(Milliseconds(8'000));
+  cr_assert_eq(office.node(0).Ask(JobRequestKind::kAsk, "/p1/", "key").pending, 0);
+}
+
 Test(front_desk, cancelled_job_is_shown_so_at_once) {
   TestOffice office(2);
   office.Submit(NumberedJob(1), SmallJob());
