--- a/src/libraries/front_desk/front_desk.cc
+++ b/src/libraries/front_desk/front_desk.cc
@@ -156,13 +156,16 @@
       .Put(AcceptedKey(job.id), EncodeAcceptedJob(job))
       .Put(WaitingKey(job.queue, job.id), "");
   CommitClearly(m_timers, m_store, transaction, exchange->deadline,
-                [this, exchange](const WriteResult& result) { OnSubmitted(exchange, result); });
+                [this, exchange](const WriteResult& result) {
+                  OnWritten(exchange, result, AcceptedKey(exchange->job), JobReplyKind::kAccepted);
+                });
 }
 
-void FrontDesk::OnSubmitted(const ExchangePointer& exchange, const WriteResult& result) {
+void FrontDesk::OnWritten(const ExchangePointer& exchange, const WriteResult& result,
+                          const std::string& own_key, JobReplyKind done) {
   switch (result.outcome) {
     case WriteOutcome::kStored:
-      Finish(exchange, JobReply{JobReplyKind::kAccepted, exchange->job});
+      Finish(exchange, JobReply{done, exchange->job});
       return;
     case WriteOutcome::kNotSent:
       Refuse(exchange, JobReplyKind::kUnavailable, "the store can't be reached");
@@ -173,8 +176,9 @@
     case WriteOutcome::kConflict:
       break;
   }
-  if (FindItem(result.items, AcceptedKey(exchange->job)) != nullptr) {
-    Finish(exchange, JobReply{JobReplyKind::kAccepted, exchange->job});
+  if (FindItem(result.items, own_key) != nullptr) {
+    // Somebody, or an earlier send of the same write, was first.
+    Finish(exchange, JobReply{done, exchange->job});
     return;
   }
   if (const StoreItem* const manifest = FindItem(result.items, m_directory.ManifestKey())) {
@@ -268,35 +272,9 @@
       .Put(CancelKey(exchange->job), "")
       .Delete(WaitingKey(queue, exchange->job));
   CommitClearly(m_timers, m_store, transaction, exchange->deadline,
-                [this, exchange](const WriteResult& result) { OnCancelled(exchange, result); });
-}
-
-void FrontDesk::OnCancelled(const ExchangePointer& exchange, const WriteResult& result) {
-  switch (result.outcome) {
-    case WriteOutcome::kStored:
-      Finish(exchange, JobReply{JobReplyKind::kCancelled, exchange->job});
-      return;
-    case WriteOutcome::kNotSent:
-      Refuse(exchange, JobReplyKind::kUnavailable, "the store can't be reached");
-      return;
-    case WriteOutcome::kUnclear:
-      Refuse(exchange, JobReplyKind::kUnclear, "the store did not answer");
-      return;
-    case WriteOutcome::kConflict:
-      break;
-  }
-  if (FindItem(result.items, CancelKey(exchange->job)) != nullptr) {
-    Finish(exchange, JobReply{JobReplyKind::kCancelled, exchange->job});
-    return;
-  }
-  if (const StoreItem* const manifest = FindItem(result.items, m_directory.ManifestKey())) {
-    m_view.Adopt(*manifest);
-  }
-  if (exchange->rounds >= kMostRounds) {
-    Refuse(exchange, JobReplyKind::kUnavailable, "the manifest changes too fast");
-    return;
-  }
-  Route(exchange);
+                [this, exchange](const WriteResult& result) {
+                  OnWritten(exchange, result, CancelKey(exchange->job), JobReplyKind::kCancelled);
+                });
 }
 
 // --- answers ---
--- a/src/libraries/front_desk/front_desk.h
+++ b/src/libraries/front_desk/front_desk.h
@@ -38,13 +38,14 @@
   void Route(const ExchangePointer& exchange);
   bool Authorize(const ExchangePointer& exchange, const FleetManifest& manifest);
   void Submit(const ExchangePointer& exchange);
-  void OnSubmitted(const ExchangePointer& exchange, const WriteResult& result);
+  /// After a write whose success puts `own_key` into the store.
+  void OnWritten(const ExchangePointer& exchange, const WriteResult& result,
+                 const std::string& own_key, JobReplyKind done);
   void Ask(const ExchangePointer& exchange);
   void AskPending(const ExchangePointer& exchange);
   void Cancel(const ExchangePointer& exchange);
   void OnFound(const ExchangePointer& exchange, const ReadAnswer& accepted);
   void WriteCancel(const ExchangePointer& exchange, const StoreItem& accepted);
-  void OnCancelled(const ExchangePointer& exchange, const WriteResult& result);
   void Finish(const ExchangePointer& exchange, JobReply reply);
   void Refuse(const ExchangePointer& exchange, JobReplyKind kind, const std::string& detail);
 
--- /dev/null
+++ b/src/libraries/leader/leader_session_journal.cc
@@ -0,0 +1,102 @@
+#include "libraries/journal/journal_keys.h"
+#include "libraries/leader/leader_session.h"
+#include "libraries/log/log_event.h"
+
+namespace papayalift {
+
+namespace {
+
+/// A placement older than this when its write is answered is not ordered any more.
+constexpr Milliseconds kOldestPlacement{1'500};
+
+}  // namespace
+
+void LeaderSession::OnStored(TrackedJob& job, const ProgressWrite& write) {
+  const bool is_too_old = Now() - write.sent_at > kOldestPlacement;
+  for (const TaskName& name : write.placements) {
+    const TaskProgress& task = *m_state.FindTask(name);
+    TrackedRun* const run = m_state.FindRun(name, task.attempt);
+    if (run == nullptr || run->state != RunState::kDecided) {
+      continue;
+    }
+    if (run->stop_wanted || is_too_old || job.is_cancelled || HasEnded(job.progress.state)) {
+      DropPlacement(job, name);
+      m_journal->MarkDirty(job);
+      continue;
+    }
+    m_context.metrics.Observe("papayalift_start_after_known_ms",
+                              static_cast<double>((Now() - job.known_since).count()));
+    m_supervisor->Start(*run, job.accepted.work.payload, task.checkpoint);
+  }
+  if (!write.placements.empty()) {
+    // The manifest's revision was compared in the write.
+    m_context.view.NoteConfirmed(write.sent_at);
+  }
+  EndIfSettled(job);
+  for (const EndReference& end : write.ends) {
+    Acknowledge(end);
+  }
+}
+
+void LeaderSession::OnConflict(TrackedJob& job, const ProgressWrite& write,
+                               const std::vector<StoreItem>& items) {
+  std::string reason;
+  for (const StoreItem& item : items) {
+    if (item.key == CancelKey(job.accepted.id) && item.revision.value() != 0) {
+      reason = "the job is cancelled";
+      job.is_cancelled = true;
+    } else if (item.key == m_context.directory.ManifestKey() &&
+               item.revision != m_context.view.revision()) {
+      reason = "the manifest has changed";
+      m_context.view.Adopt(item);
+    } else if (const std::optional<ZoneId> zone = m_context.directory.EvacuatedZone(item.key);
+               zone.has_value() && item.revision.value() != 0) {
+      reason = "a zone is evacuated";
+      m_state.evacuated.insert(*zone);
+    } else if (item.key.starts_with(m_context.directory.MinionPrefix())) {
+      if (item.revision.value() == 0) {
+        DropMinion(m_context.directory.MinionOfKey(item.key));
+      } else {
+        TakeMinion(item);
+      }
+    }
+  }
+  LogEvent(LogLevel::kInfo, "leader", "a placement was not stored: what it saw has changed")
+      .Job(job.accepted.id)
+      .Reason(reason.empty() ? "a minion's registration has changed" : reason)
+      .Write();
+  for (const TaskName& name : write.placements) {
+    DropPlacement(job, name);
+  }
+  if (job.is_cancelled) {
+    if (job.progress.state == WorkState::kDone || job.progress.state == WorkState::kFailed) {
+      // The cancellation was stored first, so the job never ended otherwise.
+      job.progress.state = WorkState::kRunning;
+    }
+    Cancel(job);
+  }
+  PlanSoon();
+}
+
+void LeaderSession::DropPlacement(TrackedJob& job, const TaskName& name) {
+  TaskProgress& task = *m_state.FindTask(name);
+  const TrackedRun* const run = m_state.FindRun(name, task.attempt);
+  if (run == nullptr || run->state != RunState::kDecided) {
+    return;
+  }
+  m_state.RemoveRun(MinionId(task.minion), name);
+  BackToWaiting(job, name);
+}
+
+void LeaderSession::Acknowledge(const EndReference& end) {
+  TrackedMinion* const minion = m_state.FindMinion(end.minion);
+  if (minion == nullptr || minion->life != end.life) {
+    return;
+  }
+  minion->unsaved_ends.erase(end.number);
+  if (minion->unsaved_ends.empty()) {
+    m_supervisor->Hold(*minion);
+  }
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -0,0 +1,262 @@
+#include <algorithm>
+#include <utility>
+
+#include "libraries/journal/job_progress_codec.h"
+#include "libraries/leader/leader_session.h"
+#include "libraries/leader/run_progress.h"
+#include "libraries/log/log_event.h"
+
+namespace papayalift {
+
+namespace {
+
+/// A minion on which a task has just failed gets no work unless nothing else has room.
+constexpr Milliseconds kAvoidAfterFailure{4'000};
+/// Each further failure in a row doubles that.
+constexpr int kMostDoublings = 3;
+constexpr std::size_t kMinionsBeforeTheJobIsBlamed = 1;
+constexpr Milliseconds kAvoidAfterStall{5'000};
+/// Of a new measurement of a minion's speed against what was known.
+constexpr double kSpeedWeight = 0.2;
+
+}  // namespace
+
+void LeaderSession::OnEnded(const MinionId& minion_id, const EndedRun& end) {
+  TrackedJob* const job = m_state.FindJob(end.task.job);
+  TaskProgress* const task = m_state.FindTask(end.task);
+  TrackedMinion& minion = *m_state.FindMinion(minion_id);
+  if (job == nullptr || task == nullptr) {
+    return;
+  }
+  static constexpr const char* kWords[] = {"done",   "failed", "stopped",
+                                           "lapsed", "broken", "alone"};
+  LogEvent(LogLevel::kInfo, "runs", "a run has ended")
+      .Job(end.task.job)
+      .Field("task", TaskNameText(end.task))
+      .Field("attempt", end.attempt.value())
+      .Field("minion", minion_id.text())
+      .Field("how", kWords[static_cast<std::size_t>(end.kind)])
+      .Write();
+  m_context.metrics.Count(std::string("papayalift_runs_ended_total{how=\"") +
+                          kWords[static_cast<std::size_t>(end.kind)] + "\"}");
+  job->unsaved_ends.push_back(EndReference{minion_id, minion.life, end.number});
+  minion.unsaved_ends.insert(end.number);
+  TakeCheckpoint(*job, end.task, end.checkpoint);
+  if (end.kind == EndKind::kDone) {
+    minion.health.failures_in_a_row = 0;
+    TakeDone(*job, end);
+  } else {
+    if (end.kind == EndKind::kFailed) {
+      TakeFailure(*job, minion_id, end);
+    }
+    if (task->phase == TaskPhase::kPlaced && task->attempt == end.attempt) {
+      BackToWaiting(*job, end.task);
+    }
+  }
+  EndIfSettled(*job);
+  m_journal->MarkDirty(*job);
+  PlanSoon();
+}
+
+void LeaderSession::TakeDone(TrackedJob& job, const EndedRun& end) {
+  const std::size_t step = static_cast<std::size_t>(end.task.step);
+  const auto finish = [this, &end](TaskProgress& task, const TaskName& name) {
+    if (task.phase == TaskPhase::kPlaced && task.attempt != end.attempt) {
+      if (TrackedRun* const other = m_state.FindRun(name, task.attempt); other != nullptr) {
+        m_supervisor->Stop(*other, "an earlier attempt is done");
+      }
+    }
+    task.phase = TaskPhase::kDone;
+  };
+  if (job.accepted.work.steps[step].kind != StepKind::kGang) {
+    finish(*m_state.FindTask(end.task), end.task);
+    return;
+  }
+  // The members of a gang end done together; one such end stands for all.
+  std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
+  for (std::size_t index = 0; index < tasks.size(); ++index) {
+    finish(tasks[index],
+           TaskName{end.task.job, end.task.occurrence, end.task.step, static_cast<int>(index)});
+  }
+}
+
+/// A job that has failed on several minions is taken to be at fault itself.
+void LeaderSession::BlameMinion(TrackedMinion& minion, const TrackedJob& job) {
+  if (job.failed_on.size() > kMinionsBeforeTheJobIsBlamed) {
+    return;
+  }
+  const int doublings = std::min(minion.health.failures_in_a_row++, kMostDoublings);
+  minion.health.avoid_until = Now() + kAvoidAfterFailure * (1 << doublings);
+}
+
+void LeaderSession::TakeFailure(TrackedJob& job, const MinionId& minion_id, const EndedRun& end) {
+  TrackedMinion& minion = *m_state.FindMinion(minion_id);
+  job.failed_on.insert(minion_id);
+  BlameMinion(minion, job);
+  const std::size_t step = static_cast<std::size_t>(end.task.step);
+  const bool is_gang = job.accepted.work.steps[step].kind == StepKind::kGang;
+  int failures = 0;
+  std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
+  for (std::size_t index = 0; index < tasks.size(); ++index) {
+    if ((is_gang || static_cast<int>(index) == end.task.index) &&
+        end.attempt > tasks[index].last_failed) {
+      tasks[index].last_failed = end.attempt;
+      failures = std::max(failures, ++tasks[index].failures);
+    }
+  }
+  if (is_gang) {
+    StopStep(job, end.task.step, "a member of the gang has failed");
+  }
+  if (failures >= job.accepted.most_attempts && !HasEnded(job.progress.state) &&
+      !job.is_cancelled) {
+    EndJob(job, WorkState::kFailed, "a task has failed as often as its queue allows");
+    StopJob(job, "the job has failed");
+  }
+}
+
+void LeaderSession::TakeCheckpoint(TrackedJob& job, const TaskName& task,
+                                   const std::string& checkpoint) {
+  if (checkpoint.empty()) {
+    return;
+  }
+  const std::size_t step = static_cast<std::size_t>(task.step);
+  if (job.accepted.work.steps[step].kind != StepKind::kGang) {
+    m_state.FindTask(task)->checkpoint = checkpoint;
+    return;
+  }
+  // One member's checkpoint is good for the gang, and all must start from the same.
+  for (TaskProgress& member : job.progress.steps[step].tasks) {
+    member.checkpoint = checkpoint;
+  }
+}
+
+void LeaderSession::BackToWaiting(TrackedJob& job, const TaskName& name) {
+  TaskProgress& task = *m_state.FindTask(name);
+  task.phase = TaskPhase::kWaiting;
+  task.minion = MinionId();
+  task.life = MinionLife();
+  job.ready_since.resize(job.progress.steps.size());
+  job.ready_since[static_cast<std::size_t>(name.step)].reset();
+}
+
+void LeaderSession::OnLost(const TrackedRun& run, RunLoss loss, const std::string& reason) {
+  LogEvent(LogLevel::kWarning, "runs",
+           loss == RunLoss::kNeverStarted ? "a run never started" : "a run is lost")
+      .Job(run.task.job)
+      .Field("task", TaskNameText(run.task))
+      .Field("attempt", run.attempt.value())
+      .Field("minion", run.minion.text())
+      .Reason(reason)
+      .Write();
+  TrackedJob* const job = m_state.FindJob(run.task.job);
+  TaskProgress* const task = m_state.FindTask(run.task);
+  if (job == nullptr || task == nullptr) {
+    return;
+  }
+  if (task->phase == TaskPhase::kPlaced && task->attempt == run.attempt) {
+    BackToWaiting(*job, run.task);
+    const std::size_t step = static_cast<std::size_t>(run.task.step);
+    if (job->accepted.work.steps[step].kind == StepKind::kGang) {
+      StopStep(*job, run.task.step, "a member of the gang is missing");
+    }
+    m_journal->MarkDirty(*job);
+  }
+  EndIfSettled(*job);
+  PlanSoon();
+}
+
+void LeaderSession::OnStarted(const TrackedRun& run) {
+  TrackedJob* const job = m_state.FindJob(run.task.job);
+  if (job != nullptr && !job->has_begun) {
+    job->has_begun = true;
+    if (job->has_waiting_key) {
+      m_journal->MarkDirty(*job);
+    }
+  }
+}
+
+void LeaderSession::OnActive(TrackedRun& run, const ActiveRun& active) {
+  TrackedJob* const job = m_state.FindJob(run.task.job);
+  const TaskProgress* const task = m_state.FindTask(run.task);
+  if (job != nullptr && task != nullptr && task->attempt == run.attempt) {
+    TakeCheckpoint(*job, run.task, active.checkpoint);
+    StopIfItStandsStill(*job, run);
+  }
+}
+
+void LeaderSession::StopIfItStandsStill(const TrackedJob& job, TrackedRun& run) {
+  const StepSpec& step = job.accepted.work.steps[static_cast<std::size_t>(run.task.step)];
+  TrackedMinion& minion = *m_state.FindMinion(run.minion);
+  if (const std::optional<double> speed = MeasuredSpeed(run, step, Now())) {
+    minion.health.speed += (*speed - minion.health.speed) * kSpeedWeight;
+    minion.health.speed_at = Now();
+  }
+  if (JudgeProgress(run, step, Now()) == ProgressVerdict::kFine || run.stop_wanted ||
+      job.is_cancelled) {
+    return;
+  }
+  minion.health.avoid_until = Now() + kAvoidAfterStall;
+  m_context.metrics.Count("papayalift_runs_given_up_total");
+  m_supervisor->Stop(run, "it stands still");
+}
+
+void LeaderSession::StopStep(TrackedJob& job, int step, const std::string& reason) {
+  const std::vector<TaskProgress>& tasks = job.progress.steps[static_cast<std::size_t>(step)].tasks;
+  for (std::size_t index = 0; index < tasks.size(); ++index) {
+    const TaskName name{job.accepted.id, 0, step, static_cast<int>(index)};
+    TrackedRun* const run = m_state.FindRun(name, tasks[index].attempt);
+    if (run != nullptr && tasks[index].phase == TaskPhase::kPlaced) {
+      m_supervisor->Stop(*run, reason);
+    }
+  }
+}
+
+void LeaderSession::StopJob(TrackedJob& job, const std::string& reason) {
+  for (std::size_t step = 0; step < job.progress.steps.size(); ++step) {
+    StopStep(job, static_cast<int>(step), reason);
+  }
+}
+
+void LeaderSession::Cancel(TrackedJob& job) {
+  if (job.accepted.id.empty() || HasEnded(job.progress.state)) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "leader", "cancelling a job").Job(job.accepted.id).Write();
+  StopJob(job, "the job is cancelled");
+  EndIfSettled(job);
+}
+
+void LeaderSession::EndIfSettled(TrackedJob& job) {
+  if (HasEnded(job.progress.state)) {
+    return;
+  }
+  if (job.is_cancelled) {
+    // Also where all tasks are done by now: the cancellation was stored before that.
+    if (!AnyTaskIs(job.progress, TaskPhase::kPlaced)) {
+      EndJob(job, WorkState::kCancelled, "cancelled, and nothing runs");
+    }
+    return;
+  }
+  const bool is_done =
+      std::all_of(job.progress.steps.begin(), job.progress.steps.end(),
+                  [](const StepProgress& step) { return AllTasksAre(step, TaskPhase::kDone); });
+  if (is_done) {
+    EndJob(job, WorkState::kDone, "all tasks are done");
+  }
+}
+
+void LeaderSession::EndJob(TrackedJob& job, WorkState state, const std::string& reason) {
+  job.progress.state = state;
+  job.progress.ended_at = m_context.timers.clock().WallNow();
+  job.ended_since = Now();
+  LogEvent(LogLevel::kInfo, "leader", "a job has ended")
+      .Job(job.accepted.id)
+      .Field("state", WorkStateText(state))
+      .Reason(reason)
+      .Field("known_ms", (Now() - job.known_since).count())
+      .Write();
+  m_context.metrics.Count("papayalift_jobs_ended_total{state=\"" + WorkStateText(state) + "\"}");
+  m_journal->MarkDirty(job);
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -0,0 +1,262 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "libraries/leader/run_progress.h"
+#include "libraries/leader/run_supervisor.h"
+#include "libraries/log/log_event.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr Milliseconds kRetryPause{300};
+/// While ends can't be stored, a waiting report would come back at once.
+constexpr Milliseconds kUnsavedEndsPause{500};
+
+/// At work, or ended.
+bool IsListed(const HoldReport& report, const TrackedRun& run) {
+  const auto is_run = [&run](const auto& row) {
+    return row.task == run.task && row.attempt == run.attempt;
+  };
+  return std::any_of(report.active.begin(), report.active.end(), is_run) ||
+         std::any_of(report.ended.begin(), report.ended.end(), is_run);
+}
+
+}  // namespace
+
+bool RunSupervisor::NeedsHold(const TrackedMinion& minion) const {
+  const bool is_known = minion.is_confirmed && minion.silent_calls == 0 &&
+                        (!minion.entry.has_value() || minion.life == minion.entry->life);
+  return !minion.runs.empty() || (!is_known && minion.entry.has_value()) ||
+         minion.acknowledgeable() > minion.acknowledged_sent;
+}
+
+void RunSupervisor::Hold(TrackedMinion& minion) {
+  if (minion.is_hold_in_flight || m_is_closed) {
+    return;
+  }
+  m_timers.Cancel(minion.hold_timer);
+  minion.hold_timer = 0;
+  SendHold(minion);
+}
+
+void RunSupervisor::HoldAfter(TrackedMinion& minion, Milliseconds delay) {
+  m_timers.Cancel(minion.hold_timer);
+  minion.hold_timer = m_timers.After(delay, [weak = weak_from_this(), id = minion.id] {
+    const Self self = weak.lock();
+    if (self == nullptr || self->m_is_closed) {
+      return;
+    }
+    if (TrackedMinion* const found = self->m_state.FindMinion(id); found != nullptr) {
+      found->hold_timer = 0;
+      if (self->NeedsHold(*found)) {
+        self->Hold(*found);
+      }
+    }
+  });
+}
+
+void RunSupervisor::SendHold(TrackedMinion& minion) {
+  // NOTE: to a minion that does not answer the lease must not be extended, or it would never be
+  // over.
+  const std::optional<MinionTime> lease =
+      minion.silent_calls == 0 ? NextLease(minion) : minion.lease_until;
+  // NOTE: a new life counts its ends anew, and must not forget ends that it has not shown. So only
+  // a call that is answered at once acknowledges, and none after a call without an answer.
+  const bool acknowledges =
+      minion.is_life_sure && minion.acknowledgeable() > minion.acknowledged_sent;
+  const bool waits = !acknowledges && minion.is_confirmed && !minion.runs.empty() &&
+                     minion.unsaved_ends.empty() && minion.silent_calls == 0;
+  const HoldOrder order{m_state.term.token, lease,
+                        acknowledges ? minion.acknowledgeable() : EndNumber(0),
+                        waits ? m_settings.hold_wait : Milliseconds(0)};
+  if (order.lease_until.has_value()) {
+    minion.lease_until =
+        std::max(minion.lease_until.value_or(*order.lease_until), *order.lease_until);
+  }
+  if (acknowledges) {
+    minion.acknowledged_sent = order.acknowledged;
+  }
+  minion.is_hold_in_flight = true;
+  m_minions.Hold(
+      minion.destination(), order,
+      [weak = weak_from_this(), id = minion.id, sent_at = Now()](const HoldAnswer& answer) {
+        const Self self = weak.lock();
+        if (self != nullptr && !self->m_is_closed) {
+          self->OnHoldAnswer(id, sent_at, answer);
+        }
+      });
+}
+
+void RunSupervisor::OnHoldAnswer(const MinionId& id, Milliseconds sent_at,
+                                 const HoldAnswer& answer) {
+  TrackedMinion& minion = *m_state.FindMinion(id);
+  minion.is_hold_in_flight = false;
+  if (answer.result == OrderResult::kFenced) {
+    m_callbacks.on_fenced();
+    return;
+  }
+  if (answer.result != OrderResult::kDone) {
+    OnHoldFailed(minion, answer);
+    return;
+  }
+  if (minion.silent_calls > 1) {
+    LogEvent(LogLevel::kInfo, "runs", "minion reached again")
+        .Field("minion", id.text())
+        .Field("silent_calls", minion.silent_calls)
+        .Write();
+  }
+  minion.silent_calls = 0;
+  minion.is_life_sure = true;
+  minion.heard_at = Now();
+  TakeReport(minion, sent_at, answer.report);
+  if (m_is_closed) {
+    return;
+  }
+  if (!minion.unsaved_ends.empty()) {
+    // Asked again once the ends are stored.
+    HoldAfter(minion, kUnsavedEndsPause);
+  } else if (NeedsHold(minion)) {
+    Hold(minion);
+  }
+}
+
+void RunSupervisor::OnHoldFailed(TrackedMinion& minion, const HoldAnswer& answer) {
+  // An acknowledgement may be lost with it.
+  minion.acknowledged_sent = EndNumber(0);
+  NoteSilence(minion);
+  if (minion.silent_calls == 2) {
+    LogEvent(LogLevel::kWarning, "runs", "minion does not answer")
+        .Field("minion", minion.id.text())
+        .Field("runs", static_cast<std::int64_t>(minion.runs.size()))
+        .Field("listed", minion.entry.has_value() ? 1 : 0)
+        .Reason(answer.detail)
+        .Write();
+  }
+  if (NeedsHold(minion)) {
+    HoldAfter(minion, kRetryPause);
+  }
+}
+
+void RunSupervisor::TakeReport(TrackedMinion& minion, Milliseconds sent_at,
+                               const HoldReport& report) {
+  const MinionId id = minion.id;
+  const bool is_first = !minion.is_confirmed || minion.life != report.life;
+  TakeLife(minion, report.life);
+  minion.is_confirmed = true;
+  minion.clock = report.clock;
+  minion.clock_at = Now();
+  TakeEnds(id, report);
+  if (m_is_closed) {
+    return;
+  }
+  TakeActive(minion, report);
+  SettleAbsent(minion, sent_at, report);
+  if (is_first) {
+    m_callbacks.on_room();
+  }
+}
+
+void RunSupervisor::TakeLife(TrackedMinion& minion, MinionLife life) {
+  if (minion.life == life) {
+    return;
+  }
+  if (minion.life.value() != 0) {
+    minion.last_end = EndNumber(0);
+    minion.acknowledged_sent = EndNumber(0);
+    minion.unsaved_ends.clear();
+    minion.lease_until.reset();
+  }
+  // NOTE: what ran in the old life is settled below like all that a report does not list; a start
+  // that was under way may have reached the new life.
+  minion.life = life;
+}
+
+void RunSupervisor::TakeEnds(const MinionId& id, const HoldReport& report) {
+  std::vector<EndedRun> ends = report.ended;
+  std::sort(ends.begin(), ends.end(),
+            [](const EndedRun& left, const EndedRun& right) { return left.number < right.number; });
+  for (const EndedRun& end : ends) {
+    TrackedMinion& minion = *m_state.FindMinion(id);
+    if (end.number <= minion.last_end) {
+      continue;
+    }
+    minion.last_end = end.number;
+    const auto run = minion.runs.find(end.task);
+    if (run != minion.runs.end() && run->second.attempt == end.attempt) {
+      m_state.RemoveRun(id, end.task);
+    }
+    m_callbacks.on_ended(id, end);
+    if (m_is_closed) {
+      return;
+    }
+  }
+}
+
+void RunSupervisor::TakeActive(TrackedMinion& minion, const HoldReport& report) {
+  for (const ActiveRun& active : report.active) {
+    TrackedRun* const run = FindRun(active.task, minion.id, active.attempt);
+    if (run == nullptr) {
+      AddStray(minion, active);
+      continue;
+    }
+    run->answered_at = run->answered_at.value_or(Now());
+    if (run->state == RunState::kOrdered) {
+      run->state = RunState::kRunning;
+      m_callbacks.on_started(*run);
+    }
+    NoteProgress(*run, active.percent, Now());
+    m_callbacks.on_active(*run, active);
+  }
+}
+
+/// An order that was given up, or a former leader's, was carried out after all.
+void RunSupervisor::AddStray(TrackedMinion& minion, const ActiveRun& active) {
+  if (minion.runs.contains(active.task)) {
+    return;
+  }
+  TrackedRun run;
+  run.task = active.task;
+  run.attempt = active.attempt;
+  run.minion = minion.id;
+  run.life = minion.life;
+  run.state = RunState::kRunning;
+  run.answered_at = Now();
+  const TrackedJob* const job = m_state.FindJob(active.task.job);
+  const std::size_t step = static_cast<std::size_t>(active.task.step);
+  if (job != nullptr && step < job->accepted.work.steps.size()) {
+    run.needs = job->accepted.work.steps[step].needs;
+  }
+  m_state.AddRun(minion, run);
+  Stop(minion.runs.at(active.task), "it runs without a placement");
+}
+
+void RunSupervisor::SettleAbsent(TrackedMinion& minion, Milliseconds sent_at,
+                                 const HoldReport& report) {
+  std::vector<TaskName> never_started;
+  std::vector<TaskName> gone;
+  for (auto& [task, run] : minion.runs) {
+    if (IsListed(report, run) || run.state == RunState::kDecided) {
+      continue;
+    }
+    const bool was_stopped = run.stop_answered_at.has_value() && *run.stop_answered_at <= sent_at;
+    const bool was_there =
+        run.answered_at.has_value() && *run.answered_at < sent_at && !run.stop_wanted;
+    if (!was_stopped && run.orders_sent == 0) {
+      // A former leader's placement; its orders are refused from this report on.
+      never_started.push_back(task);
+    } else if (was_stopped || was_there) {
+      gone.push_back(task);
+    }
+  }
+  const MinionId id = minion.id;
+  for (const TaskName& task : never_started) {
+    Lose(id, task, RunLoss::kNeverStarted, "the minion does not have it");
+  }
+  for (const TaskName& task : gone) {
+    Lose(id, task, RunLoss::kMinionLost, "the minion does not have it any more");
+  }
+}
+
+}  // namespace papayalift
