Work: Give types names of their own

Two structs named WorkspaceSpec, the bundle's and the manifest's, met in one program since the adapter was linked in; the linker kept one constructor. Ruled out: the bundle's code, unchanged and tested by itself.

--- a/src/libraries/front_desk/front_desk.cc
+++ b/src/libraries/front_desk/front_desk.cc
@@ -107,7 +107,7 @@
   }
   exchange->queue = *queue;
   if (queue->needs_key) {
-    const WorkspaceSpec* const workspace = manifest.FindWorkspaceByKey(exchange->request.key);
+    const ManifestWorkspace* const workspace = manifest.FindWorkspaceByKey(exchange->request.key);
     if (workspace == nullptr) {
       Refuse(exchange, JobReplyKind::kBadKey, "the key belongs to no workspace");
       return false;
--- a/src/libraries/journal/accepted_job_codec.cc
+++ b/src/libraries/journal/accepted_job_codec.cc
@@ -12,7 +12,7 @@
             {"memory", step.needs.memory_mb},
             {"accelerators", step.needs.accelerators},
             {"estimate_ms", step.estimate.count()}};
-  if (step.kind == StepKind::kGang) {
+  if (step.kind == WorkStepKind::kGang) {
     json["gang"] = true;
   }
   if (!step.after.empty()) {
@@ -43,7 +43,7 @@
   step.needs.memory_mb = json.value("memory", std::int64_t{0});
   step.needs.accelerators = json.value("accelerators", std::int64_t{0});
   step.estimate = MillisecondsAt(json, "estimate_ms");
-  step.kind = json.value("gang", false) ? StepKind::kGang : StepKind::kSingles;
+  step.kind = json.value("gang", false) ? WorkStepKind::kGang : WorkStepKind::kSingles;
   step.after = json.value("after", std::vector<int>());
   step.saves_checkpoints = json.value("checkpoints", false);
   step.wants_one_rack = json.value("one_rack", false);
--- a/src/libraries/leader/job_journal.cc
+++ b/src/libraries/leader/job_journal.cc
@@ -102,7 +102,8 @@
       const TaskName name{job.accepted.id, 0, static_cast<int>(&step - job.progress.steps.data()),
                           static_cast<int>(index)};
       const TrackedRun* const run = m_state.FindRun(name, task.attempt);
-      if (task.phase == TaskPhase::kPlaced && run != nullptr && run->state == RunState::kDecided) {
+      if (task.phase == TaskPhase::kPlaced && run != nullptr &&
+          run->state == TrackedRunState::kDecided) {
         write.placements.push_back(name);
         minions.insert(run->minion);
       }
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -115,7 +115,7 @@
   StepProgress& step = job.progress.steps[static_cast<std::size_t>(start.step)];
   AttemptNumber attempt;
   const bool is_gang =
-      job.accepted.work.steps[static_cast<std::size_t>(start.step)].kind == StepKind::kGang;
+      job.accepted.work.steps[static_cast<std::size_t>(start.step)].kind == WorkStepKind::kGang;
   if (is_gang) {
     for (const TaskProgress& task : step.tasks) {
       attempt = std::max(attempt, task.attempt);
--- a/src/libraries/leader/leader_session_feeds.cc
+++ b/src/libraries/leader/leader_session_feeds.cc
@@ -331,7 +331,7 @@
       run.minion = task.minion;
       run.life = task.life;
       run.needs = job.accepted.work.steps[step].needs;
-      run.state = RunState::kOrdered;
+      run.state = TrackedRunState::kOrdered;
       run.decided_at = Now();
       m_state.AddRun(minion, std::move(run));
     }
--- a/src/libraries/leader/leader_session_journal.cc
+++ b/src/libraries/leader/leader_session_journal.cc
@@ -16,7 +16,7 @@
   for (const TaskName& name : write.placements) {
     const TaskProgress& task = *m_state.FindTask(name);
     TrackedRun* const run = m_state.FindRun(name, task.attempt);
-    if (run == nullptr || run->state != RunState::kDecided) {
+    if (run == nullptr || run->state != TrackedRunState::kDecided) {
       continue;
     }
     if (run->stop_wanted || is_too_old || job.is_cancelled || HasEnded(job.progress.state)) {
@@ -81,7 +81,7 @@
 void LeaderSession::DropPlacement(TrackedJob& job, const TaskName& name) {
   TaskProgress& task = *m_state.FindTask(name);
   const TrackedRun* const run = m_state.FindRun(name, task.attempt);
-  if (run == nullptr || run->state != RunState::kDecided) {
+  if (run == nullptr || run->state != TrackedRunState::kDecided) {
     return;
   }
   m_state.RemoveRun(MinionId(task.minion), name);
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -68,7 +68,7 @@
     }
     task.phase = TaskPhase::kDone;
   };
-  if (job.accepted.work.steps[step].kind != StepKind::kGang) {
+  if (job.accepted.work.steps[step].kind != WorkStepKind::kGang) {
     finish(*m_state.FindTask(end.task), end.task);
     return;
   }
@@ -94,7 +94,7 @@
   job.failed_on.insert(minion_id);
   BlameMinion(minion, job);
   const std::size_t step = static_cast<std::size_t>(end.task.step);
-  const bool is_gang = job.accepted.work.steps[step].kind == StepKind::kGang;
+  const bool is_gang = job.accepted.work.steps[step].kind == WorkStepKind::kGang;
   int failures = 0;
   std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
   for (std::size_t index = 0; index < tasks.size(); ++index) {
@@ -120,7 +120,7 @@
     return;
   }
   const std::size_t step = static_cast<std::size_t>(task.step);
-  if (job.accepted.work.steps[step].kind != StepKind::kGang) {
+  if (job.accepted.work.steps[step].kind != WorkStepKind::kGang) {
     m_state.FindTask(task)->checkpoint = checkpoint;
     return;
   }
@@ -156,7 +156,7 @@
   if (task->phase == TaskPhase::kPlaced && task->attempt == run.attempt) {
     BackToWaiting(*job, run.task);
     const std::size_t step = static_cast<std::size_t>(run.task.step);
-    if (job->accepted.work.steps[step].kind == StepKind::kGang) {
+    if (job->accepted.work.steps[step].kind == WorkStepKind::kGang) {
       StopStep(*job, run.task.step, "a member of the gang is missing");
     }
     m_journal->MarkDirty(*job);
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -14,7 +14,7 @@
 
 namespace papayalift {
 
-enum class RunState {
+enum class TrackedRunState {
   /// Its placement is not stored yet; nothing was sent.
   kDecided,
   /// A start was sent, or may have been; the minion has not said that it is there.
@@ -30,7 +30,7 @@
   MinionId minion;
   MinionLife life;
   Resources needs;
-  RunState state = RunState::kDecided;
+  TrackedRunState state = TrackedRunState::kDecided;
   /// A stop is wanted, though the start is not settled yet.
   bool stop_wanted = false;
   std::string stop_reason;
--- a/src/libraries/leader/plan_snapshot_maker.cc
+++ b/src/libraries/leader/plan_snapshot_maker.cc
@@ -110,7 +110,7 @@
       }
     }
     const bool has_runs = step < job.runs_by_step.size() && job.runs_by_step[step] > 0;
-    const bool is_gang = unit.spec.kind == StepKind::kGang;
+    const bool is_gang = unit.spec.kind == WorkStepKind::kGang;
     if (unit.indexes.empty() || (is_gang && (has_runs || unit.indexes.size() != tasks.size()))) {
       return;
     }
@@ -135,7 +135,7 @@
       return;
     }
     PlanVictim gang = VictimOf(job, step);
-    const bool is_gang = job.accepted.work.steps[step].kind == StepKind::kGang;
+    const bool is_gang = job.accepted.work.steps[step].kind == WorkStepKind::kGang;
     const std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
       const TaskName name{job.accepted.id, 0, static_cast<int>(step), static_cast<int>(index)};
--- a/src/libraries/leader/run_progress.cc
+++ b/src/libraries/leader/run_progress.cc
@@ -42,7 +42,7 @@
       run.percent >= kWholePercent) {
     return ProgressVerdict::kFine;
   }
-  const Milliseconds gathers = step.kind == StepKind::kGang ? kGangGathers : Milliseconds(0);
+  const Milliseconds gathers = step.kind == WorkStepKind::kGang ? kGangGathers : Milliseconds(0);
   if (now - *run.running_since < gathers + kLeastStall) {
     return ProgressVerdict::kFine;
   }
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -65,7 +65,7 @@
 
 void RunSupervisor::Start(TrackedRun& run, const std::string& payload,
                           const std::string& checkpoint) {
-  run.state = RunState::kOrdered;
+  run.state = TrackedRunState::kOrdered;
   SendStart(run.task, run.minion, run.attempt, payload, checkpoint);
 }
 
@@ -105,8 +105,8 @@
   if (answer.result == OrderResult::kDone) {
     minion.silent_calls = 0;
     run->answered_at = Now();
-    if (run->state == RunState::kOrdered) {
-      run->state = RunState::kRunning;
+    if (run->state == TrackedRunState::kOrdered) {
+      run->state = TrackedRunState::kRunning;
       run->running_since = Now();
       m_callbacks.on_started(*run);
     }
@@ -114,10 +114,11 @@
     return;
   }
   const bool may_be_there = run->orders_sent > 1 || answer.result == OrderResult::kUnclear;
-  if (answer.result == OrderResult::kUnclear || (may_be_there && run->state == RunState::kOrdered &&
-                                                 answer.result == OrderResult::kNotSent)) {
+  if (answer.result == OrderResult::kUnclear ||
+      (may_be_there && run->state == TrackedRunState::kOrdered &&
+       answer.result == OrderResult::kNotSent)) {
     NoteSilence(minion);
-    if (run->state == RunState::kOrdered && run->orders_sent < kMostStartOrders) {
+    if (run->state == TrackedRunState::kOrdered && run->orders_sent < kMostStartOrders) {
       SendStart(order.task, minion_id, order.attempt, order.payload, order.checkpoint);
     } else {
       Stop(*run, "its start was not answered");
@@ -144,11 +145,11 @@
   }
   run.stop_wanted = true;
   run.stop_reason = reason;
-  if (run.state == RunState::kDecided) {
+  if (run.state == TrackedRunState::kDecided) {
     // Nothing was sent; the journal's answer settles it.
     return;
   }
-  run.state = RunState::kStopping;
+  run.state = TrackedRunState::kStopping;
   LogEvent(LogLevel::kInfo, "runs", "stopping a run")
       .Job(run.task.job)
       .Field("task", TaskNameText(run.task))
@@ -229,7 +230,7 @@
     }
     std::vector<TaskName> lost;
     for (const auto& [task, run] : minion.runs) {
-      if (run.state != RunState::kDecided) {
+      if (run.state != TrackedRunState::kDecided) {
         lost.push_back(task);
       }
     }
--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -202,8 +202,8 @@
       continue;
     }
     run->answered_at = run->answered_at.value_or(Now());
-    if (run->state == RunState::kOrdered) {
-      run->state = RunState::kRunning;
+    if (run->state == TrackedRunState::kOrdered) {
+      run->state = TrackedRunState::kRunning;
       m_callbacks.on_started(*run);
     }
     NoteProgress(*run, active.percent, Now());
@@ -221,7 +221,7 @@
   run.attempt = active.attempt;
   run.minion = minion.id;
   run.life = minion.life;
-  run.state = RunState::kRunning;
+  run.state = TrackedRunState::kRunning;
   run.answered_at = Now();
   const TrackedJob* const job = m_state.FindJob(active.task.job);
   const std::size_t step = static_cast<std::size_t>(active.task.step);
@@ -237,7 +237,7 @@
   std::vector<TaskName> never_started;
   std::vector<TaskName> gone;
   for (auto& [task, run] : minion.runs) {
-    if (IsListed(report, run) || run.state == RunState::kDecided) {
+    if (IsListed(report, run) || run.state == TrackedRunState::kDecided) {
       continue;
     }
     const bool was_stopped = run.stop_answered_at.has_value() && *run.stop_answered_at <= sent_at;
--- a/src/libraries/leader/workspace_use.cc
+++ b/src/libraries/leader/workspace_use.cc
@@ -31,7 +31,7 @@
   if (job.priority != kGuaranteedPriority) {
     return false;
   }
-  const WorkspaceSpec* const workspace = m_manifest.FindWorkspace(job.workspace);
+  const ManifestWorkspace* const workspace = m_manifest.FindWorkspace(job.workspace);
   const auto wanted = m_wanted.find(job.workspace);
   return workspace != nullptr && wanted != m_wanted.end() &&
          wanted->second <= workspace->guaranteed.value();
--- a/src/libraries/planner/placement_search.cc
+++ b/src/libraries/planner/placement_search.cc
@@ -166,7 +166,7 @@
     return false;
   }
   const std::int64_t wanted =
-      unit.spec.kind == StepKind::kGang ? static_cast<std::int64_t>(unit.indexes.size()) : 1;
+      unit.spec.kind == WorkStepKind::kGang ? static_cast<std::int64_t>(unit.indexes.size()) : 1;
   const std::vector<RackId> racks = RacksFor(unit, room);
   return std::any_of(racks.begin(), racks.end(), [&unit, &room, wanted](const RackId& rack) {
     return RackCapacity(unit, room, rack) >= wanted;
--- a/src/libraries/planner/plan_starts.cc
+++ b/src/libraries/planner/plan_starts.cc
@@ -45,7 +45,7 @@
       return ComesBefore(*left, *right);
     });
     for (const PlanUnit* const unit : order) {
-      if (unit->spec.kind == StepKind::kGang) {
+      if (unit->spec.kind == WorkStepKind::kGang) {
         PlanWhole(*unit);
       } else {
         PlanSingles(*unit);
--- a/src/libraries/work/fleet_manifest.cc
+++ b/src/libraries/work/fleet_manifest.cc
@@ -22,17 +22,17 @@
   return best;
 }
 
-const WorkspaceSpec* FleetManifest::FindWorkspace(const WorkspaceId& id) const {
+const ManifestWorkspace* FleetManifest::FindWorkspace(const WorkspaceId& id) const {
   const auto found =
       std::find_if(workspaces.begin(), workspaces.end(),
-                   [&id](const WorkspaceSpec& workspace) { return workspace.id == id; });
+                   [&id](const ManifestWorkspace& workspace) { return workspace.id == id; });
   return found == workspaces.end() ? nullptr : &*found;
 }
 
-const WorkspaceSpec* FleetManifest::FindWorkspaceByKey(const std::string& key) const {
-  const auto found =
-      std::find_if(workspaces.begin(), workspaces.end(),
-                   [&key](const WorkspaceSpec& workspace) { return workspace.keys.contains(key); });
+const ManifestWorkspace* FleetManifest::FindWorkspaceByKey(const std::string& key) const {
+  const auto found = std::find_if(
+      workspaces.begin(), workspaces.end(),
+      [&key](const ManifestWorkspace& workspace) { return workspace.keys.contains(key); });
   return found == workspaces.end() ? nullptr : &*found;
 }
 
--- a/src/libraries/work/fleet_manifest.h
+++ b/src/libraries/work/fleet_manifest.h
@@ -34,7 +34,7 @@
   bool needs_advice = false;
 };
 
-struct WorkspaceSpec {
+struct ManifestWorkspace {
   WorkspaceId id;
   std::set<std::string> keys;
   AcceleratorCount guaranteed;
@@ -43,13 +43,13 @@
 struct FleetManifest {
   ManifestVersion version;
   std::vector<QueueSpec> queues;
-  std::vector<WorkspaceSpec> workspaces;
+  std::vector<ManifestWorkspace> workspaces;
 
   const QueueSpec* FindQueue(const QueueId& id) const;
   /// The queue with the host and the longest prefix that `path` begins with.
   const QueueSpec* FindQueueByPath(const std::string& host, const std::string& path) const;
-  const WorkspaceSpec* FindWorkspace(const WorkspaceId& id) const;
-  const WorkspaceSpec* FindWorkspaceByKey(const std::string& key) const;
+  const ManifestWorkspace* FindWorkspace(const WorkspaceId& id) const;
+  const ManifestWorkspace* FindWorkspaceByKey(const std::string& key) const;
 };
 
 }  // namespace papayalift
--- a/src/libraries/work/work_spec.h
+++ b/src/libraries/work/work_spec.h
@@ -11,7 +11,7 @@
 namespace papayalift {
 
 /// How the tasks of a step relate to each other.
-enum class StepKind {
+enum class WorkStepKind {
   /// Each task by itself.
   kSingles,
   /// All tasks run together, and end together.
@@ -19,7 +19,7 @@
 };
 
 struct StepSpec {
-  StepKind kind = StepKind::kSingles;
+  WorkStepKind kind = WorkStepKind::kSingles;
   int count = 1;
   Resources needs;
   /// The submitter's guess of how long one task takes.
--- a/src/services/platform_commands.cc
+++ b/src/services/platform_commands.cc
@@ -105,7 +105,7 @@
         fmt::format("{}{} priority {} attempts {} service {}", queue.host, queue.path_prefix,
                     queue.priority.value(), queue.most_attempts, queue.service.text());
   }
-  for (const WorkspaceSpec& workspace : manifest->workspaces) {
+  for (const ManifestWorkspace& workspace : manifest->workspaces) {
     report["workspace " + workspace.id.text()] = fmt::format(
         "{} keys, {} accelerators guaranteed", workspace.keys.size(), workspace.guaranteed.value());
   }
--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -337,7 +337,7 @@
   std::vector<Run*> members;
   for (auto& [id, minion] : m_minions) {
     for (auto& [name, run] : minion.runs) {
-      const bool is_member = step != nullptr && step->kind == StepKind::kGang
+      const bool is_member = step != nullptr && step->kind == WorkStepKind::kGang
                                  ? name.job == task.job && name.step == task.step
                                  : name == task;
       if (is_member && run.attempt == attempt) {
@@ -345,8 +345,9 @@
       }
     }
   }
-  const std::size_t wanted =
-      step != nullptr && step->kind == StepKind::kGang ? static_cast<std::size_t>(step->count) : 1;
+  const std::size_t wanted = step != nullptr && step->kind == WorkStepKind::kGang
+                                 ? static_cast<std::size_t>(step->count)
+                                 : 1;
   if (members.size() < wanted) {
     return;
   }
--- a/tests/journal/journal_codec_test.cc
+++ b/tests/journal/journal_codec_test.cc
@@ -31,7 +31,7 @@
   job.slack_factor = 1.5;
   job.work.payload = "text \xc3\xa9";
   job.work.steps.resize(2);
-  job.work.steps[0].kind = StepKind::kGang;
+  job.work.steps[0].kind = WorkStepKind::kGang;
   job.work.steps[0].count = 7;
   job.work.steps[0].needs = Resources{1, 2, 3};
   job.work.steps[0].wants_one_rack = true;
--- a/tests/leader/leader_session_test.cc
+++ b/tests/leader/leader_session_test.cc
@@ -17,7 +17,7 @@
 
 KnownJob Gang(int count, std::int64_t accelerators, Milliseconds duration = Milliseconds(1'000)) {
   KnownJob job = OneStep(StepOfTasks(count, accelerators), duration);
-  job.work.steps[0].kind = StepKind::kGang;
+  job.work.steps[0].kind = WorkStepKind::kGang;
   return job;
 }
 
--- a/tests/leader/office_property_test.cc
+++ b/tests/leader/office_property_test.cc
@@ -146,7 +146,7 @@
  private:
   static StepSpec GangOf(int count, std::int64_t accelerators) {
     StepSpec step = StepOfTasks(count, accelerators);
-    step.kind = StepKind::kGang;
+    step.kind = WorkStepKind::kGang;
     return step;
   }
 
--- a/tests/leader/run_progress_test.cc
+++ b/tests/leader/run_progress_test.cc
@@ -9,7 +9,7 @@
 constexpr Milliseconds kEstimate{8'000};
 
 struct ProgressFixture {
-  explicit ProgressFixture(StepKind kind = StepKind::kSingles) {
+  explicit ProgressFixture(WorkStepKind kind = WorkStepKind::kSingles) {
     step.kind = kind;
     step.estimate = kEstimate;
     run.running_since = Milliseconds(0);
@@ -42,7 +42,7 @@
 }
 
 Test(run_progress, gang_that_still_gathers_is_fine) {
-  ProgressFixture fixture(StepKind::kGang);
+  ProgressFixture fixture(WorkStepKind::kGang);
   fixture.ReportAt(0, 0);
   cr_assert(fixture.ReportAt(4'000, 0) == ProgressVerdict::kFine);
   cr_assert(fixture.ReportAt(6'000, 0) == ProgressVerdict::kStalled);
--- a/tests/leader/test_office.cc
+++ b/tests/leader/test_office.cc
@@ -157,7 +157,7 @@
                          {"memMb", step.needs.memory_mb},
                          {"gpu", step.needs.accelerators},
                          {"estimateMs", step.estimate.count()},
-                         {"gang", step.kind == StepKind::kGang},
+                         {"gang", step.kind == WorkStepKind::kGang},
                          {"rackLocal", step.wants_one_rack},
                          {"after", step.after},
                          {"antiAffinity", step.most_per_worker}};
--- a/tests/planner/planner_property_test.cc
+++ b/tests/planner/planner_property_test.cc
@@ -24,7 +24,7 @@
   PlanUnit unit;
   unit.job = JobId("j" + std::to_string(number));
   unit.service = ServiceId("pool");
-  unit.spec.kind = *rc::gen::element(StepKind::kSingles, StepKind::kGang);
+  unit.spec.kind = *rc::gen::element(WorkStepKind::kSingles, WorkStepKind::kGang);
   unit.spec.count = *rc::gen::inRange(1, 8);
   unit.spec.needs = Resources{*rc::gen::inRange<std::int64_t>(0, 4'000),
                               *rc::gen::inRange<std::int64_t>(0, 4'000),
@@ -77,7 +77,7 @@
     std::map<MinionId, Resources> taken;
     for (const PlannedStart& start : plan.starts) {
       const PlanUnit& unit = UnitOf(snapshot, start.job);
-      if (unit.spec.kind == StepKind::kGang) {
+      if (unit.spec.kind == WorkStepKind::kGang) {
         RC_ASSERT(start.places.size() == unit.indexes.size());
       }
       std::map<MinionId, int> spread;
--- a/tests/planner/task_planner_test.cc
+++ b/tests/planner/task_planner_test.cc
@@ -23,7 +23,8 @@
     }
   }
 
-  PlanUnit& AddUnit(const std::string& job, StepKind kind, int count, std::int64_t accelerators) {
+  PlanUnit& AddUnit(const std::string& job, WorkStepKind kind, int count,
+                    std::int64_t accelerators) {
     PlanUnit unit;
     unit.job = JobId(job);
     unit.service = ServiceId("pool");
@@ -68,13 +69,13 @@
 
 Test(task_planner, gang_that_does_not_fit_whole_starts_nothing) {
   PlannerFixture fixture;
-  fixture.AddUnit("gang", StepKind::kGang, 5, 8);
+  fixture.AddUnit("gang", WorkStepKind::kGang, 5, 8);
   cr_assert(fixture.Run().starts.empty());
 }
 
 Test(task_planner, single_tasks_start_as_far_as_there_is_room) {
   PlannerFixture fixture;
-  fixture.AddUnit("singles", StepKind::kSingles, 5, 8);
+  fixture.AddUnit("singles", WorkStepKind::kSingles, 5, 8);
   const Plan plan = fixture.Run();
   cr_assert_eq(plan.starts.size(), 1);
   cr_assert_eq(plan.starts[0].places.size(), 4);
@@ -83,7 +84,7 @@
 Test(task_planner, gang_that_wants_one_rack_gets_one) {
   PlannerFixture fixture;
   fixture.snapshot.minions[0].free.accelerators = 2;
-  fixture.AddUnit("gang", StepKind::kGang, 2, 8).spec.wants_one_rack = true;
+  fixture.AddUnit("gang", WorkStepKind::kGang, 2, 8).spec.wants_one_rack = true;
   const Plan plan = fixture.Run();
   cr_assert_eq(plan.starts.size(), 1);
   cr_assert(MinionsOf(plan.starts[0]) == (std::set<std::string>{"m2", "m3"}));
@@ -93,7 +94,7 @@
   PlannerFixture fixture;
   fixture.snapshot.minions[0].free.accelerators = 2;
   fixture.snapshot.minions[2].free.accelerators = 2;
-  fixture.AddUnit("gang", StepKind::kGang, 2, 8).spec.wants_one_rack = true;
+  fixture.AddUnit("gang", WorkStepKind::kGang, 2, 8).spec.wants_one_rack = true;
   cr_assert(fixture.Run().starts.empty());
   fixture.snapshot.units[0].waited = Milliseconds(6'000);
   cr_assert_eq(fixture.Run().starts.size(), 1);
@@ -101,13 +102,13 @@
 
 Test(task_planner, gang_wider_than_a_rack_does_not_wait_for_one) {
   PlannerFixture fixture;
-  fixture.AddUnit("gang", StepKind::kGang, 3, 8).spec.wants_one_rack = true;
+  fixture.AddUnit("gang", WorkStepKind::kGang, 3, 8).spec.wants_one_rack = true;
   cr_assert_eq(fixture.Run().starts.size(), 1);
 }
 
 Test(task_planner, task_goes_where_its_data_lies) {
   PlannerFixture fixture;
-  fixture.AddUnit("data", StepKind::kSingles, 1, 1).spec.data_rack = RackId("r1");
+  fixture.AddUnit("data", WorkStepKind::kSingles, 1, 1).spec.data_rack = RackId("r1");
   const Plan plan = fixture.Run();
   cr_assert_eq(plan.starts.size(), 1);
   cr_assert(plan.starts[0].places[0].minion == MinionId("m2") ||
@@ -117,8 +118,8 @@
 Test(task_planner, label_and_service_are_kept_to) {
   PlannerFixture fixture;
   fixture.snapshot.minions[3].labels.emplace_back("fast");
-  fixture.AddUnit("label", StepKind::kSingles, 1, 1).spec.required_label = "fast";
-  fixture.AddUnit("service", StepKind::kSingles, 1, 1).service = ServiceId("other");
+  fixture.AddUnit("label", WorkStepKind::kSingles, 1, 1).spec.required_label = "fast";
+  fixture.AddUnit("service", WorkStepKind::kSingles, 1, 1).service = ServiceId("other");
   const Plan plan = fixture.Run();
   cr_assert_eq(plan.starts.size(), 1);
   cr_assert(MinionsOf(plan.starts[0]) == std::set<std::string>{"m3"});
@@ -126,7 +127,7 @@
 
 Test(task_planner, tasks_are_spread_as_their_step_asks) {
   PlannerFixture fixture;
-  PlanUnit& unit = fixture.AddUnit("spread", StepKind::kSingles, 8, 1);
+  PlanUnit& unit = fixture.AddUnit("spread", WorkStepKind::kSingles, 8, 1);
   unit.spec.most_per_worker = 2;
   unit.present[MinionId("m0")] = 1;
   const Plan plan = fixture.Run();
@@ -140,14 +141,14 @@
 Test(task_planner, tight_minion_is_filled_first) {
   PlannerFixture fixture;
   fixture.snapshot.minions[2].free.accelerators = 3;
-  fixture.AddUnit("small", StepKind::kSingles, 1, 2);
+  fixture.AddUnit("small", WorkStepKind::kSingles, 1, 2);
   cr_assert(MinionsOf(fixture.Run().starts[0]) == std::set<std::string>{"m2"});
 }
 
 Test(task_planner, slow_minion_and_one_that_failed_come_last) {
   PlannerFixture fixture;
   fixture.snapshot.minions[0].speed = 0.2;
-  fixture.AddUnit("job", StepKind::kSingles, 2, 8).failed_on = {MinionId("m1")};
+  fixture.AddUnit("job", WorkStepKind::kSingles, 2, 8).failed_on = {MinionId("m1")};
   cr_assert(MinionsOf(fixture.Run().starts[0]) == (std::set<std::string>{"m2", "m3"}));
 }
 
@@ -157,7 +158,7 @@
   fixture.Fill(1, 1, "cheap");
   fixture.Fill(2, 2, "cheap-too");
   fixture.Fill(3, 50, "dear-too");
-  fixture.AddUnit("claim", StepKind::kGang, 2, 8).is_guaranteed = true;
+  fixture.AddUnit("claim", WorkStepKind::kGang, 2, 8).is_guaranteed = true;
   const Plan plan = fixture.Run();
   cr_assert(plan.starts.empty());
   cr_assert_eq(plan.stops.size(), 2);
@@ -173,7 +174,7 @@
     fixture.snapshot.minions[minion].free = Resources{};
     fixture.snapshot.minions[minion].being_freed = kCapacity;
   }
-  fixture.AddUnit("claim", StepKind::kGang, 2, 8).is_guaranteed = true;
+  fixture.AddUnit("claim", WorkStepKind::kGang, 2, 8).is_guaranteed = true;
   const Plan plan = fixture.Run();
   cr_assert(plan.starts.empty());
   cr_assert(plan.stops.empty());
@@ -184,8 +185,8 @@
   fixture.Fill(1, 1, "a");
   fixture.Fill(2, 1, "b");
   fixture.Fill(3, 1, "c");
-  fixture.AddUnit("claim", StepKind::kGang, 4, 8).is_guaranteed = true;
-  fixture.AddUnit("other", StepKind::kSingles, 1, 8);
+  fixture.AddUnit("claim", WorkStepKind::kGang, 4, 8).is_guaranteed = true;
+  fixture.AddUnit("other", WorkStepKind::kSingles, 1, 8);
   const Plan plan = fixture.Run();
   cr_assert(plan.starts.empty());
   cr_assert_eq(plan.stops.size(), 3);
@@ -198,7 +199,7 @@
   for (std::size_t minion = 1; minion < 4; ++minion) {
     fixture.snapshot.minions[minion].free = Resources{};
   }
-  PlanUnit& unit = fixture.AddUnit("claim", StepKind::kSingles, 1, 8);
+  PlanUnit& unit = fixture.AddUnit("claim", WorkStepKind::kSingles, 1, 8);
   unit.is_guaranteed = true;
   unit.priority = Priority(0);
   cr_assert(fixture.Run().stops.empty());
@@ -206,9 +207,9 @@
 
 Test(task_planner, urgent_before_patient_and_late_last) {
   PlannerFixture fixture;
-  fixture.AddUnit("late", StepKind::kGang, 4, 8).slack = Milliseconds(-10);
-  fixture.AddUnit("patient", StepKind::kGang, 4, 8).slack = Milliseconds(9'000);
-  fixture.AddUnit("urgent", StepKind::kGang, 4, 8).slack = Milliseconds(100);
+  fixture.AddUnit("late", WorkStepKind::kGang, 4, 8).slack = Milliseconds(-10);
+  fixture.AddUnit("patient", WorkStepKind::kGang, 4, 8).slack = Milliseconds(9'000);
+  fixture.AddUnit("urgent", WorkStepKind::kGang, 4, 8).slack = Milliseconds(100);
   const Plan plan = fixture.Run();
   cr_assert_eq(plan.starts.size(), 1);
   cr_assert(plan.starts[0].job == JobId("urgent"));
--- a/tests/platform/platform_directory_test.cc
+++ b/tests/platform/platform_directory_test.cc
@@ -66,7 +66,7 @@
                       R"("antiAffinity":1}]})")
           .value();
   cr_assert_eq(work.steps.size(), 2);
-  cr_assert(work.steps[0].kind == StepKind::kGang);
+  cr_assert(work.steps[0].kind == WorkStepKind::kGang);
   cr_assert(work.steps[0].wants_one_rack);
   cr_assert(work.steps[0].data_rack == RackId("r1-3"));
   cr_assert(work.steps[1].after == std::vector<int>{0});
