Election: Prefer nodes with more of a core, and watch on from the read

Ruled out: a wrong plan (the same jobs start at once under a strong leader); lost writes (each run that stood still was one the leader had not come to).

Change: the term's record bears the holder's share of a core. A node that has seen a stronger holder leaves a free term to others for 400 ms; a node that follows a weaker holder ends that term's lease after 1.5 s, as if it had lapsed. A follower watches from the revision of its read.

Tests that fail without it: free_term_goes_to_the_strongest_node, stronger_node_takes_over_from_a_weaker_holder, takeover_is_tried_again_after_an_outage_of_the_store, follower_watches_on_quietly_after_history_was_forgotten.

--- a/src/libraries/leader/leader_election.cc
+++ b/src/libraries/leader/leader_election.cc
@@ -1,9 +1,6 @@
 #include "libraries/leader/leader_election.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 #include "libraries/base/hash.h"
@@ -17,6 +14,21 @@
 constexpr Milliseconds kRetryPause{250};
 /// Nodes that see a free term claim it at slightly different times.
 constexpr std::uint64_t kLongestClaimDelayMilliseconds = 40;
+/// A node with less than this part of another's processor counts as weaker.
+constexpr double kWeakerBelow = 0.7;
+/// How much longer a weaker node leaves a free term to others.
+constexpr Milliseconds kWeakerWaits{400};
+/// While no holder has been seen a node waits for this, divided by its share of a core.
+constexpr Milliseconds kUnknownWaits{50};
+/// How long a weaker holder is borne: a handover costs some hundred milliseconds of planning.
+constexpr Milliseconds kTakeOverAfter{1'500};
+/// A node that has not heard from the store for longer takes over from nobody.
+constexpr Milliseconds kOldestContact{2'500};
+
+std::int64_t CpuMilli(double processor_share) {
+  constexpr double kMilliPerCore = 1'000;
+  return static_cast<std::int64_t>(processor_share * kMilliPerCore);
+}
 
 }  // namespace
 
@@ -63,26 +75,84 @@
     }
     NoteContact(sent_at);
     if (answer.items.empty()) {
+      m_holder.reset();
       Contend();
-    } else if (const std::optional<StoreLease> own = OwnFormerLease(answer.items.front())) {
-      EndFormerTerm(*own);
+      return;
+    }
+    const StoreItem& term = answer.items.front();
+    NoteHolder(term);
+    if (m_holder.has_value() && IsOwnFormerTerm(*m_holder)) {
+      EndFormerTerm(m_holder->lease);
     } else {
-      WatchTerm(answer.items.front().revision);
+      // From the read, not from the term's last change: that may be older than the history that the
+      // store keeps.
+      WatchTerm(std::max(term.revision, answer.at));
+    }
+  });
+}
+
+/// A term that an earlier process of this node held: this one runs in its place, so the earlier one
+/// has ended.
+bool LeaderElection::IsOwnFormerTerm(const TermRecord& term) const {
+  return term.node == m_settings.node && m_claims == 0;
+}
+
+void LeaderElection::NoteHolder(const StoreItem& item) {
+  const std::optional<TermRecord> holder = DecodeTermRecord(item.value);
+  if (!holder.has_value()) {
+    LogEvent(LogLevel::kError, "election", "the term's record can't be read")
+        .Field("revision", item.revision.value())
+        .Write();
+  }
+  if (holder == m_holder) {
+    return;
+  }
+  m_holder = holder;
+  if (!m_holder.has_value()) {
+    return;
+  }
+  m_largest_share = std::max(m_largest_share, m_holder->processor_share);
+  if (m_holder->processor_share < m_settings.processor_share * kWeakerBelow) {
+    TakeOverLater(*m_holder);
+  }
+}
+
+/// Ending a lease that has ended already does nothing, so several nodes may do so.
+void LeaderElection::TakeOverLater(const TermRecord& holder) {
+  m_timers.After(kTakeOverAfter, [this, holder] {
+    if (m_resigned || m_is_leader || m_holder != holder) {
+      return;
     }
+    if (contact_age() > kOldestContact) {
+      TakeOverLater(holder);
+      return;
+    }
+    LogEvent(LogLevel::kInfo, "election", "ending the term of a weaker node")
+        .Field("holder", holder.node)
+        .Field("holder_cpu_milli", CpuMilli(holder.processor_share))
+        .Field("cpu_milli", CpuMilli(m_settings.processor_share))
+        .Field("contact_age_ms", contact_age().count())
+        .Write();
+    m_store.EndLease(holder.lease, [this, holder](const LeaseAnswer& answer) {
+      if (answer.result == LeaseResult::kFailed) {
+        LogEvent(LogLevel::kWarning, "election", "a weaker node's term could not be ended")
+            .Reason(answer.error)
+            .Write();
+        TakeOverLater(holder);
+      }
+    });
   });
 }
 
-/// The lease of a term that an earlier process of this node held: this one runs in its place, so
-/// the earlier one has ended.
-std::optional<StoreLease> LeaderElection::OwnFormerLease(const StoreItem& term) const {
-  std::istringstream words(term.value);
-  std::string node;
-  std::int64_t lease = 0;
-  words >> node >> lease;
-  if (!words || node != m_settings.node || m_claims > 0) {
-    return std::nullopt;
+Milliseconds LeaderElection::ClaimDelay() const {
+  const Milliseconds jitter(
+      static_cast<std::int64_t>(Hash64(m_settings.node) % kLongestClaimDelayMilliseconds));
+  if (m_largest_share == 0) {
+    const double waits = static_cast<double>(kUnknownWaits.count()) / m_settings.processor_share;
+    return jitter + std::min(kWeakerWaits, Milliseconds(static_cast<std::int64_t>(waits)));
   }
-  return StoreLease(lease);
+  const bool is_weaker = m_settings.processor_share < m_largest_share * kWeakerBelow;
+  return is_weaker ? jitter + kWeakerWaits : jitter;
 }
 
 void LeaderElection::EndFormerTerm(StoreLease lease) {
@@ -124,8 +194,10 @@
                   if (answer.changes.empty()) {
                     WatchTerm(std::max(after, answer.at));
                   } else if (answer.changes.back().kind == WriteKind::kDelete) {
+                    m_holder.reset();
                     Contend();
                   } else {
+                    NoteHolder(answer.changes.back().item);
                     WatchTerm(answer.at);
                   }
                 });
@@ -136,9 +208,7 @@
     return;
   }
   const std::uint64_t round = m_round;
-  const Milliseconds delay(
-      static_cast<std::int64_t>(Hash64(m_settings.node) % kLongestClaimDelayMilliseconds));
-  m_timers.After(delay, [this, round] {
+  m_timers.After(ClaimDelay(), [this, round] {
     if (round != m_round) {
       return;
     }
@@ -156,45 +226,45 @@
 }
 
 void LeaderElection::Claim(StoreLease lease) {
-  const std::string value = fmt::format("{} {} {}", m_settings.node, lease.value(), ++m_claims);
+  const TermRecord record{m_settings.node, lease, ++m_claims, m_settings.processor_share};
   Transaction claim;
-  claim.Expect(kTermKey, Revision(0)).PutUnderLease(kTermKey, value, lease);
+  claim.Expect(kTermKey, Revision(0)).PutUnderLease(kTermKey, EncodeTermRecord(record), lease);
   const std::uint64_t round = m_round;
   const Milliseconds sent_at = Now();
-  m_store.Commit(claim, [this, round, value, lease, sent_at](const CommitAnswer& answer) {
+  m_store.Commit(claim, [this, round, record, sent_at](const CommitAnswer& answer) {
     if (round == m_round) {
-      OnClaimed(value, lease, sent_at, answer);
+      OnClaimed(record, sent_at, answer);
     }
   });
 }
 
-void LeaderElection::OnClaimed(const std::string& value, StoreLease lease, Milliseconds sent_at,
+void LeaderElection::OnClaimed(const TermRecord& record, Milliseconds sent_at,
                                const CommitAnswer& answer) {
   if (answer.result == TransactionResult::kApplied) {
-    Win(answer.revision, lease, sent_at);
+    Win(answer.revision, record.lease, sent_at);
     return;
   }
   if (answer.result == TransactionResult::kUnclear) {
-    ReadClaim(value, lease, sent_at);
+    ReadClaim(record, sent_at);
     return;
   }
-  m_store.EndLease(lease, [](const LeaseAnswer&) {});
+  m_store.EndLease(record.lease, [](const LeaseAnswer&) {});
   FollowLater();
 }
 
-void LeaderElection::ReadClaim(const std::string& value, StoreLease lease, Milliseconds sent_at) {
+void LeaderElection::ReadClaim(const TermRecord& record, Milliseconds sent_at) {
   const std::uint64_t round = m_round;
-  m_store.Read(kTermKey, [this, round, value, lease, sent_at](const ReadAnswer& answer) {
+  m_store.Read(kTermKey, [this, round, record, sent_at](const ReadAnswer& answer) {
     if (round != m_round) {
       return;
     }
     if (answer.result == ReadResult::kOk && !answer.items.empty() &&
-        answer.items.front().value == value) {
-      Win(answer.items.front().revision, lease, sent_at);
+        answer.items.front().value == EncodeTermRecord(record)) {
+      Win(answer.items.front().revision, record.lease, sent_at);
       return;
     }
     // The claim may still apply later; ending its lease makes that impossible.
-    m_store.EndLease(lease, [](const LeaseAnswer&) {});
+    m_store.EndLease(record.lease, [](const LeaseAnswer&) {});
     FollowLater();
   });
 }
@@ -202,6 +272,7 @@
 void LeaderElection::Win(Revision revision, StoreLease lease, Milliseconds sent_at) {
   ++m_round;
   m_is_leader = true;
+  m_holder.reset();
   m_lease = lease;
   m_confirmed_at = sent_at;
   NoteContact(sent_at);
--- a/src/libraries/leader/leader_election.h
+++ b/src/libraries/leader/leader_election.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "libraries/leader/term_record.h"
 #include "libraries/loop/timers.h"
 #include "libraries/work/run_messages.h"
 #include "libraries/work/store_port.h"
@@ -18,6 +19,9 @@
   Milliseconds renewal_interval{300};
   /// How long one question after the term waits for a change.
   Milliseconds watch_wait{2'000};
+  /// Share of a core that this node may use. Leading takes most of a small node's, so nodes with
+  /// more come first.
+  double processor_share = 1;
 };
 
 struct Term {
@@ -58,14 +62,16 @@
  private:
   void Follow();
   void FollowLater();
-  std::optional<StoreLease> OwnFormerLease(const StoreItem& term) const;
+  bool IsOwnFormerTerm(const TermRecord& term) const;
   void EndFormerTerm(StoreLease lease);
+  void NoteHolder(const StoreItem& item);
+  void TakeOverLater(const TermRecord& holder);
+  Milliseconds ClaimDelay() const;
   void WatchTerm(Revision after);
   void Contend();
   void Claim(StoreLease lease);
-  void OnClaimed(const std::string& value, StoreLease lease, Milliseconds sent_at,
-                 const CommitAnswer& answer);
-  void ReadClaim(const std::string& value, StoreLease lease, Milliseconds sent_at);
+  void OnClaimed(const TermRecord& record, Milliseconds sent_at, const CommitAnswer& answer);
+  void ReadClaim(const TermRecord& record, Milliseconds sent_at);
   void Win(Revision revision, StoreLease lease, Milliseconds sent_at);
   void Renew();
   void OnRenewed(Milliseconds sent_at, const LeaseAnswer& answer);
@@ -82,6 +88,10 @@
   std::uint64_t m_round = 0;
   std::uint64_t m_claims = 0;
   StoreLease m_lease;
+  /// Who holds the term, as far as is known; empty while nobody does.
+  std::optional<TermRecord> m_holder;
+  /// Of all holders this process has seen; 0 while it has seen none.
+  double m_largest_share = 0;
   Milliseconds m_confirmed_at{0};
   Milliseconds m_contact_at;
   bool m_contact_lost = false;
--- a/src/services/edge_process.cc
+++ b/src/services/edge_process.cc
@@ -99,6 +99,7 @@
     ElectionSettings election;
     election.node = settings.node.text();
     election.time_to_live = std::max(election.time_to_live, settings.shortest_store_lease);
+    election.processor_share = settings.processor_share;
     return election;
   }
 
--- a/src/services/platform_commands.cc
+++ b/src/services/platform_commands.cc
@@ -11,6 +11,7 @@
 #include "libraries/journal/accepted_job_codec.h"
 #include "libraries/journal/job_progress_codec.h"
 #include "libraries/journal/journal_keys.h"
+#include "libraries/leader/term_record.h"
 #include "libraries/model/json_document.h"
 #include "platform/edge_settings.h"
 #include "platform/kv_store_client.h"
@@ -79,8 +80,12 @@
   if (answer.items.empty()) {
     return Json{{"leader", "none"}};
   }
-  const std::string& value = answer.items.front().value;
-  return Json{{"leader", value.substr(0, value.find(' '))},
+  const std::optional<TermRecord> term = DecodeTermRecord(answer.items.front().value);
+  if (!term.has_value()) {
+    return absl::DataLossError("the term's record can't be read");
+  }
+  return Json{{"leader", term->node},
+              {"processor_share", term->processor_share},
               {"token", answer.items.front().revision.value()}};
 }
 
--- a/tests/leader/fake_store_port.cc
+++ b/tests/leader/fake_store_port.cc
@@ -65,6 +65,7 @@
 }
 
 void FakeStorePort::Read(const std::string& key, std::function<void(ReadAnswer)> callback) {
+  ++m_reads;
   const bool is_reachable = m_is_reachable;
   Later(is_reachable ? kWay * 2 : kCallLimit, [this, key, callback, is_reachable] {
     ReadAnswer answer;
--- a/tests/leader/fake_store_port.h
+++ b/tests/leader/fake_store_port.h
@@ -44,6 +44,7 @@
   void Abandon() { m_is_abandoned = true; }
 
   int commits() const { return m_commits; }
+  int reads() const { return m_reads; }
   /// Conditions and writes of the largest transaction so far.
   std::size_t most_entries() const { return m_most_entries; }
 
@@ -58,6 +59,7 @@
   bool m_is_reachable = true;
   bool m_is_abandoned = false;
   int m_commits = 0;
+  int m_reads = 0;
   std::size_t m_most_entries = 0;
 };
 
--- a/tests/leader/leader_election_test.cc
+++ b/tests/leader/leader_election_test.cc
@@ -11,9 +11,11 @@
 namespace {
 
 struct Candidate {
-  Candidate(VirtualTimers& timers, FleetStore& store, const std::string& name)
+  Candidate(VirtualTimers& timers, FleetStore& store, const std::string& name,
+            double processor_share = 1)
       : port(timers, store),
-        election(timers, port, ElectionSettings{.node = name},
+        election(timers, port,
+                 ElectionSettings{.node = name, .processor_share = processor_share},
                  ElectionCallbacks{[this](Term term) { terms.push_back(term); },
                                    [this](const std::string&) { ++losses; }}) {
     election.Start();
@@ -84,6 +86,98 @@
   cr_assert_gt(after.terms.at(0).token.value(), before.terms.at(0).token.value());
 }
 
+// Found on atlasnet-batch-grown trouble-3 (LOST): nodes with an eighth of a core led one after the
+// other while nodes with half a core were there, and could not keep up.
+Test(leader_election, free_term_goes_to_the_strongest_node) {
+  VirtualTimers timers;
+  FleetStore store(timers);
+  Candidate first(timers, store, "first", 0.5);
+  timers.Run(Milliseconds(1'000));
+  cr_assert(first.election.is_leader());
+  Candidate weak(timers, store, "weak", 0.12);
+  Candidate strong(timers, store, "strong", 0.5);
+  timers.Run(Milliseconds(1'000));
+  first.election.Resign();
+  timers.Run(Milliseconds(2'000));
+  cr_assert(strong.election.is_leader());
+  cr_assert(weak.terms.empty());
+}
+
+Test(leader_election, weak_node_leads_where_no_other_is_left) {
+  VirtualTimers timers;
+  FleetStore store(timers);
+  Candidate strong(timers, store, "strong", 0.5);
+  Candidate weak(timers, store, "weak", 0.12);
+  timers.Run(Milliseconds(1'000));
+  strong.port.SetReachable(false);
+  timers.Run(Milliseconds(3'000));
+  cr_assert(weak.election.is_leader());
+}
+
+Test(leader_election, stronger_node_takes_over_from_a_weaker_holder) {
+  VirtualTimers timers;
+  FleetStore store(timers);
+  Candidate weak(timers, store, "weak", 0.12);
+  timers.Run(Milliseconds(1'000));
+  cr_assert(weak.election.is_leader());
+  Candidate strong(timers, store, "strong", 0.5);
+  timers.Run(Milliseconds(4'000));
+  cr_assert(strong.election.is_leader());
+  cr_assert_not(weak.election.is_leader());
+  cr_assert_gt(strong.terms.at(0).token.value(), weak.terms.at(0).token.value());
+}
+
+Test(leader_election, takeover_is_tried_again_after_an_outage_of_the_store) {
+  VirtualTimers timers;
+  FleetStore store(timers);
+  Candidate weak(timers, store, "weak", 0.12);
+  timers.Run(Milliseconds(1'000));
+  Candidate strong(timers, store, "strong", 0.5);
+  timers.Run(Milliseconds(1'000));
+  strong.port.SetReachable(false);
+  timers.Run(Milliseconds(5'000));
+  cr_assert(weak.election.is_leader());
+  strong.port.SetReachable(true);
+  timers.Run(Milliseconds(8'000));
+  cr_assert(strong.election.is_leader());
+}
+
+Test(leader_election, equal_nodes_take_nothing_from_each_other) {
+  VirtualTimers timers;
+  FleetStore store(timers);
+  Candidate first(timers, store, "first", 0.25);
+  timers.Run(Milliseconds(1'000));
+  Candidate second(timers, store, "second", 0.25);
+  timers.Run(Milliseconds(10'000));
+  cr_assert(first.election.is_leader());
+  cr_assert_eq(first.losses, 0);
+}
+
+// Found on atlasnet-batch-grown scale-1: once the history was forgotten, each follower asked for the
+// term's change again without a pause, tens of thousands of calls a day.
+Test(leader_election, follower_watches_on_quietly_after_history_was_forgotten) {
+  ElectionFixture fixture;
+  fixture.timers.Run(Milliseconds(1'000));
+  Candidate& follower = fixture.follower();
+  fixture.store.Put("other", "change");
+  fixture.store.ForgetHistory();
+  const int reads_before = follower.port.reads();
+  fixture.timers.Run(Milliseconds(10'000));
+  cr_assert_leq(follower.port.reads() - reads_before, 2);
+  cr_assert_eq(follower.losses, 0);
+  cr_assert(follower.terms.empty());
+}
+
+Test(term_record, encoded_record_reads_as_it_was) {
+  const TermRecord record{"edge-1", StoreLease(7), 3, 0.12};
+  cr_assert(DecodeTermRecord(EncodeTermRecord(record)) == record);
+}
+
+Test(term_record, other_text_is_no_record) {
+  cr_assert_not(DecodeTermRecord("").has_value());
+  cr_assert_not(DecodeTermRecord("edge-1 seven").has_value());
+}
+
 Test(leader_election, claim_with_a_lost_answer_is_recognised) {
   VirtualTimers timers;
   FleetStore store(timers);
