--- a/tests/leader/leader_election_test.cc
+++ b/tests/leader/leader_election_test.cc
@@ -14,8 +14,7 @@
   Candidate(VirtualTimers& timers, FleetStore& store, const std::string& name,
             double processor_share = 1)
       : port(timers, store),
-        election(timers, port,
-                 ElectionSettings{.node = name, .processor_share = processor_share},
+        election(timers, port, ElectionSettings{.node = name, .processor_share = processor_share},
                  ElectionCallbacks{[this](Term term) { terms.push_back(term); },
                                    [this](const std::string&) { ++losses; }}) {
     election.Start();
@@ -153,8 +152,8 @@
   cr_assert_eq(first.losses, 0);
 }
 
-// Found on atlasnet-batch-grown scale-1: once the history was forgotten, each follower asked for the
-// term's change again without a pause, tens of thousands of calls a day.
+// Found on atlasnet-batch-grown scale-1: once the history was forgotten, each follower asked for
+// the term's change again without a pause, tens of thousands of calls a day.
 Test(leader_election, follower_watches_on_quietly_after_history_was_forgotten) {
   ElectionFixture fixture;
   fixture.timers.Run(Milliseconds(1'000));
