--- a/src/stand_ins/fleet/fleet_stand_in.cc
+++ b/src/stand_ins/fleet/fleet_stand_in.cc
@@ -48,7 +48,8 @@
 /// Reads a job as consumers submit it. Throws what the JSON library throws.
 KnownJob KnownJobOf(const HttpRequest& request) {
   KnownJob job;
-  for (const Json& step : Json::parse(request.body).at("phases")) {
+  const Json body = Json::parse(request.body);
+  for (const Json& step : body.at("phases")) {
     job.work.steps.push_back(StepOf(step));
   }
   job.duration = Milliseconds(std::strtol(QueryValue(request, "duration").c_str(), nullptr, 10));
