--- a/src/libraries/metrics/metrics.cc
+++ b/src/libraries/metrics/metrics.cc
@@ -24,16 +24,61 @@
 namespace acc = boost::accumulators;
 
 constexpr std::array<double, 3> kProbabilities{0.5, 0.95, 0.99};
+/// Upper bounds of a histogram's buckets; what is observed is mostly milliseconds.
+constexpr std::array<double, 13> kBounds{1,   2,   5,     10,    20,    50,    100,
+                                         200, 500, 1'000, 2'000, 5'000, 10'000};
 
 using SampleSet =
     acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
                                             acc::tag::extended_p_square_quantile>>;
 
+/// A series' name with a suffix behind the name proper and one more label.
+std::string SeriesName(const std::string& name, const std::string& suffix,
+                       const std::string& label = "") {
+  const std::size_t brace = name.find('{');
+  const std::string base = name.substr(0, brace);
+  std::string labels =
+      brace == std::string::npos ? "" : name.substr(brace + 1, name.size() - brace - 2);
+  if (!labels.empty() && !label.empty()) {
+    labels += ",";
+  }
+  labels += label;
+  return labels.empty() ? base + suffix : fmt::format("{}{}{{{}}}", base, suffix, labels);
+}
+
 }  // namespace
 
-struct Metrics::Quantiles {
-  Quantiles() : samples(acc::tag::extended_p_square::probabilities = kProbabilities) {}
+struct Metrics::Histogram {
+  Histogram() : samples(acc::tag::extended_p_square::probabilities = kProbabilities) {}
+
+  void Add(double sample) {
+    samples(sample);
+    for (std::size_t index = 0; index < kBounds.size(); ++index) {
+      counts.at(index) += sample <= kBounds.at(index) ? 1 : 0;
+    }
+  }
+
+  std::string Text(const std::string& name) const {
+    std::string text;
+    for (std::size_t index = 0; index < kBounds.size(); ++index) {
+      const std::string label = fmt::format("le=\"{}\"", kBounds.at(index));
+      text += fmt::format("{} {}\n", SeriesName(name, "_bucket", label), counts.at(index));
+    }
+    text += fmt::format("{} {}\n", SeriesName(name, "_bucket", "le=\"+Inf\""), acc::count(samples));
+    text += fmt::format("{} {}\n", SeriesName(name, "_sum"), acc::sum(samples));
+    text += fmt::format("{} {}\n", SeriesName(name, "_count"), acc::count(samples));
+    for (const double probability : kProbabilities) {
+      const std::string label = fmt::format("quantile=\"{}\"", probability);
+      text += fmt::format("{} {}\n", SeriesName(name, "", label),
+                          acc::quantile(samples, acc::quantile_probability = probability));
+    }
+    text += fmt::format("{} {}\n", SeriesName(name, "_max"), acc::max(samples));
+    return text;
+  }
+
   SampleSet samples;
+  /// Samples up to each bound, the smaller ones included.
+  std::array<std::int64_t, kBounds.size()> counts{};
 };
 
 Metrics::Metrics() = default;
@@ -51,11 +96,11 @@
 
 void Metrics::Observe(const std::string& name, double sample) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  std::unique_ptr<Quantiles>& quantiles = m_quantiles[name];
-  if (quantiles == nullptr) {
-    quantiles = std::make_unique<Quantiles>();
+  std::unique_ptr<Histogram>& histogram = m_histograms[name];
+  if (histogram == nullptr) {
+    histogram = std::make_unique<Histogram>();
   }
-  quantiles->samples(sample);
+  histogram->Add(sample);
 }
 
 std::int64_t Metrics::counter(const std::string& name) const {
@@ -73,15 +118,8 @@
   for (const auto& [name, value] : m_gauges) {
     text += fmt::format("{} {}\n", name, value);
   }
-  for (const auto& [name, quantiles] : m_quantiles) {
-    for (const double probability : kProbabilities) {
-      text +=
-          fmt::format("{}{{quantile=\"{}\"}} {}\n", name, probability,
-                      acc::quantile(quantiles->samples, acc::quantile_probability = probability));
-    }
-    text += fmt::format("{}_sum {}\n", name, acc::sum(quantiles->samples));
-    text += fmt::format("{}_count {}\n", name, acc::count(quantiles->samples));
-    text += fmt::format("{}_max {}\n", name, acc::max(quantiles->samples));
+  for (const auto& [name, histogram] : m_histograms) {
+    text += histogram->Text(name);
   }
   return text;
 }
--- a/src/libraries/metrics/metrics.h
+++ b/src/libraries/metrics/metrics.h
@@ -1,4 +1,4 @@
-/// Counters and quantiles of one process, as text for a scraper.
+/// Counters, latency histograms and quantiles of one process, as text for a scraper.
 #pragma once
 
 #include <cstdint>
@@ -19,21 +19,23 @@
 
   void Count(const std::string& name, std::int64_t step = 1);
   void Gauge(const std::string& name, double value);
-  /// Adds a sample to the quantiles of `name`.
+  /// Adds a sample to the histogram and the quantiles of `name`.
   void Observe(const std::string& name, double sample);
 
   std::int64_t counter(const std::string& name) const;
 
-  /// One "name value" a line, in the text format that Prometheus reads.
+  /// One "name value" a line, in the text format that Prometheus reads. A histogram's series are
+  /// "<name>_bucket" with the upper bound as label "le", "<name>_sum" and "<name>_count"; its
+  /// quantiles and largest sample are "<name>" with label "quantile" and "<name>_max".
   std::string Text() const;
 
  private:
-  struct Quantiles;
+  struct Histogram;
 
   mutable std::mutex m_mutex;
   std::map<std::string, std::int64_t> m_counters;
   std::map<std::string, double> m_gauges;
-  std::map<std::string, std::unique_ptr<Quantiles>> m_quantiles;
+  std::map<std::string, std::unique_ptr<Histogram>> m_histograms;
 };
 
 }  // namespace papayalift
