Planner: Let a guaranteed job that has waited stop borrowers of its own priority

Cause: a workspace that has more jobs of guaranteed priority than it is guaranteed borrows, and its work was never stopped, so that another workspace's guaranteed job waited for it to end by itself (tasks last up to 8 s, the bound is 2.7 s). Change: after 1.2 s such a job may stop borrowers as well, where stopping lower priorities does not suffice.

--- a/src/libraries/leader/plan_snapshot_maker.cc
+++ b/src/libraries/leader/plan_snapshot_maker.cc
@@ -11,6 +11,9 @@
 /// Work on another rack takes about three times as long, so waiting for the rack pays for twice the
 /// work's own time.
 constexpr int kRackPatienceInEstimates = 2;
+/// Borrowed room often comes back by itself within this; after it, borrowers are stopped for
+/// whoever is guaranteed the room.
+constexpr Milliseconds kBorrowersKeepRoom{1'200};
 /// A minion that was slow longer ago may be sound again.
 constexpr Milliseconds kSpeedHolds{6'000};
 
@@ -120,6 +123,7 @@
     unit.priority = job.accepted.priority;
     unit.is_guaranteed = m_use.IsGuaranteed(job.accepted);
     unit.waited = now - *job.ready_since[step];
+    unit.may_stop_borrowers = unit.is_guaranteed && unit.waited >= kBorrowersKeepRoom;
     unit.rack_patience = unit.spec.estimate * kRackPatienceInEstimates;
     const Milliseconds objective =
         Milliseconds(static_cast<std::int64_t>(
@@ -131,7 +135,7 @@
   }
 
   void AddVictims(const TrackedJob& job, std::size_t step) {
-    if (job.accepted.priority == kGuaranteedPriority) {
+    if (m_use.IsGuaranteed(job.accepted)) {
       return;
     }
     PlanVictim gang = VictimOf(job, step);
@@ -157,6 +161,7 @@
     victim.job = job.accepted.id;
     victim.step = static_cast<int>(step);
     victim.priority = job.accepted.priority;
+    victim.is_borrower = job.accepted.priority == kGuaranteedPriority;
     victim.needs_each = job.accepted.work.steps[step].needs;
     return victim;
   }
--- a/src/libraries/planner/plan_room.cc
+++ b/src/libraries/planner/plan_room.cc
@@ -27,6 +27,9 @@
   }
   m_accelerator_use = all == 0 ? 1 : 1 - static_cast<double>(free) / static_cast<double>(all);
   for (const PlanVictim& victim : snapshot.victims) {
+    if (victim.is_borrower) {
+      continue;
+    }
     for (const PlanTaskPlace& place : victim.places) {
       if (MinionRoom* const room = Find(place.minion); room != nullptr) {
         room->without_victims += victim.needs_each;
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -44,6 +44,8 @@
   Priority priority;
   /// Within its workspace's guarantee: it may stop others.
   bool is_guaranteed = false;
+  /// It has waited so long that it may also stop borrowers of its own priority.
+  bool may_stop_borrowers = false;
   Milliseconds waited{0};
   /// Until when it has to start to be on time; negative where that has passed.
   Milliseconds slack{0};
@@ -61,6 +63,8 @@
   JobId job;
   int step = 0;
   Priority priority;
+  /// Of guaranteed priority, and beyond what its workspace is guaranteed.
+  bool is_borrower = false;
   Resources needs_each;
   std::vector<PlanTaskPlace> places;
   /// Weighted core-seconds that are lost when it is stopped.
--- a/src/libraries/planner/reclaim_search.cc
+++ b/src/libraries/planner/reclaim_search.cc
@@ -9,12 +9,14 @@
 
 namespace {
 
+enum class VictimChoice { kLowerPriorities, kBorrowersToo };
+
 /// One attempt to place all tasks on the minions of one rack, or on all.
 class ReclaimAttempt {
  public:
   ReclaimAttempt(const PlanUnit& unit, const PlanRoom& room, const std::vector<PlanVictim>& victims,
-                 const std::vector<bool>& is_stopped, const RackId* rack)
-      : m_unit(unit), m_victims(victims), m_is_stopped(is_stopped) {
+                 const std::vector<bool>& is_stopped, VictimChoice choice, const RackId* rack)
+      : m_unit(unit), m_victims(victims), m_is_stopped(is_stopped), m_choice(choice) {
     for (const MinionRoom& minion : room.minions()) {
       if (IsEligible(unit, *minion.minion) && (rack == nullptr || minion.minion->rack == *rack)) {
         m_sites[minion.minion->id] = Site{minion.soon, SlotsOn(minion), {}};
@@ -59,7 +61,9 @@
 
   void NoteVictim(std::size_t index) {
     const PlanVictim& victim = m_victims[index];
-    if (m_is_stopped[index] || victim.priority <= m_unit.priority) {
+    const bool may_stop = victim.priority > m_unit.priority ||
+                          (victim.is_borrower && m_choice == VictimChoice::kBorrowersToo);
+    if (m_is_stopped[index] || !may_stop) {
       return;
     }
     for (const PlanTaskPlace& place : victim.places) {
@@ -152,29 +156,41 @@
   const PlanUnit& m_unit;
   const std::vector<PlanVictim>& m_victims;
   const std::vector<bool>& m_is_stopped;
+  const VictimChoice m_choice;
   std::map<MinionId, Site> m_sites;
   FoundReclaim m_found;
 };
 
-}  // namespace
-
-std::optional<FoundReclaim> FindReclaim(const PlanUnit& unit, const PlanRoom& room,
-                                        const std::vector<PlanVictim>& victims,
-                                        const std::vector<bool>& is_stopped) {
+std::optional<FoundReclaim> FindAmong(const PlanUnit& unit, const PlanRoom& room,
+                                      const std::vector<PlanVictim>& victims,
+                                      const std::vector<bool>& is_stopped, VictimChoice choice) {
   std::optional<FoundReclaim> best;
   if (unit.spec.wants_one_rack || !unit.spec.data_rack.empty()) {
     for (const RackId& rack : RacksFor(unit, room)) {
       std::optional<FoundReclaim> found =
-          ReclaimAttempt(unit, room, victims, is_stopped, &rack).Run();
+          ReclaimAttempt(unit, room, victims, is_stopped, choice, &rack).Run();
       if (found.has_value() && (!best.has_value() || found->lost_work < best->lost_work)) {
         best = std::move(found);
       }
     }
   }
   if (!best.has_value()) {
-    best = ReclaimAttempt(unit, room, victims, is_stopped, nullptr).Run();
+    best = ReclaimAttempt(unit, room, victims, is_stopped, choice, nullptr).Run();
   }
   return best;
 }
 
+}  // namespace
+
+std::optional<FoundReclaim> FindReclaim(const PlanUnit& unit, const PlanRoom& room,
+                                        const std::vector<PlanVictim>& victims,
+                                        const std::vector<bool>& is_stopped) {
+  std::optional<FoundReclaim> found =
+      FindAmong(unit, room, victims, is_stopped, VictimChoice::kLowerPriorities);
+  if (!found.has_value() && unit.may_stop_borrowers) {
+    found = FindAmong(unit, room, victims, is_stopped, VictimChoice::kBorrowersToo);
+  }
+  return found;
+}
+
 }  // namespace papayalift
--- a/src/libraries/planner/reclaim_search.h
+++ b/src/libraries/planner/reclaim_search.h
@@ -16,8 +16,8 @@
 };
 
 /// The places and victims that lose the least work, on one rack where the step wants that and a
-/// rack can hold it; empty where stopping everything allowed does not make room for all waiting
-/// tasks.
+/// rack can hold it; borrowers of the same priority only where the unit may stop them and nothing
+/// else suffices. Empty where stopping everything allowed does not make room for all waiting tasks.
 std::optional<FoundReclaim> FindReclaim(const PlanUnit& unit, const PlanRoom& room,
                                         const std::vector<PlanVictim>& victims,
                                         const std::vector<bool>& is_stopped);
--- a/tests/leader/leader_session_test.cc
+++ b/tests/leader/leader_session_test.cc
@@ -130,6 +130,29 @@
   AssertNothingBroken(office);
 }
 
+// A workspace that borrows at the guaranteed priority must give the room back as well.
+Test(leader_session, guaranteed_job_stops_borrowers_of_the_same_priority) {
+  TestOffice office;
+  office.PutManifestOfTwoWorkspaces(2);
+  office.Run(Milliseconds(500));
+  for (int number = 1; number <= 4; ++number) {
+    office.Submit(NumberedJob(number), OneStep(StepOfTasks(1, 8), Milliseconds(60'000)),
+                  Priority(0));
+  }
+  office.Run(Milliseconds(500));
+  cr_assert_eq(office.minions.starts(), 4);
+  const KnownJob claim = Gang(2, 8);
+  office.minions.Know(NumberedJob(9), claim);
+  cr_assert(
+      office.node(0)
+          .Ask(JobRequestKind::kSubmit, "/p0/" + NumberedJob(9).text(), "other", BodyOf(claim.work))
+          .kind == JobReplyKind::kAccepted);
+  constexpr Milliseconds kReclaimBound{2'700};
+  office.Run(kReclaimBound);
+  cr_assert_eq(office.minions.starts(NumberedJob(9)), 2);
+  AssertNothingBroken(office);
+}
+
 Test(leader_session, guaranteed_job_stops_what_is_in_its_way) {
   TestOffice office;
   for (int number = 1; number <= 4; ++number) {
--- a/tests/leader/test_office.cc
+++ b/tests/leader/test_office.cc
@@ -104,6 +104,19 @@
 }
 
 void TestOffice::PutManifest(int version, const std::string& key) {
+  PutManifestOf(
+      version,
+      Json::array({{{"name", "shop"}, {"apiKeys", {key}}, {"guaranteed", {{"gpu", 16}}}}}));
+}
+
+void TestOffice::PutManifestOfTwoWorkspaces(int version) {
+  PutManifestOf(
+      version,
+      Json::array({{{"name", "shop"}, {"apiKeys", {"key"}}, {"guaranteed", {{"gpu", 16}}}},
+                   {{"name", "yard"}, {"apiKeys", {"other"}}, {"guaranteed", {{"gpu", 16}}}}}));
+}
+
+void TestOffice::PutManifestOf(int version, const Json& workspaces) {
   nlohmann::json manifest{{"version", version}, {"routes", nlohmann::json::array()}};
   for (int priority = 0; priority < 3; ++priority) {
     manifest["routes"].push_back({{"name", fmt::format("q{}", priority)},
@@ -115,7 +128,7 @@
                                   {"slackFactor", 3.0},
                                   {"targetLatencyMs", 1'000}});
   }
-  manifest["tenants"] = {{{"name", "shop"}, {"apiKeys", {key}}, {"guaranteed", {{"gpu", 16}}}}};
+  manifest["tenants"] = workspaces;
   store.Put("op/config", manifest.dump());
 }
 
--- a/tests/leader/test_office.h
+++ b/tests/leader/test_office.h
@@ -10,6 +10,7 @@
 #include "leader/virtual_timers.h"
 #include "libraries/front_desk/front_desk.h"
 #include "libraries/leader/leader_session.h"
+#include "libraries/model/json_document.h"
 #include "platform/platform_directory.h"
 
 namespace papayalift {
@@ -58,6 +59,8 @@
   std::size_t size() const { return m_nodes.size(); }
 
   void PutManifest(int version, const std::string& key = "key");
+  /// "shop" with key "key", and "yard" with key "other"; 16 accelerators are guaranteed to each.
+  void PutManifestOfTwoWorkspaces(int version);
   /// Submits to the first living node; the queue's priority picks it. Returns the reply.
   JobReply Submit(const JobId& id, const KnownJob& job, Priority priority = Priority(1));
   WorkState StateOf(const JobId& id);
@@ -67,6 +70,7 @@
   FleetMinions minions{timers, store};
 
  private:
+  void PutManifestOf(int version, const Json& workspaces);
   std::unique_ptr<OfficeNode> MakeNode(std::size_t index);
 
   std::vector<std::unique_ptr<OfficeNode>> m_nodes;
--- a/tests/planner/task_planner_test.cc
+++ b/tests/planner/task_planner_test.cc
@@ -152,6 +152,37 @@
   cr_assert(MinionsOf(fixture.Run().starts[0]) == (std::set<std::string>{"m2", "m3"}));
 }
 
+Test(task_planner, guaranteed_gang_that_has_waited_stops_borrowers_of_its_priority) {
+  PlannerFixture fixture;
+  for (std::size_t minion = 0; minion < 4; ++minion) {
+    fixture.Fill(minion, 1, "borrower-" + std::to_string(minion));
+    fixture.snapshot.victims.back().priority = Priority(0);
+    fixture.snapshot.victims.back().is_borrower = true;
+  }
+  PlanUnit& unit = fixture.AddUnit("claim", WorkStepKind::kGang, 2, 8);
+  unit.priority = Priority(0);
+  unit.is_guaranteed = true;
+  cr_assert(fixture.Run().stops.empty());
+  unit.may_stop_borrowers = true;
+  cr_assert_eq(fixture.Run().stops.size(), 2);
+}
+
+Test(task_planner, borrowers_are_left_alone_where_lower_priorities_suffice) {
+  PlannerFixture fixture;
+  for (std::size_t minion = 0; minion < 4; ++minion) {
+    fixture.Fill(minion, minion < 2 ? 1 : 100, "job-" + std::to_string(minion));
+    fixture.snapshot.victims.back().is_borrower = minion < 2;
+    fixture.snapshot.victims.back().priority = Priority(minion < 2 ? 0 : 2);
+  }
+  PlanUnit& unit = fixture.AddUnit("claim", WorkStepKind::kGang, 2, 8);
+  unit.priority = Priority(0);
+  unit.is_guaranteed = true;
+  unit.may_stop_borrowers = true;
+  for (const PlannedStop& stop : fixture.Run().stops) {
+    cr_assert(stop.job == JobId("job-2") || stop.job == JobId("job-3"));
+  }
+}
+
 Test(task_planner, guaranteed_gang_stops_the_cheapest) {
   PlannerFixture fixture;
   fixture.Fill(0, 100, "dear");
