Manifest view: Refuse at once while the store is out of reach

Ruled out: a slow desk (the log's took_ms is 1001, the limit of one store call). Change: after two questions in a row without an answer, the last within 1.5 s, requests are refused at once (not run, come back in a second); the store is asked on meanwhile, 200 ms after each failure, while requests come.

--- a/src/libraries/leader/manifest_view.cc
+++ b/src/libraries/leader/manifest_view.cc
@@ -6,6 +6,19 @@
 
 namespace papayalift {
 
+namespace {
+
+/// After so many questions in a row without an answer nobody is kept waiting for the next.
+constexpr int kFailuresOutOfReach = 2;
+constexpr Milliseconds kProbePause{200};
+/// A failure longer ago says nothing of the store now. Longer than a question and the pause after
+/// it.
+constexpr Milliseconds kFailureHolds{1'500};
+/// Without a request for this long the store is not asked any more.
+constexpr Milliseconds kStillWanted{2'000};
+
+}  // namespace
+
 ManifestView::ManifestView(Timers& timers, StorePort& store, const FleetDirectory& directory)
     : m_timers(timers), m_store(store), m_directory(directory) {}
 
@@ -14,13 +27,35 @@
     callback(Freshness::kConfirmed);
     return;
   }
+  m_wanted_at = m_timers.clock().Now();
+  if (IsOutOfReach()) {
+    AskIfIdle();
+    callback(Freshness::kUnknown);
+    return;
+  }
   m_waiting.push_back(std::move(callback));
+  AskIfIdle();
+}
+
+bool ManifestView::IsOutOfReach() const {
+  return m_failures >= kFailuresOutOfReach && m_timers.clock().Now() - m_failed_at < kFailureHolds;
+}
+
+void ManifestView::AskIfIdle() {
   if (!m_asking) {
     m_asking = true;
     Ask();
   }
 }
 
+void ManifestView::AskAgainLater() {
+  m_timers.After(kProbePause, [this] {
+    if (m_failures > 0 && m_timers.clock().Now() - m_wanted_at < kStillWanted) {
+      AskIfIdle();
+    }
+  });
+}
+
 void ManifestView::Ask() {
   const Milliseconds sent_at = m_timers.clock().Now();
   if (m_manifest == nullptr) {
@@ -95,11 +130,18 @@
 }
 
 void ManifestView::NoteConfirmed(Milliseconds sent_at) {
+  m_failures = 0;
   m_confirmed_at = std::max(m_confirmed_at, sent_at);
 }
 
 void ManifestView::Finish(Freshness freshness) {
   m_asking = false;
+  // Before the first manifest the process asks in its own time.
+  if (freshness == Freshness::kUnknown && m_manifest != nullptr) {
+    ++m_failures;
+    m_failed_at = m_timers.clock().Now();
+    AskAgainLater();
+  }
   const std::vector<std::function<void(Freshness)>> waiting = std::exchange(m_waiting, {});
   for (const std::function<void(Freshness)>& callback : waiting) {
     callback(freshness);
--- a/src/libraries/leader/manifest_view.h
+++ b/src/libraries/leader/manifest_view.h
@@ -23,7 +23,8 @@
   /// Time since the store call was sent whose answer confirmed it last.
   Milliseconds age() const { return m_timers.clock().Now() - m_confirmed_at; }
 
-  /// Sees to it that the view was confirmed within `limit`; calls back at once where it was.
+  /// Sees to it that the view was confirmed within `limit`; calls back at once where it was, and
+  /// with kUnknown at once while the store is out of reach.
   void Confirm(Milliseconds limit, std::function<void(Freshness)> callback);
 
   /// Takes a manifest that the store has shown; an older version never replaces a newer one.
@@ -33,6 +34,9 @@
   void NoteConfirmed(Milliseconds sent_at);
 
  private:
+  bool IsOutOfReach() const;
+  void AskIfIdle();
+  void AskAgainLater();
   void Ask();
   void OnCompared(Milliseconds sent_at, const CommitAnswer& answer);
   void OnRead(Milliseconds sent_at, const ReadAnswer& answer);
@@ -45,6 +49,10 @@
   Revision m_revision;
   Milliseconds m_confirmed_at{-3'600'000};
   bool m_asking = false;
+  /// Questions without an answer since the last answer.
+  int m_failures = 0;
+  Milliseconds m_failed_at{0};
+  Milliseconds m_wanted_at{-3'600'000};
   std::vector<std::function<void(Freshness)>> m_waiting;
 };
 
--- a/tests/leader/front_desk_test.cc
+++ b/tests/leader/front_desk_test.cc
@@ -55,6 +55,35 @@
       JobReplyKind::kBadKey);
 }
 
+// Found on calead-sched trouble-2: while the store was silent each request was held for a second,
+// by when consumers had left.
+Test(front_desk, requests_are_refused_at_once_while_the_store_is_out_of_reach) {
+  TestOffice office;
+  office.node(0).store().SetReachable(false);
+  office.Run(Milliseconds(1'000));
+  for (int request = 0; request < 2; ++request) {
+    cr_assert(office.node(0).Ask(JobRequestKind::kAsk, kPath, "key").kind ==
+              JobReplyKind::kUnavailable);
+  }
+  const Milliseconds asked_at = office.timers.clock().Now();
+  cr_assert(office.node(0).Ask(JobRequestKind::kAsk, kPath, "key").kind ==
+            JobReplyKind::kUnavailable);
+  cr_assert(office.timers.clock().Now() - asked_at < Milliseconds(50));
+}
+
+Test(front_desk, requests_are_served_again_soon_after_the_store_is_back) {
+  TestOffice office;
+  office.node(0).store().SetReachable(false);
+  office.Run(Milliseconds(1'000));
+  for (int request = 0; request < 3; ++request) {
+    office.node(0).Ask(JobRequestKind::kAsk, kPath, "key");
+  }
+  office.node(0).store().SetReachable(true);
+  office.Run(Milliseconds(1'500));
+  cr_assert(office.node(0).Ask(JobRequestKind::kAsk, kPath, "key").kind ==
+            JobReplyKind::kNoSuchJob);
+}
+
 Test(front_desk, unknown_queue_and_job_are_named_so) {
   TestOffice office;
   cr_assert(office.node(0).Ask(JobRequestKind::kAsk, "/nothing/", "key").kind ==
