Soak: Keep faults, consumers and the run in files of their own

Change: soak_faults has a table of member pointers, one for each kind of fault, in place of a long switch; the stand-in's runs stand beside its orders.

--- /dev/null
+++ b/src/libraries/soak/soak_faults.h
@@ -0,0 +1,111 @@
+/// Injects the faults of a plan into links, processes, store, minions and manifest.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "libraries/http/async_http_client.h"
+#include "libraries/soak/loopback_proxy.h"
+#include "libraries/soak/soak_plan.h"
+
+namespace papayalift {
+
+struct SoakFaultSettings {
+  SoakSize size;
+  /// Holds a file "node-N.pid" with the id of each node's process.
+  std::string directory;
+  /// Of the stand-in; the proxies' ports lie above it.
+  int base_port = 0;
+};
+
+/// Where consumers reach a node.
+std::string SoakNodeUrl(int base_port, int node);
+/// "http://IP:port/stand-in/"
+std::string SoakControlUrl(int base_port);
+
+struct SoakFaultCallbacks {
+  /// A new manifest asks for this key.
+  std::function<void(const std::string& key)> on_key;
+  /// The stand-in could not be told of a fault.
+  std::function<void(const std::string& what)> on_failure;
+};
+
+/// Lives on the loop's thread.
+class SoakFaults {
+ public:
+  SoakFaults(EventLoop& loop, AsyncHttpClient& http, SoakFaultSettings settings,
+             SoakFaultCallbacks callbacks);
+
+  /// kUnavailable where a port is taken.
+  absl::Status OpenLinks();
+
+  void Begin(const SoakStep& step);
+  /// Undoes what goes on, and begins nothing any more.
+  void EndAll();
+  void PutManifest();
+
+  /// Whether a node was free of faults that may cut a request, between two times.
+  bool WasCalm(std::size_t node, Milliseconds from, Milliseconds until) const;
+
+ private:
+  /// A span in which requests to a node may go unanswered.
+  struct Disturbance {
+    Milliseconds from{0};
+    Milliseconds until{0};
+  };
+  using Links = std::vector<std::unique_ptr<LoopbackProxy>>;
+  using BeginFault = void (SoakFaults::*)(const SoakStep&);
+  struct FaultKind {
+    SoakAction action;
+    BeginFault begin;
+  };
+  static const std::vector<FaultKind>& Kinds();
+
+  void KillNode(const SoakStep& step);
+  void PauseNode(const SoakStep& step);
+  void StopNode(const SoakStep& step);
+  void ReloadNode(const SoakStep& step);
+  void DisturbNodeToStore(const SoakStep& step);
+  void DisturbConsumersToNode(const SoakStep& step);
+  void DisturbNodesToMinion(const SoakStep& step);
+  void ResetNodeToStore(const SoakStep& step);
+  void ResetConsumersToNode(const SoakStep& step);
+  void ResetNodesToMinion(const SoakStep& step);
+  void TakeStoreAway(const SoakStep& step);
+  void RefuseByStore(const SoakStep& step);
+  void LoseStoreAnswers(const SoakStep& step);
+  void DelayStoreWrites(const SoakStep& step);
+  void ForgetHistory(const SoakStep& step);
+  void RestartMinion(const SoakStep& step);
+  void LoseMinionAnswers(const SoakStep& step);
+  void DelayMinionOrders(const SoakStep& step);
+  void RefuseByMinion(const SoakStep& step);
+  void ChangeManifest(const SoakStep& step);
+  void Evacuate(const SoakStep& step);
+
+  absl::Status AddLink(Links& links, int offset, LoopbackAddress target);
+  void SetLink(LoopbackProxy& link, const SoakStep& step);
+  void FailStore(const SoakStep& step, const std::string& fault);
+  void FailMinion(const SoakStep& step, const std::string& fault);
+  void Disturb(std::size_t node, Milliseconds lasts);
+  void Signal(std::size_t node, int signal);
+  void Control(const std::string& action, const std::string& body = "");
+  Milliseconds Now() const { return m_loop.clock().Now(); }
+
+  EventLoop& m_loop;
+  AsyncHttpClient& m_http;
+  const SoakFaultSettings m_settings;
+  const SoakFaultCallbacks m_callbacks;
+  Links m_store_links;
+  Links m_consumer_links;
+  Links m_minion_links;
+  std::vector<std::vector<Disturbance>> m_disturbances;
+  bool m_are_over = false;
+  int m_version = 0;
+  int m_manifests = 1;
+};
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/stand_ins/fleet/fleet_minions_runs.cc
@@ -0,0 +1,199 @@
+#include <algorithm>
+#include <utility>
+
+#include "stand_ins/fleet/fleet_minions.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr Milliseconds kLongestLease{10'000};
+/// How long the members of a gang wait for each other.
+constexpr Milliseconds kGangTimeout{3'000};
+
+}  // namespace
+
+int FleetMinions::PercentOf(const Run& run) const {
+  if (!run.began_at.has_value()) {
+    return 0;
+  }
+  constexpr std::int64_t kWholePercent = 100;
+  const std::int64_t whole = std::max<std::int64_t>(1, (*run.ends_at - *run.began_at).count());
+  const std::int64_t worked = (m_timers.clock().Now() - *run.began_at).count();
+  return static_cast<int>(std::min(kWholePercent, worked * kWholePercent / whole));
+}
+
+void FleetMinions::TakeLease(Minion& minion, MinionTime until) {
+  const MinionTime most(ClockOf(minion).value() + kLongestLease.count());
+  const MinionTime granted = std::min(until, most);
+  minion.lease_until = std::max(minion.lease_until.value_or(granted), granted);
+}
+
+void FleetMinions::BeginIfWhole(const TaskName& task, AttemptNumber attempt) {
+  const StepSpec* const step = StepOf(task);
+  std::vector<Run*> members;
+  for (auto& [id, minion] : m_minions) {
+    for (auto& [name, run] : minion.runs) {
+      const bool is_member = step != nullptr && step->kind == WorkStepKind::kGang
+                                 ? name.job == task.job && name.step == task.step
+                                 : name == task;
+      if (is_member && run.attempt == attempt) {
+        members.push_back(&run);
+      }
+    }
+  }
+  const std::size_t wanted = step != nullptr && step->kind == WorkStepKind::kGang
+                                 ? static_cast<std::size_t>(step->count)
+                                 : 1;
+  if (members.size() < wanted) {
+    return;
+  }
+  const auto job = m_jobs.find(task.job);
+  for (Run* const run : members) {
+    run->began_at = m_timers.clock().Now();
+    run->ends_at =
+        m_timers.clock().Now() + (job == m_jobs.end() ? Milliseconds(1'000) : job->second.duration);
+  }
+}
+
+void FleetMinions::AdvanceAll() {
+  for (auto& [id, minion] : m_minions) {
+    Advance(minion);
+  }
+}
+
+void FleetMinions::Advance(Minion& minion) {
+  if (minion.lease_until.has_value() && ClockOf(minion) > *minion.lease_until) {
+    while (!minion.runs.empty()) {
+      End(minion, minion.runs.begin()->first, EndKind::kLapsed);
+    }
+  }
+  const Milliseconds now = m_timers.clock().Now();
+  std::vector<Run> over;
+  for (const auto& [task, run] : minion.runs) {
+    const bool is_alone =
+        IsGang(task) && !run.began_at.has_value() && now > run.came_at + kGangTimeout;
+    const bool is_done = run.ends_at.has_value() && *run.ends_at <= now;
+    if ((is_alone || is_done) && !run.is_stopping) {
+      over.push_back(run);
+    }
+  }
+  for (const Run& run : over) {
+    // It may have ended with its gang.
+    if (minion.runs.contains(run.task)) {
+      EndRun(minion, run);
+    }
+  }
+}
+
+void FleetMinions::EndRun(Minion& minion, const Run& run) {
+  if (!run.began_at.has_value()) {
+    End(minion, run.task, EndKind::kAlone);
+    return;
+  }
+  const auto job = m_jobs.find(run.task.job);
+  if (job != m_jobs.end() && run.attempt.value() <= job->second.failing_attempts) {
+    End(minion, run.task, EndKind::kFailed);
+    return;
+  }
+  if (!IsGang(run.task)) {
+    End(minion, run.task, EndKind::kDone);
+    return;
+  }
+  // The members of a gang end as done together.
+  for (auto& [id, other] : m_minions) {
+    for (const TaskName& task : MembersOn(other, run)) {
+      End(other, task, EndKind::kDone);
+    }
+  }
+}
+
+bool FleetMinions::IsGang(const TaskName& task) const {
+  const StepSpec* const step = StepOf(task);
+  return step != nullptr && step->kind == WorkStepKind::kGang;
+}
+
+std::vector<TaskName> FleetMinions::MembersOn(const Minion& minion, const Run& run) {
+  std::vector<TaskName> members;
+  for (const auto& [task, other] : minion.runs) {
+    if (task.job == run.task.job && task.step == run.task.step && other.attempt == run.attempt) {
+      members.push_back(task);
+    }
+  }
+  return members;
+}
+
+/// A member of a gang at work has ended before the others.
+void FleetMinions::BreakGangOf(const Run& run) {
+  if (!run.began_at.has_value() || !IsGang(run.task)) {
+    return;
+  }
+  for (auto& [id, minion] : m_minions) {
+    for (const TaskName& task : MembersOn(minion, run)) {
+      // It may have ended with another member.
+      if (minion.runs.contains(task)) {
+        End(minion, task, EndKind::kBroken);
+      }
+    }
+  }
+}
+
+void FleetMinions::End(Minion& minion, const TaskName& task, EndKind kind) {
+  const Run run = minion.runs.at(task);
+  minion.runs.erase(task);
+  AttemptNumber& barred = minion.barred[task];
+  barred = std::max(barred, run.attempt);
+  if (kind == EndKind::kDone) {
+    m_done.insert(task);
+  }
+  minion.ended.push_back(EndedRun{EndNumber(++minion.last_end), task, run.attempt, kind, ""});
+  if (kind != EndKind::kDone) {
+    BreakGangOf(run);
+  }
+}
+
+// --- what was seen ---
+
+int FleetMinions::starts(const JobId& job) const {
+  const auto found = m_starts.find(job);
+  return found == m_starts.end() ? 0 : found->second;
+}
+
+int FleetMinions::starts() const {
+  int sum = 0;
+  for (const auto& [job, count] : m_starts) {
+    sum += count;
+  }
+  return sum;
+}
+
+std::map<JobId, JobRecord> FleetMinions::Records() const {
+  std::map<JobId, JobRecord> records;
+  for (const auto& [job, count] : m_starts) {
+    records[job].starts = count;
+    records[job].last_order_at = m_last_orders.at(job);
+  }
+  for (const auto& [id, minion] : m_minions) {
+    for (const auto& [task, run] : minion.runs) {
+      ++records[task.job].running;
+    }
+  }
+  for (const TaskName& task : m_done) {
+    ++records[task.job].done;
+  }
+  return records;
+}
+
+std::vector<MinionId> FleetMinions::RunningOn(const JobId& job) const {
+  std::vector<MinionId> found;
+  for (const auto& [id, minion] : m_minions) {
+    for (const auto& [task, run] : minion.runs) {
+      if (task.job == job) {
+        found.push_back(id);
+      }
+    }
+  }
+  return found;
+}
+
+}  // namespace papayalift
