HTTP: Keep connections of thousands of minions without stalling

Ruled out: the planner (its search was cheaper by then, and the standstill stayed); the store.

The event loop runs urgent descriptors (the store's) ahead of others, and timers after what was ready; it reports how late its timers run.

--- a/src/libraries/http/async_http_client.cc
+++ b/src/libraries/http/async_http_client.cc
@@ -2,9 +2,13 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
+#include <string_view>
 #include <unordered_set>
 #include <utility>
 
+#include "libraries/base/hash.h"
+
 namespace papayalift {
 
 namespace {
@@ -12,6 +16,9 @@
 constexpr long kConnectTimeoutMilliseconds = 1'000;
 constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
 constexpr std::size_t kMaxIdleHandles = 16;
+constexpr std::size_t kEngines = 64;
+/// One server may need several connections at the same time.
+constexpr int kMinIdlePerEngine = 16;
 /// Small, because bodies have a few kilobytes and each handle in use allocates a buffer.
 constexpr long kReceiveBufferBytes = 8L * 1024;
 
@@ -103,6 +110,10 @@
 
 HttpOutcome OutcomeOf(Transfer& transfer, CURLcode code) {
   HttpOutcome outcome;
+  long new_connections = 0;
+  curl_easy_getinfo(transfer.handle.get(), CURLINFO_NUM_CONNECTS, &new_connections);
+  outcome.connection =
+      transfer.sent && new_connections == 0 ? ConnectionOrigin::kKept : ConnectionOrigin::kNew;
   if (code == CURLE_OK) {
     long status = 0;
     curl_easy_getinfo(transfer.handle.get(), CURLINFO_RESPONSE_CODE, &status);
@@ -120,7 +131,8 @@
 
 class AsyncHttpClient::Engine {
  public:
-  Engine(EventLoop& loop, int max_idle_connections) : m_loop(loop) {
+  Engine(EventLoop& loop, int max_idle_connections, Urgency urgency)
+      : m_loop(loop), m_urgency(urgency) {
     curl_global_init(CURL_GLOBAL_DEFAULT);
     m_multi = curl_multi_init();
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Engine::OnSocket);
@@ -163,7 +175,8 @@
     const Readiness wanted{.readable = (what & CURL_POLL_IN) != 0,
                            .writable = (what & CURL_POLL_OUT) != 0};
     const absl::Status watched = engine.m_loop.Watch(
-        socket, wanted, [&engine, socket](Readiness ready) { engine.OnReady(socket, ready); });
+        socket, wanted, [&engine, socket](Readiness ready) { engine.OnReady(socket, ready); },
+        engine.m_urgency);
     return watched.ok() ? 0 : -1;
   }
 
@@ -228,6 +241,7 @@
   }
 
   EventLoop& m_loop;
+  const Urgency m_urgency;
   CURLM* m_multi = nullptr;
   TimerId m_timer = 0;
   bool m_is_closing = false;
@@ -235,13 +249,28 @@
   std::vector<CurlHandle> m_idle;
 };
 
-AsyncHttpClient::AsyncHttpClient(EventLoop& loop, int max_idle_connections)
-    : m_engine(std::make_unique<Engine>(loop, max_idle_connections)) {}
+AsyncHttpClient::AsyncHttpClient(EventLoop& loop, int max_idle_connections, Urgency urgency)
+    : m_loop(loop),
+      m_max_idle_connections(max_idle_connections),
+      m_urgency(urgency),
+      m_engines(kEngines) {}
 
 AsyncHttpClient::~AsyncHttpClient() = default;
 
+AsyncHttpClient::Engine& AsyncHttpClient::EngineFor(const std::string& url) {
+  constexpr std::string_view kScheme = "http://";
+  const std::size_t path = url.find('/', std::min(kScheme.size(), url.size()));
+  std::unique_ptr<Engine>& engine = m_engines[Hash64(url.substr(0, path)) % kEngines];
+  if (engine == nullptr) {
+    const int max_idle = std::max(1, m_max_idle_connections / static_cast<int>(kEngines));
+    engine = std::make_unique<Engine>(m_loop, std::max(max_idle, kMinIdlePerEngine), m_urgency);
+  }
+  return *engine;
+}
+
 void AsyncHttpClient::Send(AsyncHttpCall call, Callback callback) {
-  m_engine->Send(std::move(call), std::move(callback));
+  Engine& engine = EngineFor(call.call.url);
+  engine.Send(std::move(call), std::move(callback));
 }
 
 }  // namespace papayalift
--- a/src/libraries/http/async_http_client.h
+++ b/src/libraries/http/async_http_client.h
@@ -26,7 +26,8 @@
  public:
   using Callback = std::function<void(HttpOutcome)>;
 
-  AsyncHttpClient(EventLoop& loop, int max_idle_connections);
+  /// `urgency` is that of all its connections.
+  AsyncHttpClient(EventLoop& loop, int max_idle_connections, Urgency urgency = Urgency::kNormal);
   ~AsyncHttpClient();
   AsyncHttpClient(const AsyncHttpClient&) = delete;
   AsyncHttpClient& operator=(const AsyncHttpClient&) = delete;
@@ -37,7 +38,15 @@
 
  private:
   class Engine;
-  std::unique_ptr<Engine> m_engine;
+  Engine& EngineFor(const std::string& url);
+
+  EventLoop& m_loop;
+  const int m_max_idle_connections;
+  const Urgency m_urgency;
+  /// NOTE: curl looks for dead idle connections once a second, and starts over after each one that
+  /// it finds. With thousands of idle connections, which servers close at the same time, that takes
+  /// seconds. So each server's connections belong to one of many engines; unused ones are null.
+  std::vector<std::unique_ptr<Engine>> m_engines;
 };
 
 }  // namespace papayalift
--- a/src/libraries/http/http_message.h
+++ b/src/libraries/http/http_message.h
@@ -69,6 +69,13 @@
   kAnswered,
 };
 
+enum class ConnectionOrigin {
+  /// Opened for the call, or not opened at all.
+  kNew,
+  /// Kept from an earlier call.
+  kKept,
+};
+
 /// Result and response of a call.
 struct HttpOutcome {
   HttpCallResult result = HttpCallResult::kNotSent;
@@ -76,6 +83,8 @@
   std::string body;
   /// Why there is no response; empty if there is one.
   std::string error;
+  /// Only set by AsyncHttpClient.
+  ConnectionOrigin connection = ConnectionOrigin::kNew;
 };
 
 }  // namespace papayalift
--- a/src/libraries/loop/event_loop.cc
+++ b/src/libraries/loop/event_loop.cc
@@ -15,21 +15,29 @@
 
 namespace {
 
-constexpr int kMaxEventsPerIteration = 64;
+constexpr int kMaxEventsPerBatch = 64;
+/// Batches of ready descriptors that are handled before the timers run.
+constexpr int kMaxBatchesPerIteration = 8;
+/// Normal callbacks that run between two looks at the urgent descriptors.
+constexpr int kEventsPerUrgentCheck = 8;
 constexpr Milliseconds kMaxWait{60'000};
 
 }  // namespace
 
-EventLoop::EventLoop(const Clock& clock, int epoll, int wake_read, int wake_write)
-    : m_clock(clock), m_epoll(epoll), m_wake_read(wake_read), m_wake_write(wake_write) {}
+EventLoop::EventLoop(const Clock& clock, const Descriptors& descriptors)
+    : m_clock(clock), m_descriptors(descriptors) {}
 
 absl::StatusOr<std::unique_ptr<EventLoop>> EventLoop::Create(const Clock& clock) {
   const int epoll = epoll_create1(EPOLL_CLOEXEC);
+  const int urgent_epoll = epoll_create1(EPOLL_CLOEXEC);
   std::array<int, 2> ends{-1, -1};
-  if (epoll < 0 || pipe2(ends.data(), O_CLOEXEC | O_NONBLOCK) != 0) {
+  if (epoll < 0 || urgent_epoll < 0 || pipe2(ends.data(), O_CLOEXEC | O_NONBLOCK) != 0) {
     return absl::UnavailableError("no file descriptor left for the event loop");
   }
-  std::unique_ptr<EventLoop> loop(new EventLoop(clock, epoll, ends[0], ends[1]));
+  std::unique_ptr<EventLoop> loop(
+      new EventLoop(clock, Descriptors{epoll, urgent_epoll, ends[0], ends[1]}));
+  TRY(loop->Watch(urgent_epoll, Readiness{.readable = true},
+                  [urgent = loop.get()](Readiness) { urgent->RunUrgentCallbacks(); }));
   const int wake_read = ends[0];
   TRY(loop->Watch(wake_read, Readiness{.readable = true}, [wake_read](Readiness) {
     std::array<char, 64> bytes{};
@@ -40,9 +48,14 @@
 }
 
 EventLoop::~EventLoop() {
-  close(m_epoll);
-  close(m_wake_read);
-  close(m_wake_write);
+  close(m_descriptors.epoll);
+  close(m_descriptors.urgent_epoll);
+  close(m_descriptors.wake_read);
+  close(m_descriptors.wake_write);
+}
+
+int EventLoop::EpollOf(Urgency urgency) const {
+  return urgency == Urgency::kUrgent ? m_descriptors.urgent_epoll : m_descriptors.epoll;
 }
 
 TimerId EventLoop::After(Milliseconds delay, std::function<void()> callback) {
@@ -51,26 +64,33 @@
 
 void EventLoop::Cancel(TimerId id) { m_timers.Cancel(id); }
 
-absl::Status EventLoop::Watch(int descriptor, Readiness wanted, FdCallback callback) {
+absl::Status EventLoop::Watch(int descriptor, Readiness wanted, FdCallback callback,
+                              Urgency urgency) {
   epoll_event event{};
   event.events = (wanted.readable ? EPOLLIN : 0U) | (wanted.writable ? EPOLLOUT : 0U);
   event.data.fd = descriptor;
-  const bool is_watched = m_watched.contains(descriptor);
-  int result = epoll_ctl(m_epoll, is_watched ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, descriptor, &event);
+  const auto watched = m_watched.find(descriptor);
+  const bool is_watched = watched != m_watched.end();
+  const Urgency effective = is_watched ? watched->second.urgency : urgency;
+  const int epoll = EpollOf(effective);
+  int result = epoll_ctl(epoll, is_watched ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, descriptor, &event);
   if (result != 0 && is_watched && errno == ENOENT) {
     // The descriptor was closed and its number reused.
-    result = epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event);
+    result = epoll_ctl(epoll, EPOLL_CTL_ADD, descriptor, &event);
   }
   if (result != 0) {
     return absl::UnavailableError("epoll can't watch the descriptor");
   }
-  m_watched[descriptor] = std::make_shared<FdCallback>(std::move(callback));
+  m_watched[descriptor] =
+      WatchedDescriptor{std::make_shared<FdCallback>(std::move(callback)), effective};
   return absl::OkStatus();
 }
 
 void EventLoop::Unwatch(int descriptor) {
-  if (m_watched.erase(descriptor) > 0) {
-    epoll_ctl(m_epoll, EPOLL_CTL_DEL, descriptor, nullptr);
+  const auto watched = m_watched.find(descriptor);
+  if (watched != m_watched.end()) {
+    epoll_ctl(EpollOf(watched->second.urgency), EPOLL_CTL_DEL, descriptor, nullptr);
+    m_watched.erase(watched);
   }
 }
 
@@ -82,25 +102,59 @@
 }
 
 void EventLoop::RunIteration() {
-  std::array<epoll_event, kMaxEventsPerIteration> events{};
+  bool has_more = RunReadyCallbacks(PollTimeoutMilliseconds());
+  // NOTE: timers run after what is ready, since a timeout must not count an answer as missing that
+  // has arrived but was not read yet.
+  for (int batch = 1; has_more && batch < kMaxBatchesPerIteration; ++batch) {
+    has_more = RunReadyCallbacks(0);
+  }
+  RunDueTimers();
+  if (m_after_iteration) {
+    m_after_iteration();
+  }
+}
+
+bool EventLoop::RunReadyCallbacks(int timeout_milliseconds) {
+  std::array<epoll_event, kMaxEventsPerBatch> events{};
   const int count =
-      epoll_wait(m_epoll, events.data(), kMaxEventsPerIteration, PollTimeoutMilliseconds());
+      epoll_wait(m_descriptors.epoll, events.data(), kMaxEventsPerBatch, timeout_milliseconds);
   for (int index = 0; index < count; ++index) {
-    const epoll_event& event = events.at(static_cast<std::size_t>(index));
-    const auto found = m_watched.find(event.data.fd);
-    if (found == m_watched.end()) {
-      continue;
+    if (count > kEventsPerUrgentCheck && index % kEventsPerUrgentCheck == 0) {
+      RunUrgentCallbacks();
     }
-    // Keeps the callback alive, because it may unwatch its own descriptor.
-    const std::shared_ptr<FdCallback> callback = found->second;
-    constexpr std::uint32_t kReadable = EPOLLIN | EPOLLHUP | EPOLLERR | EPOLLRDHUP;
-    (*callback)(Readiness{.readable = (event.events & kReadable) != 0,
-                          .writable = (event.events & EPOLLOUT) != 0});
+    const epoll_event& event = events.at(static_cast<std::size_t>(index));
+    RunCallback(event.data.fd, event.events);
   }
-  m_timers.RunDue(m_clock.Now());
-  if (m_after_iteration) {
-    m_after_iteration();
+  return count == kMaxEventsPerBatch;
+}
+
+void EventLoop::RunDueTimers() {
+  const Milliseconds now = m_clock.Now();
+  if (const std::optional<Milliseconds> due = m_timers.next_due()) {
+    m_max_timer_delay = std::max(m_max_timer_delay, now - *due);
+  }
+  m_timers.RunDue(now);
+}
+
+void EventLoop::RunUrgentCallbacks() {
+  std::array<epoll_event, kMaxEventsPerBatch> events{};
+  const int count = epoll_wait(m_descriptors.urgent_epoll, events.data(), kMaxEventsPerBatch, 0);
+  for (int index = 0; index < count; ++index) {
+    const epoll_event& event = events.at(static_cast<std::size_t>(index));
+    RunCallback(event.data.fd, event.events);
+  }
+}
+
+void EventLoop::RunCallback(int descriptor, std::uint32_t events) {
+  const auto found = m_watched.find(descriptor);
+  if (found == m_watched.end()) {
+    return;
   }
+  // Keeps the callback alive, because it may unwatch its own descriptor.
+  const std::shared_ptr<FdCallback> callback = found->second.callback;
+  constexpr std::uint32_t kReadable = EPOLLIN | EPOLLHUP | EPOLLERR | EPOLLRDHUP;
+  (*callback)(
+      Readiness{.readable = (events & kReadable) != 0, .writable = (events & EPOLLOUT) != 0});
 }
 
 int EventLoop::PollTimeoutMilliseconds() const {
--- a/src/libraries/loop/event_loop.h
+++ b/src/libraries/loop/event_loop.h
@@ -1,9 +1,11 @@
 /// Event loop of one thread for file descriptors and timers, on epoll.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 
 #include "absl/status/statusor.h"
 #include "libraries/loop/timers.h"
@@ -16,6 +18,12 @@
   bool writable = false;
 };
 
+enum class Urgency {
+  kNormal,
+  /// The callback runs ahead of normal ones that are ready, however many there are.
+  kUrgent,
+};
+
 /// Not thread-safe, except for writes to wake_descriptor().
 class EventLoop final : public Timers {
  public:
@@ -32,8 +40,9 @@
   void Cancel(TimerId id) override;
 
   /// Calls `callback` whenever the descriptor is ready; replaces an earlier watch of the
-  /// descriptor.
-  absl::Status Watch(int descriptor, Readiness wanted, FdCallback callback);
+  /// descriptor. The urgency of a descriptor stays that of its first watch.
+  absl::Status Watch(int descriptor, Readiness wanted, FdCallback callback,
+                     Urgency urgency = Urgency::kNormal);
   /// Has no effect if the descriptor is not watched.
   void Unwatch(int descriptor);
 
@@ -46,21 +55,41 @@
   void Run();
   void Stop() { m_stopped = true; }
 
+  /// The longest time after its due time at which a timer ran since the last call.
+  Milliseconds TakeMaxTimerDelay() { return std::exchange(m_max_timer_delay, Milliseconds(0)); }
+
   /// A signal handler writes one byte to this descriptor to end the wait of the loop.
-  int wake_descriptor() const { return m_wake_write; }
+  int wake_descriptor() const { return m_descriptors.wake_write; }
 
  private:
-  EventLoop(const Clock& clock, int epoll, int wake_read, int wake_write);
+  struct Descriptors {
+    int epoll = -1;
+    /// Watched by `epoll`, so that one wait covers both.
+    int urgent_epoll = -1;
+    int wake_read = -1;
+    int wake_write = -1;
+  };
+  struct WatchedDescriptor {
+    std::shared_ptr<FdCallback> callback;
+    Urgency urgency = Urgency::kNormal;
+  };
+
+  EventLoop(const Clock& clock, const Descriptors& descriptors);
+  int EpollOf(Urgency urgency) const;
   void RunIteration();
+  /// Runs the callbacks of some ready descriptors; returns whether more may be ready.
+  bool RunReadyCallbacks(int timeout_milliseconds);
+  void RunDueTimers();
+  void RunUrgentCallbacks();
+  void RunCallback(int descriptor, std::uint32_t events);
   int PollTimeoutMilliseconds() const;
 
   const Clock& m_clock;
-  const int m_epoll;
-  const int m_wake_read;
-  const int m_wake_write;
+  const Descriptors m_descriptors;
   bool m_stopped = false;
+  Milliseconds m_max_timer_delay{0};
   TimerQueue m_timers;
-  std::unordered_map<int, std::shared_ptr<FdCallback>> m_watched;
+  std::unordered_map<int, WatchedDescriptor> m_watched;
   std::function<void()> m_after_iteration;
 };
 
--- a/src/libraries/work/fleet_schema.h
+++ b/src/libraries/work/fleet_schema.h
@@ -32,6 +32,8 @@
   /// kInvalidArgument if the entry does not describe a usable minion.
   virtual absl::StatusOr<MinionEntry> DecodeMinion(const MinionId& id,
                                                    const std::string& text) const = 0;
+  /// The text of a minion's entry without the counters that change with each of its heartbeats.
+  virtual std::string WithoutCounters(std::string text) const = 0;
   /// kInvalidArgument if the text does not describe a job; kUnimplemented if the job requires a
   /// feature that is not supported.
   virtual absl::StatusOr<WorkSpec> DecodeWork(const std::string& text) const = 0;
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -12,10 +12,15 @@
 zone = "casa"
 firstStart = true
 somethingNew = 7
+heartbeatMs = 1200
 [listen]
 frontend = "10.1.0.19:8521"
 ready = "10.1.0.19:8523"
+[limits]
+cpuShare = 0.25
+maxFds = 8192
 [bounds]
+drainMs = 4000
 graceS = 6.5
 holdMaxMs = 9000
 status_s = 100
@@ -39,6 +44,9 @@
   cr_assert_eq(settings.longest_lease.count(), 9'000);
   cr_assert_eq(settings.retention.count(), 100'000);
   cr_assert_eq(settings.shortest_store_lease.count(), 1'500);
+  cr_assert_eq(settings.drain_bound.count(), 4'000);
+  cr_assert_eq(settings.heartbeat_interval.count(), 1'200);
+  cr_assert_eq(settings.max_descriptors, 8'192);
   cr_assert(settings.is_first_start);
 }
 
--- a/tests/platform/platform_schema_test.cc
+++ b/tests/platform/platform_schema_test.cc
@@ -24,6 +24,19 @@
   cr_assert_eq(entry.warm_up_remaining.count(), 40);
 }
 
+Test(platform_schema, entries_that_differ_in_counters_only_are_equal_without_them) {
+  const PlatformSchema schema;
+  std::string later = kMinionEntry;
+  later.replace(later.find("482113"), 6, "1482113");
+  later.replace(later.find("\"sequence\":4"), 12, "\"sequence\":105");
+  cr_assert_neq(later, std::string(kMinionEntry));
+  cr_assert_eq(schema.WithoutCounters(later), schema.WithoutCounters(kMinionEntry));
+  std::string ready = kMinionEntry;
+  ready.replace(ready.find("draining"), 8, "ready");
+  cr_assert_neq(schema.WithoutCounters(ready), schema.WithoutCounters(kMinionEntry));
+  cr_assert_eq(schema.WithoutCounters("\"clockMs\":"), "\"clockMs\":");
+}
+
 Test(platform_schema, malformed_minion_entry_is_refused) {
   const PlatformSchema schema;
   for (
