Leader: Start urgent jobs sooner

One job beyond the guarantee of its workspace took the guarantee from all jobs of it; jobs beyond it waited for free room while work of low priority, with seconds of slack, filled the fleet. While the store is about to forget its history its watches report nothing for a second, and jobs accepted meanwhile were not known to the leader. A minion that resets connections was given up after three tries within 0.2 s, which then cost its gang 3 s.

Ruled out: shorter leases (a run lost with its minion would still be late, and a change of leader would end running work); restarting a gang before a silent member's lease is over (two runs of a task may be alive).

Change: the jobs that fit the guarantee, in the order in which they became known, keep it. A step of priority 0 beyond it that must start within 2 s to be on time may stop lower priorities, if that loses less than half of the work that it does itself, and only on its rack where it has one. While the store answers but no heartbeat comes for 0.5 s, accepted jobs and operator's keys are read again. A start without an answer is repeated for 2 s.

--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -167,7 +167,7 @@
     const TaskProgress& task = job.progress.steps[static_cast<std::size_t>(stop.step)]
                                    .tasks[static_cast<std::size_t>(placement.index)];
     if (TrackedRun* const run = m_state.FindRun(name, task.attempt); run != nullptr) {
-      m_supervisor->Stop(*run, "reclaimed for guaranteed job " + stop.beneficiary.text());
+      m_supervisor->Stop(*run, "its capacity is reclaimed for job " + stop.beneficiary.text());
     }
   }
 }
@@ -177,6 +177,7 @@
     return;
   }
   m_supervisor->ExpireLeases();
+  RereadIfWatchesAreSilent();
   RemoveExpiredJobs();
   SchedulePlan();
   m_context.timers.After(kTickInterval, [weak = weak_from_this()] {
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -73,6 +73,10 @@
   void WatchPrefix(std::size_t index, Revision after);
   void OnPrefixChanged(std::size_t index, Revision after, const WatchAnswer& answer);
   void RetryLater(std::function<void(LeaderSession&)> action);
+  /// Reads the accepted jobs and the operator's keys again while the store answers but its watches
+  /// report no heartbeats. Load that it answers: a store about to forget its history leaves watches
+  /// without news for a second, while jobs are accepted.
+  void RereadIfWatchesAreSilent();
   void LoadProgress();
   void ApplyProgressItems(const ReadAnswer& answer);
   void ApplyAcceptedItems(const ReadAnswer& answer);
--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -14,6 +14,8 @@
 
 constexpr Milliseconds kWatchWait{2'000};
 constexpr Milliseconds kRetryDelay{200};
+/// Heartbeats arrive several times within this time, unless watches report nothing.
+constexpr Milliseconds kMaxWatchSilence{500};
 
 void LogReadFailure(const std::string& prefix, const std::string& error) {
   LogEvent(LogLevel::kWarning, "leader", "the store could not be read; trying again")
@@ -100,6 +102,36 @@
   });
 }
 
+void LeaderSession::RereadIfWatchesAreSilent() {
+  if (!m_state.has_heartbeats || Now() - m_state.registry_heard_at < kMaxWatchSilence ||
+      m_context.election.contact_age() >= kMaxWatchSilence) {
+    return;
+  }
+  LogEvent(LogLevel::kWarning, "leader", "watches report no heartbeats; reading jobs again")
+      .Field("silent_ms", (Now() - m_state.registry_heard_at).count())
+      .Field("store_contact_age_ms", m_context.election.contact_age().count())
+      .Write();
+  for (const WatchedPrefix& watched : m_watched_prefixes) {
+    if (watched.prefix == m_context.schema.MinionPrefix()) {
+      continue;
+    }
+    m_context.store.ReadAll(watched.prefix,
+                            [weak = weak_from_this(), prefix = watched.prefix,
+                             apply = watched.apply_items](const ReadAnswer& answer) {
+                              const Self self = weak.lock();
+                              if (self == nullptr || self->m_is_closed) {
+                                return;
+                              }
+                              if (answer.result == ReadResult::kOk) {
+                                (self.get()->*apply)(answer);
+                                self->SchedulePlan();
+                              } else {
+                                LogReadFailure(prefix, answer.error);
+                              }
+                            });
+  }
+}
+
 void LeaderSession::LoadProgress() {
   m_context.store.ReadAll(kProgressPrefix, [weak = weak_from_this()](const ReadAnswer& answer) {
     const Self self = weak.lock();
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -40,6 +40,8 @@
   std::optional<Milliseconds> answered_at;
   std::optional<Milliseconds> stop_answered_at;
   Milliseconds decided_at{0};
+  /// When its start was first sent.
+  Milliseconds ordered_at{0};
   std::optional<Milliseconds> running_since;
   int percent = 0;
   /// When `percent` last rose.
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -16,6 +16,12 @@
 /// Borrowed capacity often becomes free by itself within this time. After it, borrowers are stopped
 /// for jobs within their guarantee.
 constexpr Milliseconds kBorrowerGracePeriod{1'200};
+/// A step with guaranteed priority, but beyond its guarantee, that must start within this time to
+/// be on time may stop runs of lower priority. Load that it answers: a burst of short jobs beyond
+/// the guarantees, while long ones of low priority fill the fleet.
+constexpr Milliseconds kUrgentSlack{2'000};
+/// Work that such a step may make others lose, relative to its own.
+constexpr double kMaxLostWorkShare = 0.5;
 /// Older speed measurements are ignored: a minion that was slow may have recovered.
 constexpr Milliseconds kSpeedMaxAge{6'000};
 
@@ -159,9 +165,22 @@
         job.accepted.latency_target;
     pending.slack =
         job.known_since + objective - now - RemainingCriticalPath(job.accepted, job.progress, step);
+    pending.max_lost_work = MaxLostWork(pending);
     m_snapshot.pending_steps.push_back(std::move(pending));
   }
 
+  static double MaxLostWork(const PendingStep& pending) {
+    const bool is_urgent = pending.slack >= Milliseconds(0) && pending.slack < kUrgentSlack;
+    if (pending.priority != kGuaranteedPriority || pending.is_guaranteed || !is_urgent) {
+      return 0;
+    }
+    constexpr double kMillisecondsPerSecond = 1'000;
+    const double seconds =
+        static_cast<double>(pending.spec.estimate.count()) / kMillisecondsPerSecond;
+    return kMaxLostWorkShare * seconds * WeightedCores(pending.spec.needs) *
+           static_cast<double>(pending.task_indexes.size());
+  }
+
   /// Adds all runs that may be stopped: the members of a gang as one victim, others singly.
   void AddVictims() {
     std::map<std::pair<const TrackedJob*, int>, std::size_t> gangs;
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -17,7 +17,10 @@
 constexpr Milliseconds kMaxConfirmationAge{1'000};
 constexpr Milliseconds kRetryDelay{300};
 constexpr Milliseconds kStopRetryDelay{400};
-constexpr int kMaxStartOrders = 3;
+/// A start without an answer is repeated for this long. Some minions reset connections at once and
+/// answer the next call, others stay silent until each call's timeout.
+constexpr Milliseconds kMaxStartTime{2'000};
+constexpr Milliseconds kStartRetryDelay{60};
 
 }  // namespace
 
@@ -71,6 +74,7 @@
 void RunSupervisor::Start(TrackedRun& run, const std::string& payload,
                           const std::string& checkpoint) {
   run.state = TrackedRunState::kOrdered;
+  run.ordered_at = Now();
   SendStart(run.task, run.minion, run.attempt, payload, checkpoint);
 }
 
@@ -131,8 +135,8 @@
       // A report has listed the run in the meantime, which replaces the answer.
       return;
     }
-    if (run->state == TrackedRunState::kOrdered && run->orders_sent < kMaxStartOrders) {
-      SendStart(order.task, minion_id, order.attempt, order.payload, order.checkpoint);
+    if (run->state == TrackedRunState::kOrdered && Now() - run->ordered_at < kMaxStartTime) {
+      RepeatStartLater(order, minion_id);
     } else {
       Stop(*run, "its start was not answered");
     }
@@ -150,6 +154,20 @@
   LoseRun(minion_id, order.task, RunLoss::kNeverStarted, answer.detail);
 }
 
+void RunSupervisor::RepeatStartLater(const StartOrder& order, const MinionId& minion_id) {
+  m_timers.After(kStartRetryDelay, [weak = weak_from_this(), order, minion_id] {
+    const Self self = weak.lock();
+    if (self == nullptr || self->m_is_closed) {
+      return;
+    }
+    const TrackedRun* const run = self->FindRun(order.task, minion_id, order.attempt);
+    // A report may have listed the run, or it may have been stopped, in the meantime.
+    if (run != nullptr && run->state == TrackedRunState::kOrdered) {
+      self->SendStart(order.task, minion_id, order.attempt, order.payload, order.checkpoint);
+    }
+  });
+}
+
 // --- stops ---
 
 void RunSupervisor::Stop(TrackedRun& run, const std::string& reason) {
--- a/src/libraries/leader/workspace_usage.cc
+++ b/src/libraries/leader/workspace_usage.cc
@@ -1,6 +1,9 @@
 #include "libraries/leader/workspace_usage.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
 
 namespace papayalift {
 
@@ -17,24 +20,27 @@
 
 }  // namespace
 
-WorkspaceUsage::WorkspaceUsage(const LeaderState& state, const FleetManifest& manifest)
-    : m_manifest(manifest) {
+WorkspaceUsage::WorkspaceUsage(const LeaderState& state, const FleetManifest& manifest) {
+  std::vector<const TrackedJob*> claims;
   for (const auto& [id, job] : state.jobs) {
-    if (job.accepted.priority == kGuaranteedPriority && !HasEnded(job.progress.state) &&
-        !job.is_cancelled) {
-      m_requested_accelerators[job.accepted.workspace] += MaxAcceleratorsOf(job.accepted);
+    if (job.accepted.priority == kGuaranteedPriority && !job.accepted.id.empty() &&
+        !HasEnded(job.progress.state) && !job.is_cancelled) {
+      claims.push_back(&job);
     }
   }
-}
-
-bool WorkspaceUsage::IsGuaranteed(const AcceptedJob& job) const {
-  if (job.priority != kGuaranteedPriority) {
-    return false;
+  std::sort(claims.begin(), claims.end(), [](const TrackedJob* left, const TrackedJob* right) {
+    return std::pair(left->known_since, left->accepted.id) <
+           std::pair(right->known_since, right->accepted.id);
+  });
+  std::map<WorkspaceId, std::int64_t> claimed_accelerators;
+  for (const TrackedJob* const job : claims) {
+    const ManifestWorkspace* const workspace = manifest.FindWorkspace(job->accepted.workspace);
+    std::int64_t& claimed = claimed_accelerators[job->accepted.workspace];
+    claimed += MaxAcceleratorsOf(job->accepted);
+    if (workspace != nullptr && claimed <= workspace->guaranteed.value()) {
+      m_guaranteed.insert(job->accepted.id);
+    }
   }
-  const ManifestWorkspace* const workspace = m_manifest.FindWorkspace(job.workspace);
-  const auto requested = m_requested_accelerators.find(job.workspace);
-  return workspace != nullptr && requested != m_requested_accelerators.end() &&
-         requested->second <= workspace->guaranteed.value();
 }
 
 }  // namespace papayalift
--- a/src/libraries/leader/workspace_usage.h
+++ b/src/libraries/leader/workspace_usage.h
@@ -1,7 +1,7 @@
 /// Determines which jobs are within the guarantee of their workspace.
 #pragma once
 
-#include <map>
+#include <set>
 
 #include "libraries/leader/leader_state.h"
 #include "libraries/work/fleet_manifest.h"
@@ -12,13 +12,13 @@
  public:
   WorkspaceUsage(const LeaderState& state, const FleetManifest& manifest);
 
-  /// Whether the job has guaranteed priority and all such jobs of its workspace that have not ended
-  /// fit the guarantee together. Such a job may stop others.
-  bool IsGuaranteed(const AcceptedJob& job) const;
+  /// Whether the job has guaranteed priority, has not ended, and fits the guarantee of its
+  /// workspace together with all such jobs that this process has known for longer. Such a job may
+  /// stop others.
+  bool IsGuaranteed(const AcceptedJob& job) const { return m_guaranteed.contains(job.id); }
 
  private:
-  std::map<WorkspaceId, std::int64_t> m_requested_accelerators;
-  const FleetManifest& m_manifest;
+  std::set<JobId> m_guaranteed;
 };
 
 }  // namespace papayalift
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -46,6 +46,9 @@
   bool is_guaranteed = false;
   /// The step has waited long enough to also stop borrowers of its own priority.
   bool may_stop_borrowers = false;
+  /// Beyond its guarantee the step may stop lower priorities if that loses less work than this, in
+  /// weighted core-seconds.
+  double max_lost_work = 0;
   Milliseconds waited{0};
   /// Time left until the step must start for the job to be on time; negative if the job is late.
   Milliseconds slack{0};
--- a/src/libraries/planner/reclaim_search.cc
+++ b/src/libraries/planner/reclaim_search.cc
@@ -204,8 +204,9 @@
     if (request.scope == VictimScope::kLowerPriorities && !FitsAfterReclaim(request, minions)) {
       return;
     }
-    const double max_lost_work =
-        best.has_value() ? best->lost_work : std::numeric_limits<double>::infinity();
+    const double allowed = request.pending.is_guaranteed ? std::numeric_limits<double>::infinity()
+                                                         : request.pending.max_lost_work;
+    const double max_lost_work = best.has_value() ? best->lost_work : allowed;
     if (std::optional<FoundReclaim> found = ReclaimAttempt(request, minions).Run(max_lost_work)) {
       best = std::move(found);
     }
@@ -220,7 +221,9 @@
       try_minions(minions);
     }
   }
-  if (!best.has_value()) {
+  const bool prefers_rack = pending.spec.prefers_one_rack || !pending.spec.data_rack.empty();
+  // Work away from its rack takes several times as long, which only a guarantee is worth.
+  if (!best.has_value() && (pending.is_guaranteed || !prefers_rack)) {
     try_minions(request.capacity.everywhere());
   }
   return best;
--- a/src/libraries/planner/reclaim_search.h
+++ b/src/libraries/planner/reclaim_search.h
@@ -18,7 +18,7 @@
 /// Searches for placements and victims that lose little work, on one rack if the step prefers that
 /// and a rack can hold it. Borrowers of the same priority are only chosen if the step may stop them
 /// and stopping lower priorities does not suffice. Empty if stopping all permitted victims does not
-/// free capacity for all waiting tasks.
+/// free capacity for all waiting tasks, or if a step beyond its guarantee would lose too much work.
 std::optional<FoundReclaim> FindReclaim(const PendingStep& pending, const PlanCapacity& capacity,
                                         const std::vector<PlanVictim>& victims,
                                         const std::vector<bool>& is_stopped);
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -64,17 +64,21 @@
             : FindGangPlacements(pending, m_capacity, &MinionCapacity::free);
     if (found.has_value() && (found->meets_rack_preference || !pending.is_guaranteed)) {
       Start(pending, *found);
-    } else if (pending.is_guaranteed) {
-      PlanGuaranteed(pending);
+    } else if (MayStopOthers(pending)) {
+      PlanWithStops(pending);
     }
   }
 
+  static bool MayStopOthers(const PendingStep& pending) {
+    return pending.is_guaranteed || pending.max_lost_work > 0;
+  }
+
   void PlanIndependentTasks(const PendingStep& pending) {
     const FoundPlacements found = FindTaskPlacements(pending, m_capacity, &MinionCapacity::free);
     if (!found.placements.empty()) {
       Start(pending, found);
     }
-    if (pending.is_guaranteed && found.placements.size() < pending.task_indexes.size()) {
+    if (MayStopOthers(pending) && found.placements.size() < pending.task_indexes.size()) {
       PendingStep rest = pending;
       rest.task_indexes.erase(
           rest.task_indexes.begin(),
@@ -82,13 +86,13 @@
       for (const PlannedPlacement& placement : found.placements) {
         ++rest.placed_on_minion[placement.minion];
       }
-      PlanGuaranteed(rest);
+      PlanWithStops(rest);
     }
   }
 
-  /// Handles a guaranteed step that does not fit yet: reserves the capacity of runs that are being
-  /// stopped, and stops more if necessary.
-  void PlanGuaranteed(const PendingStep& pending) {
+  /// Handles a step that does not fit yet and may stop others: reserves the capacity of runs that
+  /// are being stopped, and stops more if necessary.
+  void PlanWithStops(const PendingStep& pending) {
     const std::optional<FoundReclaim> found =
         FindReclaim(pending, m_capacity, m_snapshot.victims, m_is_stopped);
     if (!found.has_value()) {
--- a/tests/leader/fake_store_port.h
+++ b/tests/leader/fake_store_port.h
@@ -40,6 +40,8 @@
   void FailNextCommits(std::deque<StoreFault> faults) { m_faults = std::move(faults); }
   /// While the store is unreachable, calls time out.
   void SetReachable(bool is_reachable) { m_is_reachable = is_reachable; }
+  /// While watches are silent, they report no changes.
+  void SetWatchesSilent(bool is_silent) { m_watches_are_silent = is_silent; }
   /// Simulates the end of the process: no answer is delivered any more.
   void Detach() { m_is_detached = true; }
 
@@ -57,6 +59,7 @@
   FleetStore& m_store;
   std::deque<StoreFault> m_faults;
   bool m_is_reachable = true;
+  bool m_watches_are_silent = false;
   bool m_is_detached = false;
   int m_commits = 0;
   int m_reads = 0;
--- a/tests/leader/leader_session_test.cc
+++ b/tests/leader/leader_session_test.cc
@@ -167,6 +167,25 @@
   AssertNoViolations(cluster);
 }
 
+// One job more than the guarantee took the guarantee from all jobs of the workspace.
+Test(leader_session, jobs_within_the_guarantee_keep_it_when_another_exceeds_it) {
+  TestCluster cluster;
+  for (int number = 1; number <= 4; ++number) {
+    RegisteredJob job = MakeSingleStepJob(MakeStep(1, 8), Milliseconds(60'000));
+    cluster.Submit(MakeJobId(number), job, Priority(2));
+  }
+  cluster.Run(Milliseconds(1'500));
+  cr_assert_eq(cluster.minions.starts(), 4);
+  for (int number = 11; number <= 13; ++number) {
+    cluster.Submit(MakeJobId(number), MakeSingleStepJob(MakeStep(1, 8), Milliseconds(30'000)),
+                   Priority(0));
+  }
+  cluster.Run(Milliseconds(2'000));
+  cr_assert_eq(cluster.minions.starts(MakeJobId(11)), 1);
+  cr_assert_eq(cluster.minions.starts(MakeJobId(12)), 1);
+  AssertNoViolations(cluster);
+}
+
 Test(leader_session, job_without_guaranteed_priority_stops_no_other) {
   TestCluster cluster;
   for (int number = 1; number <= 4; ++number) {
@@ -432,6 +451,22 @@
   cr_assert(cluster.StateOf(MakeJobId(1)) == WorkState::kDone);
 }
 
+// Watches report nothing for a second before the store forgets its history. Jobs that were accepted
+// meanwhile started that much later.
+Test(leader_session, jobs_start_while_watches_are_silent) {
+  TestCluster cluster;
+  cluster.RunWithHeartbeats(Milliseconds(2'000), Milliseconds(100));
+  cluster.node(0).store().SetWatchesSilent(true);
+  cluster.RunWithHeartbeats(Milliseconds(600), Milliseconds(100));
+  cluster.Submit(MakeJobId(1), MakeSingleStepJob(MakeStep(2, 8), Milliseconds(10'000)));
+  cluster.RunWithHeartbeats(Milliseconds(900), Milliseconds(100));
+  cr_assert_eq(cluster.minions.starts(MakeJobId(1)), 2);
+  cluster.node(0).store().SetWatchesSilent(false);
+  cluster.RunWithHeartbeats(Milliseconds(12'000), Milliseconds(100));
+  cr_assert(cluster.StateOf(MakeJobId(1)) == WorkState::kDone);
+  AssertNoViolations(cluster);
+}
+
 Test(leader_session, lost_store_answers_lose_no_job) {
   TestCluster cluster;
   cluster.Submit(MakeJobId(1), MakeSingleStepJob(MakeStep(3, 1)));
--- a/tests/planner/task_planner_test.cc
+++ b/tests/planner/task_planner_test.cc
@@ -201,6 +201,38 @@
   cr_assert(plan.stops[1].job == JobId("cheap-too"));
 }
 
+// The load: a burst of short jobs beyond the guarantee of their workspace, while the fleet is full
+// of long runs of lower priority.
+Test(task_planner, urgent_gang_beyond_its_guarantee_stops_lower_priorities_if_little_is_lost) {
+  PlannerFixture fixture;
+  fixture.FillMinion(0, 100, "dear");
+  fixture.FillMinion(1, 10, "cheap");
+  fixture.FillMinion(2, 20, "cheap-too");
+  fixture.FillMinion(3, 100, "dear-too");
+  PendingStep& urgent = fixture.AddPendingStep("urgent", WorkStepKind::kGang, 2, 8);
+  urgent.max_lost_work = 31;
+  const Plan plan = fixture.Run();
+  cr_assert_eq(plan.stops.size(), 2);
+  cr_assert(plan.stops[0].job == JobId("cheap"));
+  urgent.max_lost_work = 29;
+  cr_assert(fixture.Run().stops.empty());
+  urgent.max_lost_work = 0;
+  cr_assert(fixture.Run().stops.empty());
+}
+
+Test(task_planner, urgent_gang_beyond_its_guarantee_stops_no_run_away_from_its_rack) {
+  PlannerFixture fixture;
+  for (const std::size_t minion : {0UL, 1UL, 2UL, 3UL}) {
+    fixture.FillMinion(minion, minion < 2 ? 100 : 1, "victim-" + std::to_string(minion));
+  }
+  PendingStep& urgent = fixture.AddPendingStep("urgent", WorkStepKind::kGang, 2, 8);
+  urgent.max_lost_work = 50;
+  urgent.spec.data_rack = RackId("r0");
+  cr_assert(fixture.Run().stops.empty());
+  urgent.is_guaranteed = true;
+  cr_assert_eq(fixture.Run().stops.size(), 2);
+}
+
 Test(task_planner, capacity_being_freed_is_not_reclaimed_again) {
   PlannerFixture fixture;
   fixture.FillMinion(2, 1, "a");
