--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -21,6 +21,9 @@
 /// answer the next call, others stay silent until each call's timeout.
 constexpr Milliseconds kMaxStartTime{2'000};
 constexpr Milliseconds kStartRetryDelay{60};
+/// A start is only sent if the term was confirmed within this time: a process that was paused must
+/// not act on a term that another node holds by now.
+constexpr Milliseconds kMaxTermAgeOfStart{1'200};
 
 }  // namespace
 
@@ -92,6 +95,10 @@
     LoseRun(minion_id, task, RunLoss::kNeverStarted, "the minion has not reported its clock");
     return;
   }
+  if (Now() - m_term_confirmed_at() > kMaxTermAgeOfStart) {
+    HoldBackStart(run);
+    return;
+  }
   minion.lease_until = std::max(minion.lease_until.value_or(*lease), *lease);
   ++run.orders_sent;
   const StartOrder order{task, attempt, payload, *lease, m_state.term.token, checkpoint};
@@ -104,6 +111,22 @@
                   });
 }
 
+void RunSupervisor::HoldBackStart(TrackedRun& run) {
+  LogEvent(LogLevel::kWarning, "runs", "a start is not sent: the term was not confirmed lately")
+      .Job(run.task.job)
+      .Field("task", FormatTaskName(run.task))
+      .Field("attempt", run.attempt.value())
+      .Field("minion", run.minion.text())
+      .Field("term_age_ms", (Now() - m_term_confirmed_at()).count())
+      .Write();
+  if (run.orders_sent == 0) {
+    LoseRun(MinionId(run.minion), TaskName(run.task), RunLoss::kNeverStarted,
+            "the term was not confirmed lately");
+  } else {
+    Stop(run, "its start was not answered");
+  }
+}
+
 void RunSupervisor::OnStartAnswer(const StartOrder& order, const MinionId& minion_id,
                                   const OrderAnswer& answer) {
   if (answer.result == OrderResult::kFenced) {
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -80,6 +80,7 @@
 
   void SendStart(const TaskName& task, const MinionId& minion, AttemptNumber attempt,
                  const std::string& payload, const std::string& checkpoint);
+  void HoldBackStart(TrackedRun& run);
   /// Sends the same order again after a short delay, unless the run's state is known by then.
   void RepeatStartLater(const StartOrder& order, const MinionId& minion);
   void OnStartAnswer(const StartOrder& order, const MinionId& minion, const OrderAnswer& answer);
