--- /dev/null
+++ b/src/libraries/leader/leader_session_items.cc
@@ -0,0 +1,190 @@
+#include <algorithm>
+#include <utility>
+
+#include "libraries/base/hash.h"
+#include "libraries/journal/accepted_job_codec.h"
+#include "libraries/journal/job_progress_codec.h"
+#include "libraries/journal/journal_keys.h"
+#include "libraries/leader/leader_session.h"
+#include "libraries/log/log_event.h"
+
+namespace papayalift {
+
+void LeaderSession::ApplyProgressItems(const ReadAnswer& answer) {
+  for (const StoreItem& item : answer.items) {
+    const std::optional<JobId> id = ParseProgressKey(item.key);
+    absl::StatusOr<JobProgress> progress = DecodeJobProgress(item.value);
+    if (!id.has_value() || !progress.ok()) {
+      LogEvent(LogLevel::kError, "leader", "a progress record can't be decoded")
+          .Field("key", item.key)
+          .Reason(progress.ok() ? "its key names no job" : std::string(progress.status().message()))
+          .Write();
+      continue;
+    }
+    TrackedJob& job = m_state.jobs[*id];
+    job.progress = *std::move(progress);
+    job.progress_revision = item.revision;
+    job.is_end_stored = HasEnded(job.progress.state);
+  }
+}
+
+void LeaderSession::ApplyAcceptedItems(const ReadAnswer& answer) {
+  for (const StoreItem& item : answer.items) {
+    ApplyAcceptedItem(item);
+  }
+}
+
+void LeaderSession::ApplyAcceptedChange(const WatchedChange& change) {
+  if (change.kind == WriteKind::kPut) {
+    ApplyAcceptedItem(change.item);
+  }
+}
+
+void LeaderSession::ApplyAcceptedItem(const StoreItem& item) {
+  const std::optional<ParsedAcceptedKey> name = ParseAcceptedKey(item.key);
+  if (!name.has_value()) {
+    return;
+  }
+  if (name->kind == AcceptedKeyKind::kCancel) {
+    TrackedJob& job = m_state.jobs[name->job];
+    if (!job.is_cancelled) {
+      job.is_cancelled = true;
+      if (m_has_started) {
+        Cancel(job);
+      }
+    }
+    return;
+  }
+  absl::StatusOr<AcceptedJob> accepted = DecodeAcceptedJob(item.value);
+  if (!accepted.ok()) {
+    LogEvent(LogLevel::kError, "leader", "an accepted job can't be decoded")
+        .Job(name->job)
+        .Reason(std::string(accepted.status().message()))
+        .Write();
+    return;
+  }
+  TrackedJob& job = m_state.jobs[name->job];
+  if (!job.accepted.id.empty()) {
+    return;
+  }
+  job.accepted = *std::move(accepted);
+  job.known_since = Now();
+  if (job.progress_revision.value() == 0) {
+    job.progress = InitialProgress(job.accepted);
+  }
+  SchedulePlan();
+}
+
+void LeaderSession::ApplyMinionItems(const ReadAnswer& answer) {
+  for (auto& [id, minion] : m_state.minions) {
+    const std::string key = m_context.schema.MinionKey(id);
+    const bool is_listed = std::any_of(answer.items.begin(), answer.items.end(),
+                                       [&key](const StoreItem& item) { return item.key == key; });
+    if (!is_listed && minion.entry.has_value()) {
+      UnlistMinion(id);
+    }
+  }
+  for (const StoreItem& item : answer.items) {
+    ApplyMinionItem(item);
+  }
+}
+
+void LeaderSession::ApplyMinionChange(const WatchedChange& change) {
+  if (change.kind == WriteKind::kDelete) {
+    UnlistMinion(m_context.schema.MinionOfKey(change.item.key));
+  } else {
+    ApplyMinionItem(change.item);
+  }
+}
+
+void LeaderSession::ApplyMinionItem(const StoreItem& item) {
+  m_state.registry_heard_at = Now();
+  const MinionId id = m_context.schema.MinionOfKey(item.key);
+  const std::uint64_t hash = Hash64(m_context.schema.WithoutCounters(item.value));
+  if (TrackedMinion* const known = m_state.FindMinion(id);
+      known != nullptr && known->entry.has_value() && known->entry_hash == hash) {
+    m_state.has_heartbeats = m_state.has_heartbeats || item.revision > known->entry_revision;
+    known->entry_revision = std::max(known->entry_revision, item.revision);
+    known->entry_heard_at = Now();
+    return;
+  }
+  absl::StatusOr<MinionEntry> entry = m_context.schema.DecodeMinion(id, item.value);
+  if (!entry.ok()) {
+    LogEvent(LogLevel::kWarning, "leader", "a registration can't be used")
+        .Field("minion", id.text())
+        .Reason(std::string(entry.status().message()))
+        .Write();
+    UnlistMinion(id);
+    return;
+  }
+  TrackedMinion& minion = m_state.minions[id];
+  if (item.revision < minion.entry_revision) {
+    return;
+  }
+  if (minion.entry.has_value() && minion.entry->state != entry->state) {
+    LogEvent(LogLevel::kInfo, "leader", "minion changed its state")
+        .Field("minion", id.text())
+        .Field("state", entry->state == MinionState::kReady ? "ready" : "draining")
+        .Write();
+  }
+  const bool is_new_life = minion.incarnation != entry->incarnation;
+  minion.id = id;
+  minion.address = entry->address;
+  minion.entry = *std::move(entry);
+  minion.entry_revision = item.revision;
+  minion.entry_hash = hash;
+  minion.entry_heard_at = Now();
+  if (is_new_life && m_has_started) {
+    m_supervisor->RequestHold(minion);
+  }
+  SchedulePlan();
+}
+
+void LeaderSession::UnlistMinion(const MinionId& id) {
+  TrackedMinion* const minion = m_state.FindMinion(id);
+  if (minion != nullptr && minion->entry.has_value()) {
+    minion->entry.reset();
+    LogEvent(LogLevel::kInfo, "leader", "minion left the registry")
+        .Field("minion", id.text())
+        .Field("runs", static_cast<std::int64_t>(minion->runs.size()))
+        .Write();
+  }
+}
+
+void LeaderSession::ApplyOperatorItems(const ReadAnswer& answer) {
+  std::set<ZoneId> evacuated_zones;
+  for (const StoreItem& item : answer.items) {
+    if (item.key == m_context.schema.ManifestKey()) {
+      m_context.view.Adopt(item);
+    } else if (const std::optional<ZoneId> zone = m_context.schema.EvacuatedZone(item.key)) {
+      evacuated_zones.insert(*zone);
+    }
+  }
+  m_state.evacuated_zones = std::move(evacuated_zones);
+}
+
+void LeaderSession::ApplyOperatorChange(const WatchedChange& change) {
+  if (change.item.key == m_context.schema.ManifestKey()) {
+    if (change.kind == WriteKind::kPut) {
+      m_context.view.Adopt(change.item);
+    }
+    return;
+  }
+  const std::optional<ZoneId> zone = m_context.schema.EvacuatedZone(change.item.key);
+  if (!zone.has_value()) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "leader",
+           change.kind == WriteKind::kPut ? "zone evacuated" : "zone taken back")
+      .Zone(*zone)
+      .Field("revision", change.item.revision.value())
+      .Write();
+  if (change.kind == WriteKind::kPut) {
+    m_state.evacuated_zones.insert(*zone);
+  } else {
+    m_state.evacuated_zones.erase(*zone);
+  }
+  SchedulePlan();
+}
+
+}  // namespace papayalift
