Fleet stand-in: Play minions that crash, lost zones and rolling restarts

Change: a job may name deadly tasks; the start of one crashes its minion after 10 ms (settable), so that the start is answered or not. Until the minion is back (3.3 s, settable) calls to it end at once with kNotSent, or without an answer if it is silent; holds that wait there end with kUnclear; its entry leaves the registry after 3 s. It comes back with a new life under the same id or, at the same address, a new one; calls to the old id are refused from then on. Crash(), LoseZone() and RestartInTurn() do the same for one, all of a zone, or each in turn. Per task the fleet counts starts, crashes and lost runs, and reports BUDGET when a task that has crashed three minions is started the third time more. A crash counts for each deadly task that was on the minion, also where another one caused it. The holds moved to a file of their own.

--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -13,7 +13,6 @@
 constexpr Milliseconds kOrderTimeout{800};
 constexpr Milliseconds kLateOrderDelay{3'000};
 constexpr Milliseconds kStopDuration{150};
-constexpr Milliseconds kHoldPollInterval{20};
 /// Time after an evacuation is stored during which the zone may still receive start orders.
 constexpr Milliseconds kEvacuationBound{5'000};
 /// Clock rate of every second minion, relative to real time.
@@ -21,10 +20,13 @@
 
 }  // namespace
 
-void FleetMinions::Add(const MinionId& id, const RackId& rack, const Resources& capacity) {
+void FleetMinions::Add(const MinionId& id, const RackId& rack, const Resources& capacity,
+                       const ZoneId& zone) {
   Minion minion;
   minion.id = id;
   minion.rack = rack;
+  minion.zone = zone;
+  minion.address = m_address;
   minion.capacity = capacity;
   minion.started_at = m_timers.clock().Now();
   m_minions[id] = minion;
@@ -34,10 +36,11 @@
 void FleetMinions::Publish(const Minion& minion) {
   m_store.Put(
       "servers/" + minion.id.text(),
-      fmt::format(R"({{"service":"pool","address":"{}","zone":"a","state":"{}","coldLeftMs":0,)"
+      fmt::format(R"({{"service":"pool","address":"{}","zone":"{}","state":"{}","coldLeftMs":0,)"
                   R"("capacity":{{"cpu":{},"memMb":{},"gpu":{}}},"labels":["kind","{}"],"born":{},)"
                   R"("clockMs":{},"sequence":{}}})",
-                  m_address, minion.state == MinionState::kReady ? "ready" : "draining",
+                  minion.address, minion.zone.text(),
+                  minion.state == MinionState::kReady ? "ready" : "draining",
                   minion.capacity.cpu_milli, minion.capacity.memory_mb,
                   minion.capacity.accelerators, minion.rack.text(), minion.started_at.count(),
                   ClockOf(minion).value(), minion.heartbeats));
@@ -45,7 +48,7 @@
 
 void FleetMinions::SendHeartbeats() {
   for (auto& [id, minion] : m_minions) {
-    if (minion.is_reachable) {
+    if (minion.is_reachable && !minion.outage.has_value()) {
       ++minion.heartbeats;
       Publish(minion);
     }
@@ -57,22 +60,6 @@
   Publish(m_minions.at(id));
 }
 
-void FleetMinions::Restart(const MinionId& id) {
-  Minion& old = m_minions.at(id);
-  const std::map<TaskName, Run> lost = std::exchange(old.runs, {});
-  for (const auto& [task, run] : lost) {
-    BreakGangOf(run);
-  }
-  Minion fresh;
-  fresh.id = id;
-  fresh.rack = old.rack;
-  fresh.capacity = old.capacity;
-  fresh.is_reachable = old.is_reachable;
-  fresh.started_at = m_timers.clock().Now();
-  old = fresh;
-  Publish(fresh);
-}
-
 void FleetMinions::SetReachable(const MinionId& id, bool is_reachable) {
   m_minions.at(id).is_reachable = is_reachable;
 }
@@ -124,6 +111,11 @@
 void FleetMinions::Start(const MinionAddress& address, const StartOrder& order,
                          const std::function<void(OrderAnswer)>& answer) {
   Minion& minion = m_minions.at(address.id);
+  if (FailsCall(minion, kOrderTimeout, [answer](OrderResult result) {
+        answer(OrderAnswer{result, {}, "gone"});
+      })) {
+    return;
+  }
   const OrderFault fault = NextFault(minion);
   if (!minion.is_reachable || fault == OrderFault::kLost) {
     m_timers.After(kOrderTimeout, [answer] {
@@ -152,16 +144,27 @@
       answer(OrderAnswer{OrderResult::kUnclear, {}, "lost"});
     });
   } else {
-    m_timers.After(kNetworkDelay, [answer, done] { answer(done); });
+    AnswerStart(minion, done, answer);
   }
 }
 
+void FleetMinions::AnswerStart(const Minion& minion, const OrderAnswer& done,
+                               const std::function<void(OrderAnswer)>& answer) {
+  m_timers.After(kNetworkDelay,
+                 [this, id = minion.id, started_at = minion.started_at, answer, done] {
+                   const Minion& later = m_minions.at(id);
+                   const bool is_same = later.started_at == started_at && !later.outage.has_value();
+                   answer(is_same ? done : OrderAnswer{OrderResult::kUnclear, {}, "reset"});
+                 });
+}
+
 /// Drops the action if the minion restarts first: pending orders die with the process.
 void FleetMinions::CarryOutLater(const MinionId& id, std::function<void(Minion&)> action) {
   m_timers.After(kLateOrderDelay,
                  [this, id, started_at = m_minions.at(id).started_at, action = std::move(action)] {
-                   if (m_minions.at(id).started_at == started_at) {
-                     action(m_minions.at(id));
+                   Minion& later = m_minions.at(id);
+                   if (later.started_at == started_at && !later.outage.has_value()) {
+                     action(later);
                    }
                  });
 }
@@ -194,7 +197,9 @@
   run.accepted_at = m_timers.clock().Now();
   run.checkpoint = order.checkpoint;
   minion.runs[order.task] = run;
+  CountStart(order.task);
   BeginIfGangComplete(order.task, order.attempt);
+  CrashIfDeadly(minion, order.task);
   return OrderAnswer{OrderResult::kDone, ClockOf(minion), ""};
 }
 
@@ -233,6 +238,11 @@
 void FleetMinions::Stop(const MinionAddress& address, const StopOrder& order,
                         const std::function<void(OrderAnswer)>& answer) {
   Minion& minion = m_minions.at(address.id);
+  if (FailsCall(minion, kOrderTimeout, [answer](OrderResult result) {
+        answer(OrderAnswer{result, {}, "gone"});
+      })) {
+    return;
+  }
   const OrderFault fault = NextFault(minion);
   if (!minion.is_reachable || fault == OrderFault::kLost || fault == OrderFault::kRefused) {
     m_timers.After(kOrderTimeout, [answer] {
@@ -281,62 +291,4 @@
   return OrderAnswer{OrderResult::kDone, ClockOf(minion), ""};
 }
 
-void FleetMinions::Hold(const MinionAddress& address, const HoldOrder& order,
-                        const std::function<void(HoldAnswer)>& answer) {
-  Minion& minion = m_minions.at(address.id);
-  if (!minion.is_reachable) {
-    m_timers.After(order.wait + kOrderTimeout, [answer] { answer(HoldAnswer{}); });
-    return;
-  }
-  PollHold(address.id, minion.started_at, order, m_timers.clock().Now() + order.wait, answer);
-}
-
-void FleetMinions::PollHold(const MinionId& id, Milliseconds started_at, const HoldOrder& order,
-                            Milliseconds until, const std::function<void(HoldAnswer)>& answer) {
-  Minion& minion = m_minions.at(id);
-  if (minion.started_at != started_at) {
-    // The minion has restarted, so the connection to its old process is gone.
-    answer(HoldAnswer{});
-    return;
-  }
-  const HoldAnswer report = CarryOutHold(minion, order);
-  const bool is_due = report.result != OrderResult::kDone || !report.report.ended.empty() ||
-                      m_timers.clock().Now() >= until || !minion.is_reachable;
-  if (is_due) {
-    m_timers.After(kNetworkDelay, [answer, report] { answer(report); });
-    return;
-  }
-  m_timers.After(kHoldPollInterval, [this, id, started_at, order, until, answer] {
-    PollHold(id, started_at, order, until, answer);
-  });
-}
-
-HoldAnswer FleetMinions::CarryOutHold(Minion& minion, const HoldOrder& order) {
-  AdvanceAll();
-  HoldAnswer answer;
-  if (order.token < minion.token) {
-    answer.result = OrderResult::kFenced;
-    return answer;
-  }
-  minion.token = order.token;
-  if (order.lease_until.has_value()) {
-    ExtendLease(minion, *order.lease_until);
-  }
-  for (const EndedRun& end : minion.ended) {
-    if (end.number <= order.acknowledged && end.kind == EndKind::kDone) {
-      m_acknowledged_done.insert(end.task);
-    }
-  }
-  std::erase_if(minion.ended,
-                [&order](const EndedRun& end) { return end.number <= order.acknowledged; });
-  answer.result = OrderResult::kDone;
-  answer.report.clock = ClockOf(minion);
-  answer.report.incarnation = MinionIncarnation(minion.started_at.count());
-  answer.report.ended = minion.ended;
-  for (const auto& [task, run] : minion.runs) {
-    answer.report.active.push_back(ActiveRun{task, run.attempt, run.checkpoint, PercentOf(run)});
-  }
-  return answer;
-}
-
 }  // namespace papayalift
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -16,12 +16,40 @@
 
 namespace papayalift {
 
+/// A task that crashes every minion that starts it.
+struct DeadlyTask {
+  int step = 0;
+  int index = 0;
+};
+
 /// The specification and simulated outcome of a job that a test submits.
 struct RegisteredJob {
   WorkSpec work;
   Milliseconds duration{1'000};
   /// Number of initial attempts of each task that fail.
   int failing_attempts = 0;
+  std::vector<DeadlyTask> deadly_tasks;
+  /// Time from the start of a deadly task until its minion crashes. The start stays without an
+  /// answer if the minion crashes before it has answered.
+  Milliseconds crash_delay{10};
+};
+
+/// Under which id a machine's next minion registers.
+enum class MinionReturn { kSameId, kNewId };
+
+/// How calls to a minion fail while its process is gone.
+enum class OutageKind {
+  /// At once, with a refused connection.
+  kRefused,
+  /// After the caller's timeout, without an answer.
+  kSilent,
+};
+
+/// From the end of a minion's process until a new one runs on its machine.
+struct MinionOutage {
+  Milliseconds duration{3'300};
+  MinionReturn comes_back = MinionReturn::kSameId;
+  OutageKind kind = OutageKind::kRefused;
 };
 
 enum class OrderFault {
@@ -46,6 +74,17 @@
   int done = 0;
 };
 
+/// What the minions observed of one task.
+struct TaskRecord {
+  int starts = 0;
+  /// Number of minions that crashed under the task, if it is deadly.
+  int crashes = 0;
+  /// Starts after as many crashes as suffice to recognize a deadly task.
+  int starts_after_crashes = 0;
+  /// Number of its runs that ended with their minion's process.
+  int lost_runs = 0;
+};
+
 /// All minions of a test. Records what they observe and collects violations of the rules.
 class FleetMinions {
  public:
@@ -53,16 +92,29 @@
 
   /// Sets the address that minions publish from now on.
   void SetAdvertisedAddress(const std::string& address) { m_address = address; }
-  void Add(const MinionId& id, const RackId& rack, const Resources& capacity);
+  void Add(const MinionId& id, const RackId& rack, const Resources& capacity,
+           const ZoneId& zone = ZoneId("a"));
   /// Also runs jobs that were not registered. Checks that need a job's specification skip them.
   void AcceptUnknownJobs() { m_accepts_unknown_jobs = true; }
   void RegisterJob(const JobId& id, RegisteredJob job) { m_jobs[id] = std::move(job); }
-  bool Has(const MinionId& id) const { return m_minions.contains(id); }
+  /// Whether a process with this id runs.
+  bool Has(const MinionId& id) const;
   /// Every reachable minion writes its entry again with other counters.
   void SendHeartbeats();
   void SetDraining(const MinionId& id);
   /// Kills all runs on the minion and starts a new incarnation under the same id at once.
   void Restart(const MinionId& id);
+  /// Ends the minion's process with all runs on it. A new one runs on the machine after the outage.
+  /// No effect on a minion whose process is gone already.
+  void Crash(const MinionId& id, const MinionOutage& outage = {});
+  /// Crashes all minions of the zone. They are silent, and come back together.
+  void LoseZone(const ZoneId& zone, Milliseconds duration = Milliseconds(1'500));
+  /// Restarts all minions in the order of their ids, one each `interval`.
+  void RestartInTurn(Milliseconds interval, const MinionOutage& outage = {});
+  /// How long minions are gone after a deadly task has crashed them.
+  void SetOutageOfCrashes(const MinionOutage& outage) { m_outage_of_crashes = outage; }
+  /// The id of the newest minion on the machine that a minion of this id has run on.
+  MinionId NewestOn(const MinionId& id) const;
   void SetReachable(const MinionId& id, bool is_reachable);
   /// Start orders that arrive later than a bound after `since` are violations; nullopt ends the
   /// evacuation.
@@ -80,6 +132,11 @@
   int starts(const JobId& job) const;
   int starts() const;
   std::map<JobId, JobRecord> Records() const;
+  TaskRecord RecordOf(const TaskName& task) const;
+  /// Number of runs of the job that ended with their minion's process.
+  int lost_runs(const JobId& job) const;
+  /// Number of crashes so far, by tasks and by calls of Crash().
+  int crashes() const { return m_crashes; }
   std::vector<MinionId> RunningOn(const JobId& job) const;
   /// Descriptions of the violations seen so far.
   const std::vector<std::string>& violations() const { return m_violations; }
@@ -98,8 +155,14 @@
   struct Minion {
     MinionId id;
     RackId rack;
+    ZoneId zone;
     Resources capacity;
+    std::string address;
     Milliseconds started_at{0};
+    /// Set while its process is gone.
+    std::optional<OutageKind> outage;
+    /// The minion that runs on its machine now, under another id.
+    std::optional<MinionId> successor;
     FencingToken token;
     std::optional<MinionTime> lease_until;
     std::map<TaskName, Run> runs;
@@ -113,6 +176,20 @@
     int heartbeats = 0;
   };
 
+  static Minion NextLifeOf(const Minion& old);
+  void EndProcess(Minion& minion);
+  void ComeBack(const MinionId& id, MinionReturn comes_back);
+  void ExpireEntry(const MinionId& id, Milliseconds started_at);
+  /// Whether the minion's process can't be called. If so, fails the call after `timeout` or at
+  /// once.
+  bool FailsCall(const Minion& minion, Milliseconds timeout,
+                 const std::function<void(OrderResult)>& answer);
+  /// Answers a start, unless the minion's process ends before.
+  void AnswerStart(const Minion& minion, const OrderAnswer& done,
+                   const std::function<void(OrderAnswer)>& answer);
+  bool IsDeadly(const TaskName& task) const;
+  void CountStart(const TaskName& task);
+  void CrashIfDeadly(const Minion& minion, const TaskName& task);
   OrderFault NextFault(Minion& minion);
   MinionTime ClockOf(const Minion& minion) const;
   void Publish(const Minion& minion);
@@ -145,6 +222,9 @@
   std::map<MinionId, Minion> m_minions;
   std::map<JobId, RegisteredJob> m_jobs;
   std::map<JobId, int> m_starts;
+  std::map<TaskName, TaskRecord> m_task_records;
+  MinionOutage m_outage_of_crashes;
+  int m_crashes = 0;
   std::map<JobId, Milliseconds> m_last_orders;
   std::optional<Milliseconds> m_evacuated_since;
   /// Tasks that completed successfully, and those whose completion was acknowledged.
--- /dev/null
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -0,0 +1,186 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "stand_ins/fleet/fleet_minions.h"
+
+namespace papayalift {
+
+namespace {
+
+/// Time after its last heartbeat during which the entry of a minion stays in the registry.
+constexpr Milliseconds kEntryTimeToLive{3'000};
+constexpr Milliseconds kConnectDelay{1};
+/// Crashes under a task after which it counts as deadly, and the starts that it may get after them.
+constexpr int kCrashesOfDeadlyTask = 3;
+constexpr int kStartsAfterCrashes = 2;
+
+}  // namespace
+
+bool FleetMinions::Has(const MinionId& id) const {
+  const auto found = m_minions.find(id);
+  return found != m_minions.end() && !found->second.outage.has_value();
+}
+
+MinionId FleetMinions::NewestOn(const MinionId& id) const {
+  MinionId newest = id;
+  while (m_minions.at(newest).successor.has_value()) {
+    newest = *m_minions.at(newest).successor;
+  }
+  return newest;
+}
+
+FleetMinions::Minion FleetMinions::NextLifeOf(const Minion& old) {
+  Minion fresh;
+  fresh.id = old.id;
+  fresh.rack = old.rack;
+  fresh.zone = old.zone;
+  fresh.capacity = old.capacity;
+  fresh.address = old.address;
+  fresh.is_reachable = old.is_reachable;
+  return fresh;
+}
+
+void FleetMinions::EndProcess(Minion& minion) {
+  const std::map<TaskName, Run> lost = std::exchange(minion.runs, {});
+  for (const auto& [task, run] : lost) {
+    ++m_task_records[task].lost_runs;
+    BreakGangOf(run);
+  }
+}
+
+void FleetMinions::Restart(const MinionId& id) {
+  if (!Has(id)) {
+    return;
+  }
+  Minion& minion = m_minions.at(id);
+  EndProcess(minion);
+  minion = NextLifeOf(minion);
+  minion.started_at = m_timers.clock().Now();
+  Publish(minion);
+}
+
+void FleetMinions::Crash(const MinionId& id, const MinionOutage& outage) {
+  if (!Has(id)) {
+    return;
+  }
+  AdvanceAll();
+  Minion& minion = m_minions.at(id);
+  for (const auto& [task, run] : minion.runs) {
+    if (IsDeadly(task)) {
+      ++m_task_records[task].crashes;
+    }
+  }
+  ++m_crashes;
+  EndProcess(minion);
+  minion.outage = outage.kind;
+  m_timers.After(kEntryTimeToLive,
+                 [this, id, started_at = minion.started_at] { ExpireEntry(id, started_at); });
+  m_timers.After(outage.duration,
+                 [this, id, comes_back = outage.comes_back] { ComeBack(id, comes_back); });
+}
+
+void FleetMinions::ExpireEntry(const MinionId& id, Milliseconds started_at) {
+  const Minion& minion = m_minions.at(id);
+  if (minion.started_at == started_at && minion.outage.has_value()) {
+    m_store.Remove("servers/" + id.text());
+  }
+}
+
+void FleetMinions::ComeBack(const MinionId& id, MinionReturn comes_back) {
+  Minion& old = m_minions.at(id);
+  Minion fresh = NextLifeOf(old);
+  if (comes_back == MinionReturn::kNewId) {
+    fresh.id = MinionId(fmt::format("{}-{}", id.text(), m_minions.size()));
+    old.successor = fresh.id;
+  }
+  fresh.started_at = m_timers.clock().Now();
+  const MinionId next = fresh.id;
+  m_minions[next] = std::move(fresh);
+  Publish(m_minions.at(next));
+}
+
+void FleetMinions::LoseZone(const ZoneId& zone, Milliseconds duration) {
+  std::vector<MinionId> lost;
+  for (const auto& [id, minion] : m_minions) {
+    if (minion.zone == zone) {
+      lost.push_back(id);
+    }
+  }
+  for (const MinionId& id : lost) {
+    Crash(id, MinionOutage{duration, MinionReturn::kSameId, OutageKind::kSilent});
+  }
+}
+
+void FleetMinions::RestartInTurn(Milliseconds interval, const MinionOutage& outage) {
+  Milliseconds delay{0};
+  for (const auto& [id, minion] : m_minions) {
+    if (Has(id)) {
+      m_timers.After(delay, [this, id, outage] { Crash(id, outage); });
+      delay += interval;
+    }
+  }
+}
+
+bool FleetMinions::FailsCall(const Minion& minion, Milliseconds timeout,
+                             const std::function<void(OrderResult)>& answer) {
+  if (!minion.outage.has_value()) {
+    return false;
+  }
+  if (minion.successor.has_value()) {
+    // Another minion is at the address and does not take orders meant for this one.
+    m_timers.After(kConnectDelay, [answer] { answer(OrderResult::kRefused); });
+  } else if (minion.outage == OutageKind::kSilent || !minion.is_reachable) {
+    m_timers.After(timeout, [answer] { answer(OrderResult::kUnclear); });
+  } else {
+    m_timers.After(kConnectDelay, [answer] { answer(OrderResult::kNotSent); });
+  }
+  return true;
+}
+
+bool FleetMinions::IsDeadly(const TaskName& task) const {
+  const auto job = m_jobs.find(task.job);
+  return job != m_jobs.end() &&
+         std::any_of(job->second.deadly_tasks.begin(), job->second.deadly_tasks.end(),
+                     [&task](const DeadlyTask& deadly) {
+                       return deadly.step == task.step && deadly.index == task.index;
+                     });
+}
+
+void FleetMinions::CountStart(const TaskName& task) {
+  TaskRecord& record = m_task_records[task];
+  ++record.starts;
+  if (record.crashes >= kCrashesOfDeadlyTask &&
+      ++record.starts_after_crashes == kStartsAfterCrashes + 1) {
+    AddViolation("BUDGET: started three times more after it has crashed three minions", task);
+  }
+}
+
+void FleetMinions::CrashIfDeadly(const Minion& minion, const TaskName& task) {
+  if (!IsDeadly(task)) {
+    return;
+  }
+  m_timers.After(m_jobs.at(task.job).crash_delay,
+                 [this, id = minion.id, started_at = minion.started_at, task] {
+                   const Minion& later = m_minions.at(id);
+                   if (later.started_at == started_at && later.runs.contains(task)) {
+                     Crash(id, m_outage_of_crashes);
+                   }
+                 });
+}
+
+TaskRecord FleetMinions::RecordOf(const TaskName& task) const {
+  const auto found = m_task_records.find(task);
+  return found == m_task_records.end() ? TaskRecord{} : found->second;
+}
+
+int FleetMinions::lost_runs(const JobId& job) const {
+  int sum = 0;
+  for (const auto& [task, record] : m_task_records) {
+    sum += task.job == job ? record.lost_runs : 0;
+  }
+  return sum;
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/src/stand_ins/fleet/fleet_minions_holds.cc
@@ -0,0 +1,85 @@
+#include "stand_ins/fleet/fleet_minions.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr Milliseconds kNetworkDelay{2};
+/// Added to the wait of a hold call to get its timeout.
+constexpr Milliseconds kHoldTimeoutMargin{800};
+constexpr Milliseconds kHoldPollInterval{20};
+
+}  // namespace
+
+void FleetMinions::Hold(const MinionAddress& address, const HoldOrder& order,
+                        const std::function<void(HoldAnswer)>& answer) {
+  Minion& minion = m_minions.at(address.id);
+  const auto fail = [answer](OrderResult result) {
+    HoldAnswer failed;
+    failed.result = result;
+    answer(failed);
+  };
+  if (FailsCall(minion, order.wait + kHoldTimeoutMargin, fail)) {
+    return;
+  }
+  if (!minion.is_reachable) {
+    m_timers.After(order.wait + kHoldTimeoutMargin, [answer] { answer(HoldAnswer{}); });
+    return;
+  }
+  PollHold(address.id, minion.started_at, order, m_timers.clock().Now() + order.wait, answer);
+}
+
+void FleetMinions::PollHold(const MinionId& id, Milliseconds started_at, const HoldOrder& order,
+                            Milliseconds until, const std::function<void(HoldAnswer)>& answer) {
+  Minion& minion = m_minions.at(id);
+  if (minion.outage == OutageKind::kSilent) {
+    m_timers.After(until - m_timers.clock().Now() + kHoldTimeoutMargin,
+                   [answer] { answer(HoldAnswer{}); });
+    return;
+  }
+  if (minion.started_at != started_at || minion.outage.has_value()) {
+    // The connection to the process that was called is gone.
+    answer(HoldAnswer{});
+    return;
+  }
+  const HoldAnswer report = CarryOutHold(minion, order);
+  const bool is_due = report.result != OrderResult::kDone || !report.report.ended.empty() ||
+                      m_timers.clock().Now() >= until || !minion.is_reachable;
+  if (is_due) {
+    m_timers.After(kNetworkDelay, [answer, report] { answer(report); });
+    return;
+  }
+  m_timers.After(kHoldPollInterval, [this, id, started_at, order, until, answer] {
+    PollHold(id, started_at, order, until, answer);
+  });
+}
+
+HoldAnswer FleetMinions::CarryOutHold(Minion& minion, const HoldOrder& order) {
+  AdvanceAll();
+  HoldAnswer answer;
+  if (order.token < minion.token) {
+    answer.result = OrderResult::kFenced;
+    return answer;
+  }
+  minion.token = order.token;
+  if (order.lease_until.has_value()) {
+    ExtendLease(minion, *order.lease_until);
+  }
+  for (const EndedRun& end : minion.ended) {
+    if (end.number <= order.acknowledged && end.kind == EndKind::kDone) {
+      m_acknowledged_done.insert(end.task);
+    }
+  }
+  std::erase_if(minion.ended,
+                [&order](const EndedRun& end) { return end.number <= order.acknowledged; });
+  answer.result = OrderResult::kDone;
+  answer.report.clock = ClockOf(minion);
+  answer.report.incarnation = MinionIncarnation(minion.started_at.count());
+  answer.report.ended = minion.ended;
+  for (const auto& [task, run] : minion.runs) {
+    answer.report.active.push_back(ActiveRun{task, run.attempt, run.checkpoint, PercentOf(run)});
+  }
+  return answer;
+}
+
+}  // namespace papayalift
