Tests: Play crashing tasks with heartbeats, later steps and leaders killed before the crash

A silent or crashed minion's id stays known to the wire, so that calls to it fail as calls to a crashed minion, not as misdirected.

--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -97,8 +97,10 @@
   /// Also runs jobs that were not registered. Checks that need a job's specification skip them.
   void AcceptUnknownJobs() { m_accepts_unknown_jobs = true; }
   void RegisterJob(const JobId& id, RegisteredJob job) { m_jobs[id] = std::move(job); }
-  /// Whether a process with this id runs.
-  bool Has(const MinionId& id) const;
+  /// Whether a minion of this id runs or has run.
+  bool Has(const MinionId& id) const { return m_minions.contains(id); }
+  /// Whether the minion's process runs.
+  bool IsUp(const MinionId& id) const;
   /// Every reachable minion writes its entry again with other counters.
   void SendHeartbeats();
   void SetDraining(const MinionId& id);
--- a/src/stand_ins/fleet/fleet_minions_crashes.cc
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-bool FleetMinions::Has(const MinionId& id) const {
+bool FleetMinions::IsUp(const MinionId& id) const {
   const auto found = m_minions.find(id);
   return found != m_minions.end() && !found->second.outage.has_value();
 }
@@ -52,7 +52,7 @@
 
 void FleetMinions::Restart(const MinionId& id) {
   // NOTE: two lives that start in the same millisecond would have the same incarnation.
-  if (!Has(id) || m_minions.at(id).started_at == m_timers.clock().Now()) {
+  if (!IsUp(id) || m_minions.at(id).started_at == m_timers.clock().Now()) {
     return;
   }
   Minion& minion = m_minions.at(id);
@@ -63,7 +63,7 @@
 }
 
 void FleetMinions::Crash(const MinionId& id, const MinionOutage& outage) {
-  if (!Has(id)) {
+  if (!IsUp(id)) {
     return;
   }
   AdvanceAll();
@@ -117,7 +117,7 @@
 void FleetMinions::RestartInTurn(Milliseconds interval, const MinionOutage& outage) {
   Milliseconds delay{0};
   for (const auto& [id, minion] : m_minions) {
-    if (Has(id)) {
+    if (IsUp(id)) {
       m_timers.After(delay, [this, id, outage] { Crash(id, outage); });
       delay += interval;
     }
--- a/tests/leader/crashing_task_test.cc
+++ b/tests/leader/crashing_task_test.cc
@@ -16,6 +16,7 @@
 constexpr Resources kMinionCapacity{8'000, 8'000, 8};
 constexpr std::size_t kNodes = 3;
 constexpr Milliseconds kStep{20};
+constexpr Milliseconds kHeartbeatInterval{1'000};
 /// How often the states of jobs are read.
 constexpr Milliseconds kStateInterval{5'000};
 /// Time within which a deadly task is given up while minions are free.
@@ -53,7 +54,9 @@
 /// A cluster in which deadly and innocent jobs are submitted, and the checks of what callers see.
 class CrashScenario {
  public:
-  explicit CrashScenario(int minions) : cluster(static_cast<int>(kNodes), minions) {}
+  explicit CrashScenario(int minions) : cluster(static_cast<int>(kNodes), minions) {
+    SendHeartbeatsRegularly();
+  }
 
   JobId SubmitInnocent(const RegisteredJob& job) { return Submit(job, m_innocent); }
   JobId SubmitDeadly(const RegisteredJob& job) { return Submit(job, m_deadly); }
@@ -75,22 +78,40 @@
     }
   }
 
-  /// Advances the time and calls `action` after each crash.
-  void RunAndAfterEachCrash(Milliseconds time, Milliseconds delay,
-                            const std::function<void()>& action) {
-    int crashes = cluster.minions.crashes();
-    for (Milliseconds passed{0}; passed < time; passed += kStep) {
+  /// Advances the time and calls `action` each time that the count has risen.
+  void RunAndAfterEach(const std::function<int()>& count, Milliseconds time,
+                       const std::function<void()>& action) {
+    const Milliseconds end = cluster.timers.clock().Now() + time;
+    Milliseconds next_state = cluster.timers.clock().Now();
+    int last = count();
+    while (cluster.timers.clock().Now() < end) {
       cluster.Run(kStep);
-      if (cluster.minions.crashes() > crashes) {
-        crashes = cluster.minions.crashes();
-        cluster.Run(delay);
-        passed += delay;
+      if (count() > last) {
+        last = count();
         action();
       }
+      if (cluster.timers.clock().Now() >= next_state) {
+        RecordStates();
+        next_state = cluster.timers.clock().Now() + kStateInterval;
+      }
     }
     RecordStates();
   }
 
+  void RunAndAfterEachCrash(Milliseconds time, Milliseconds delay,
+                            const std::function<void()>& action) {
+    RunAndAfterEach([this] { return cluster.minions.crashes(); }, time,
+                    [this, delay, &action] {
+                      cluster.Run(delay);
+                      action();
+                    });
+  }
+
+  void RunAndAfterEachStart(const JobId& job, Milliseconds time,
+                            const std::function<void()>& action) {
+    RunAndAfterEach([this, &job] { return cluster.minions.starts(job); }, time, action);
+  }
+
   void KillLeader() {
     const std::size_t index = cluster.leader_index();
     if (index == kNodes) {
@@ -150,6 +171,11 @@
   TestCluster cluster;
 
  private:
+  void SendHeartbeatsRegularly() {
+    cluster.minions.SendHeartbeats();
+    cluster.timers.After(kHeartbeatInterval, [this] { SendHeartbeatsRegularly(); });
+  }
+
   JobId Submit(const RegisteredJob& job, std::vector<JobId>& jobs) {
     const JobId id = MakeJobId(++m_jobs);
     cr_assert(cluster.Submit(id, job).kind == JobReplyKind::kAccepted);
@@ -237,6 +263,18 @@
   CheckDeadlyJobIsGivenUp(WithDeadlyTasks(MakeJob(6, 1), {3}), MinionOutage{});
 }
 
+Test(crashing_task, deadly_tasks_of_a_step_are_each_started_a_few_times) {
+  CheckDeadlyJobIsGivenUp(WithDeadlyTasks(MakeJob(6, 1), {0, 1, 2, 3, 4, 5}), MinionOutage{});
+}
+
+Test(crashing_task, deadly_task_of_a_later_step_fails_the_job) {
+  RegisteredJob job;
+  job.work.steps = {MakeStep(2, 1), MakeStep(2, 1)};
+  job.work.steps[1].after = {0};
+  job.deadly_tasks = {DeadlyTask{1, 1}};
+  CheckDeadlyJobIsGivenUp(job, MinionOutage{});
+}
+
 Test(crashing_task, deadly_task_under_changing_leaders_is_given_up) {
   for (const int delay : {0, 1'000, 3'000, 3'600, 5'000}) {
     CrashScenario scenario(6);
@@ -247,6 +285,18 @@
   }
 }
 
+Test(crashing_task, deadly_task_is_given_up_when_its_leader_is_killed_before_each_crash) {
+  for (const int delay : {100, 1'000, 4'000}) {
+    CrashScenario scenario(6);
+    RegisteredJob deadly = WithDeadlyTasks(MakeJob(1, 1, Milliseconds(10'000)), {0});
+    deadly.crash_delay = Milliseconds(delay);
+    const JobId job = scenario.SubmitDeadly(deadly);
+    scenario.RunAndAfterEachStart(job, 3 * kMaxTimeToGiveUp,
+                                  [&scenario] { scenario.KillLeader(); });
+    scenario.ExpectDeadlyJobsGivenUp();
+  }
+}
+
 Test(crashing_task, deadly_task_is_given_up_when_all_nodes_are_killed_after_each_crash) {
   for (const int delay : {0, 1'000, 3'000, 3'600, 5'000}) {
     CrashScenario scenario(6);
@@ -297,9 +347,25 @@
   scenario.ExpectInnocentJobsDone();
 }
 
+Test(crashing_task, innocent_jobs_beside_deadly_ones_under_changing_leaders_are_done) {
+  CrashScenario scenario(3);
+  for (int round = 0; round < 3; ++round) {
+    for (int number = 0; number < 3; ++number) {
+      scenario.SubmitInnocent(MakeJob(2, 1, Milliseconds(2'000 + 700 * number)));
+    }
+    scenario.SubmitDeadly(MakeDeadlyJob());
+    scenario.RunAndAfterEachCrash(Milliseconds(6'000), Milliseconds(100),
+                                  [&scenario] { scenario.KillLeader(); });
+  }
+  scenario.RunAndAfterEachCrash(4 * kMaxTimeToGiveUp, Milliseconds(100),
+                                [&scenario] { scenario.KillLeader(); });
+  scenario.ExpectDeadlyJobsGivenUp();
+  scenario.ExpectInnocentJobsDone();
+}
+
 Test(crashing_task, jobs_beside_a_deadly_task_lose_the_runs_of_one_minion_at_most) {
   CrashScenario scenario(4);
-  for (int number = 0; number < 24; ++number) {
+  for (int number = 0; number < 20; ++number) {
     scenario.SubmitInnocent(MakeJob(1, 1, Milliseconds(15'000)));
   }
   scenario.Run(Milliseconds(500));
@@ -387,7 +453,6 @@
     for (const MinionId& id : minions) {
       scenario.cluster.minions.SetReachable(id, true);
     }
-    scenario.cluster.minions.SendHeartbeats();
   }
   scenario.Run(kMaxTimeToGiveUp);
   scenario.ExpectInnocentJobsDone();
