Fleet stand-in: Let a control crash a minion, and name the deadly tasks of a job

Change: the control "crash" ends a minion's process ("back=new": it comes back under a new id), and a job that "know" registers may list the indexes of a step's deadly tasks. The minions of this stand-in share one port, so a call to a crashed one is taken and closed without an answer, not refused.

--- a/src/stand_ins/fleet/fleet_stand_in.cc
+++ b/src/stand_ins/fleet/fleet_stand_in.cc
@@ -45,17 +45,30 @@
   return step;
 }
 
-/// Decodes a job in the format that consumers submit. Throws the JSON library's exceptions.
+/// Decodes a job in the format that consumers submit; "deadly" lists the indexes of a step's tasks
+/// that crash their minions. Throws the JSON library's exceptions.
 RegisteredJob ReadRegisteredJob(const HttpRequest& request) {
   RegisteredJob job;
   const Json body = Json::parse(request.body);
   for (const Json& step : body.at("phases")) {
+    for (const int index : step.value("deadly", std::vector<int>())) {
+      job.deadly_tasks.push_back(DeadlyTask{static_cast<int>(job.work.steps.size()), index});
+    }
     job.work.steps.push_back(StepOf(step));
   }
   job.duration = Milliseconds(std::strtol(QueryValue(request, "duration").c_str(), nullptr, 10));
   return job;
 }
 
+/// "back=new" lets the minion come back under a new id.
+MinionOutage OutageOf(const HttpRequest& request) {
+  MinionOutage outage;
+  if (QueryValue(request, "back") == "new") {
+    outage.comes_back = MinionReturn::kNewId;
+  }
+  return outage;
+}
+
 Json RecordsJson(const std::map<JobId, JobRecord>& records) {
   Json json = Json::array();
   for (const auto& [job, record] : records) {
@@ -153,6 +166,8 @@
                              FaultsOf(request, kOrderFaults));
   } else if (action == "restart") {
     m_minions.Restart(MinionId(QueryValue(request, "minion")));
+  } else if (action == "crash") {
+    m_minions.Crash(MinionId(QueryValue(request, "minion")), OutageOf(request));
   } else if (action == "know") {
     m_minions.RegisterJob(JobId(QueryValue(request, "job")), ReadRegisteredJob(request));
   } else if (action == "starts") {
--- a/src/stand_ins/fleet/fleet_stand_in.h
+++ b/src/stand_ins/fleet/fleet_stand_in.h
@@ -35,8 +35,9 @@
   void Handle(const HttpRequest& request, const HttpResponder& respond);
   /// Actions: "put" and "remove" write to the store as an operator; "forget" compacts its history;
   /// "fail-store" and "fail-minion" inject faults; "restart" starts a new incarnation of a minion;
-  /// "know" registers a job's specification; "broken" lists the violations; "starts" counts the
-  /// starts of a job; "jobs" lists the records of all jobs.
+  /// "crash" ends a minion's process for a few seconds; "know" registers a job's specification;
+  /// "broken" lists the violations; "starts" counts the starts of a job; "jobs" lists the records
+  /// of all jobs.
   void HandleControl(const HttpRequest& request, const HttpResponder& respond);
   HttpResponse Control(const HttpRequest& request);
   void WriteAsOperator(const HttpRequest& request, WriteKind kind);
