Leader: Log why a minion vanished and who came back in its place

Cause: when a minion dies, the log names the second failed call 300 ms later and, seconds later, "minion left the registry". It does not say how the first call ended, how long after the last start that was, what else ran there, or whether a minion that joins later took over the address of one that vanished.

Change: one line at the first failed call since the last answer ("first failed call to a minion"), one for each registration after the first reading ("minion registered", with its predecessor at the address), one for a report by a new incarnation, and more fields in "minion left the registry". No decision reads the new fields.

--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -87,6 +87,9 @@
   void ApplyOperatorChange(const WatchedChange& change);
   void ApplyAcceptedItem(const StoreItem& item);
   void ApplyMinionItem(const StoreItem& item);
+  /// Logs that a minion was registered after the first reading: a new one, one that was not listed
+  /// for a while, or a new incarnation.
+  void LogRegistration(const TrackedMinion& minion, MinionIncarnation previous) const;
   void UnlistMinion(const MinionId& id);
   bool IsLoaded() const;
   void StartIfLoaded();
--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -128,26 +128,59 @@
         .Write();
   }
   const bool is_new_life = minion.incarnation != entry->incarnation;
+  const MinionIncarnation registered_before =
+      minion.entry.has_value() ? minion.entry->incarnation : MinionIncarnation(0);
+  const bool is_registration = !minion.entry.has_value() || registered_before != entry->incarnation;
   minion.id = id;
   minion.address = entry->address;
   minion.entry = *std::move(entry);
   minion.entry_revision = item.revision;
   minion.entry_hash = hash;
   minion.entry_heard_at = Now();
+  if (is_registration && m_has_started) {
+    LogRegistration(minion, registered_before);
+  }
   if (is_new_life && m_has_started) {
     m_supervisor->RequestHold(minion);
   }
   SchedulePlan();
 }
 
+void LeaderSession::LogRegistration(const TrackedMinion& minion, MinionIncarnation previous) const {
+  const TrackedMinion* const predecessor = m_state.FindPredecessor(minion.id, minion.address);
+  LogEvent event(LogLevel::kInfo, "leader", "minion registered");
+  event.Zone(minion.entry->zone)
+      .Field("minion", minion.id.text())
+      .Field("address", minion.address)
+      .Field("rack", minion.entry->rack.text())
+      .Field("incarnation", minion.entry->incarnation.value())
+      .Field("previous_incarnation", previous.value())
+      .Field("reported_incarnation", minion.incarnation.value())
+      .Field("warm_up_ms", minion.entry->warm_up_remaining.count())
+      .Field("runs", static_cast<std::int64_t>(minion.runs.size()));
+  if (predecessor != nullptr) {
+    event.Field("predecessor", predecessor->id.text())
+        .Field("predecessor_listed", predecessor->entry.has_value() ? 1 : 0)
+        .Field("predecessor_runs", static_cast<std::int64_t>(predecessor->runs.size()))
+        .Field("predecessor_heard_ms", (Now() - predecessor->entry_heard_at).count())
+        .Field("predecessor_failed_calls", predecessor->unanswered_calls);
+  }
+  event.Write();
+}
+
 void LeaderSession::UnlistMinion(const MinionId& id) {
   TrackedMinion* const minion = m_state.FindMinion(id);
   if (minion != nullptr && minion->entry.has_value()) {
-    minion->entry.reset();
     LogEvent(LogLevel::kInfo, "leader", "minion left the registry")
+        .Zone(minion->entry->zone)
         .Field("minion", id.text())
+        .Field("rack", minion->entry->rack.text())
+        .Field("draining", minion->entry->state == MinionState::kDraining ? 1 : 0)
         .Field("runs", static_cast<std::int64_t>(minion->runs.size()))
+        .Field("heard_ms", (Now() - minion->entry_heard_at).count())
+        .Field("failed_calls", minion->unanswered_calls)
         .Write();
+    minion->entry.reset();
   }
 }
 
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -133,6 +133,9 @@
   bool is_hold_in_flight = false;
   TimerId hold_timer = 0;
   Milliseconds last_report_at{0};
+  /// When a start was last sent to it in this term, and of which task.
+  std::optional<Milliseconds> last_start_sent_at;
+  TaskName last_started_task;
   /// Unanswered calls since the last answer.
   int unanswered_calls = 0;
   /// Every call since the last report was answered, so the minion has not restarted.
@@ -158,6 +161,8 @@
 
   TrackedJob* FindJob(const JobId& id);
   TrackedMinion* FindMinion(const MinionId& id);
+  /// The other minion that was last registered at the address; null if there was none.
+  const TrackedMinion* FindPredecessor(const MinionId& id, const std::string& address) const;
   TaskProgress* FindTask(const TaskName& name);
   TrackedRun* FindRun(const TaskName& name, AttemptNumber attempt);
 
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -25,6 +25,22 @@
 /// not act on a term that another node holds by now.
 constexpr Milliseconds kMaxTermAgeOfStart{1'200};
 
+/// How a call that had no effect, or may have had one, ended.
+std::string OrderResultText(OrderResult result) {
+  switch (result) {
+    case OrderResult::kNotSent:
+      return "not sent";
+    case OrderResult::kUnclear:
+      return "unclear";
+    default:
+      return "refused";
+  }
+}
+
+bool IsDraining(const TrackedMinion& minion) {
+  return minion.entry.has_value() && minion.entry->state == MinionState::kDraining;
+}
+
 }  // namespace
 
 RunSupervisor::RunSupervisor(Timers& timers, MinionPort& minions, LeaderState& state,
@@ -67,7 +83,28 @@
   return MinionTime(MinMinionClock(minion).value() + std::max(Milliseconds(0), left).count());
 }
 
-void RunSupervisor::RecordUnansweredCall(TrackedMinion& minion) {
+void RunSupervisor::RecordUnansweredCall(TrackedMinion& minion, const std::string& call,
+                                         OrderResult result, const std::string& detail) const {
+  if (minion.unanswered_calls == 0 && minion.has_reported) {
+    LogEvent(LogLevel::kInfo, "runs", "first failed call to a minion")
+        .Field("minion", minion.id.text())
+        .Zone(minion.entry.has_value() ? minion.entry->zone : ZoneId())
+        .Field("rack", minion.entry.has_value() ? minion.entry->rack.text() : "")
+        .Field("call", call)
+        .Field("result", OrderResultText(result))
+        .Reason(detail)
+        .Field("runs", static_cast<std::int64_t>(minion.runs.size()))
+        .Field("listed", minion.entry.has_value() ? 1 : 0)
+        .Field("draining", IsDraining(minion) ? 1 : 0)
+        .Field("since_report_ms", (Now() - minion.last_report_at).count())
+        .Field("since_start_ms", minion.last_start_sent_at.has_value()
+                                     ? (Now() - *minion.last_start_sent_at).count()
+                                     : -1)
+        .Field("last_start", minion.last_start_sent_at.has_value()
+                                 ? FormatTaskName(minion.last_started_task)
+                                 : "")
+        .Write();
+  }
   ++minion.unanswered_calls;
   minion.is_incarnation_confirmed = false;
 }
@@ -100,6 +137,10 @@
     return;
   }
   minion.lease_until = std::max(minion.lease_until.value_or(*lease), *lease);
+  if (run.orders_sent == 0) {
+    minion.last_start_sent_at = Now();
+    minion.last_started_task = task;
+  }
   ++run.orders_sent;
   const StartOrder order{task, attempt, payload, *lease, m_state.term.token, checkpoint};
   m_minions.Start(minion.destination(), order,
@@ -153,7 +194,7 @@
   if (answer.result == OrderResult::kUnclear ||
       (may_have_started && run->state == TrackedRunState::kOrdered &&
        answer.result == OrderResult::kNotSent)) {
-    RecordUnansweredCall(minion);
+    RecordUnansweredCall(minion, "start", answer.result, answer.detail);
     if (run->state == TrackedRunState::kRunning) {
       // A report has listed the run in the meantime, which replaces the answer.
       return;
@@ -171,7 +212,7 @@
   }
   minion.health.avoid_until = std::max(minion.health.avoid_until, Now() + kRetryDelay);
   if (answer.result == OrderResult::kNotSent) {
-    RecordUnansweredCall(minion);
+    RecordUnansweredCall(minion, "start", answer.result, answer.detail);
   }
   RequestHold(minion);
   LoseRun(minion_id, order.task, RunLoss::kNeverStarted, answer.detail);
@@ -239,7 +280,7 @@
   }
   TrackedMinion& minion = *m_state.FindMinion(minion_id);
   if (answer.result != OrderResult::kDone) {
-    RecordUnansweredCall(minion);
+    RecordUnansweredCall(minion, "stop", answer.result, answer.detail);
     SendStopLater(order.task, minion_id, order.attempt);
     return;
   }
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -105,7 +105,9 @@
   std::optional<MinionTime> NextLeaseEnd(const TrackedMinion& minion,
                                          Milliseconds usual_lease) const;
   MinionTime MinMinionClock(const TrackedMinion& minion) const;
-  static void RecordUnansweredCall(TrackedMinion& minion);
+  /// Logs the first one since the last answer.
+  void RecordUnansweredCall(TrackedMinion& minion, const std::string& call, OrderResult result,
+                            const std::string& detail) const;
   TrackedRun* FindRun(const TaskName& task, const MinionId& minion, AttemptNumber attempt);
   Milliseconds Now() const { return m_timers.clock().Now(); }
 
--- a/src/libraries/leader/run_supervisor_reports.cc
+++ b/src/libraries/leader/run_supervisor_reports.cc
@@ -4,6 +4,7 @@
 
 #include "libraries/leader/run_progress.h"
 #include "libraries/leader/run_supervisor.h"
+#include "libraries/log/log_event.h"
 
 namespace papayalift {
 
@@ -44,6 +45,13 @@
     return;
   }
   if (minion.incarnation.value() != 0) {
+    LogEvent(LogLevel::kInfo, "runs", "minion answers with a new incarnation")
+        .Field("minion", minion.id.text())
+        .Field("incarnation", incarnation.value())
+        .Field("previous_incarnation", minion.incarnation.value())
+        .Field("runs", static_cast<std::int64_t>(minion.runs.size()))
+        .Field("failed_calls", minion.unanswered_calls)
+        .Write();
     minion.last_end = EndNumber(0);
     minion.last_acknowledgement_sent = EndNumber(0);
     minion.unsaved_ends.clear();
