Leader: Give up tasks that crash the minions that start them

Cause: the loss of a run counted for nothing. Only ends that a minion reports as failed count as attempts, and a minion that has crashed reports none. Class of fault: retries without a budget for outcomes that nobody reports.

Evidence: the process dies 9 to 51 ms after the start in 54 of 54 crashes, its host refuses connections until a minion with another id is back at the same address about 3.3 s later. A cut-off or frozen minion and a zone without power are silent; a cold return of a zone refuses connections too, but for most of a zone at once.

Change: - CrashAttribution takes note of runs that are lost with their minion's process and had not outlived their start. With two crashes in which no other job's task had just started, or four in all, its job ends as failed. - Orders tell a refused connection and another minion at the address from calls that were not sent.

--- a/src/libraries/http/async_http_client.cc
+++ b/src/libraries/http/async_http_client.cc
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <string_view>
 #include <unordered_set>
 #include <utility>
@@ -124,6 +125,9 @@
   }
   outcome.error = curl_easy_strerror(code);
   outcome.result = transfer.sent ? HttpCallResult::kUnclear : HttpCallResult::kNotSent;
+  long os_error = 0;
+  curl_easy_getinfo(transfer.handle.get(), CURLINFO_OS_ERRNO, &os_error);
+  outcome.is_connection_refused = code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
   return outcome;
 }
 
--- a/src/libraries/http/http_message.h
+++ b/src/libraries/http/http_message.h
@@ -85,6 +85,8 @@
   std::string error;
   /// Only set by AsyncHttpClient.
   ConnectionOrigin connection = ConnectionOrigin::kNew;
+  /// The host refused the connection: no process listens there. Only set by AsyncHttpClient.
+  bool is_connection_refused = false;
 };
 
 }  // namespace papayalift
--- a/src/libraries/journal/job_progress_codec.cc
+++ b/src/libraries/journal/job_progress_codec.cc
@@ -27,6 +27,9 @@
   kCheckpointField,
   kMinionField,
   kIncarnationField,
+  // Only present if the task has crashed a minion.
+  kCrashesField,
+  kCrashesOfOneJobField,
 };
 
 Json EncodeTask(const TaskProgress& task) {
@@ -38,10 +41,14 @@
   }
   Json json = Json::array({task.phase == TaskPhase::kPlaced, task.attempt.value(), task.failures,
                            task.last_failed.value(), task.checkpoint});
-  if (task.phase == TaskPhase::kPlaced) {
+  if (task.phase == TaskPhase::kPlaced || task.crashes > 0) {
     json.push_back(task.minion.text());
     json.push_back(task.incarnation.value());
   }
+  if (task.crashes > 0) {
+    json.push_back(task.crashes);
+    json.push_back(task.crashes_of_one_job);
+  }
   return json;
 }
 
@@ -60,6 +67,10 @@
     task.minion = MinionId(json.at(kMinionField).get<std::string>());
     task.incarnation = MinionIncarnation(json.at(kIncarnationField).get<std::int64_t>());
   }
+  if (json.size() > kCrashesField) {
+    task.crashes = json.at(kCrashesField).get<int>();
+    task.crashes_of_one_job = json.at(kCrashesOfOneJobField).get<int>();
+  }
   return task;
 }
 
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -140,6 +140,7 @@
     run.incarnation = minion.incarnation;
     run.needs = job.accepted.work.steps[static_cast<std::size_t>(start.step)].needs;
     run.decided_at = Now();
+    run.is_isolated = task.crashes > 0;
     m_state.AddRun(minion, std::move(run));
   }
   if (job.progress.state == WorkState::kQueued) {
@@ -177,6 +178,7 @@
     return;
   }
   m_supervisor->ExpireLeases();
+  JudgeSuspects();
   RereadIfWatchesAreSilent();
   RemoveExpiredJobs();
   SchedulePlan();
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "libraries/leader/crash_attribution.h"
 #include "libraries/leader/job_journal.h"
 #include "libraries/leader/leader_election.h"
 #include "libraries/leader/leader_state.h"
@@ -104,6 +105,9 @@
   void HandleTaskDone(TrackedJob& job, const EndedRun& end);
   void PenalizeMinion(TrackedMinion& minion, const TrackedJob& job);
   void HandleTaskFailure(TrackedJob& job, const MinionId& minion, const EndedRun& end);
+  /// Lets suspects that can be judged wait for another run, or gives up their jobs.
+  void JudgeSuspects();
+  void RecordCrash(TrackedJob& job, TaskProgress& task, const JudgedRun& run);
   void RecordCheckpoint(TrackedJob& job, const TaskName& task, const std::string& checkpoint);
   void ReturnToWaiting(TrackedJob& job, const TaskName& task);
   void StopStep(TrackedJob& job, int step, const std::string& reason);
@@ -137,6 +141,7 @@
   bool m_has_started = false;
   bool m_is_closed = false;
   bool m_is_plan_scheduled = false;
+  CrashAttribution m_crash_attribution;
   Milliseconds m_last_plan_duration{0};
   std::shared_ptr<JobJournal> m_journal;
   std::shared_ptr<RunSupervisor> m_supervisor;
--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -131,7 +131,15 @@
   const MinionIncarnation registered_before =
       minion.entry.has_value() ? minion.entry->incarnation : MinionIncarnation(0);
   const bool is_registration = !minion.entry.has_value() || registered_before != entry->incarnation;
+  if (is_registration) {
+    minion.registered_at = Now();
+  }
+  if (is_registration && minion.entry.has_value()) {
+    minion.vanished_at = Now();
+  }
   minion.id = id;
+  minion.zone = entry->zone;
+  minion.is_draining = entry->state == MinionState::kDraining;
   minion.address = entry->address;
   minion.entry = *std::move(entry);
   minion.entry_revision = item.revision;
@@ -147,9 +155,8 @@
 }
 
 void LeaderSession::LogRegistration(const TrackedMinion& minion, MinionIncarnation previous) const {
-  const TrackedMinion* const predecessor = m_state.FindPredecessor(minion.id, minion.address);
-  LogEvent event(LogLevel::kInfo, "leader", "minion registered");
-  event.Zone(minion.entry->zone)
+  LogEvent(LogLevel::kInfo, "leader", "minion registered")
+      .Zone(minion.entry->zone)
       .Field("minion", minion.id.text())
       .Field("address", minion.address)
       .Field("rack", minion.entry->rack.text())
@@ -157,20 +164,16 @@
       .Field("previous_incarnation", previous.value())
       .Field("reported_incarnation", minion.incarnation.value())
       .Field("warm_up_ms", minion.entry->warm_up_remaining.count())
-      .Field("runs", static_cast<std::int64_t>(minion.runs.size()));
-  if (predecessor != nullptr) {
-    event.Field("predecessor", predecessor->id.text())
-        .Field("predecessor_listed", predecessor->entry.has_value() ? 1 : 0)
-        .Field("predecessor_runs", static_cast<std::int64_t>(predecessor->runs.size()))
-        .Field("predecessor_heard_ms", (Now() - predecessor->entry_heard_at).count())
-        .Field("predecessor_failed_calls", predecessor->unanswered_calls);
-  }
-  event.Write();
+      .Field("runs", static_cast<std::int64_t>(minion.runs.size()))
+      .Write();
 }
 
 void LeaderSession::UnlistMinion(const MinionId& id) {
   TrackedMinion* const minion = m_state.FindMinion(id);
   if (minion != nullptr && minion->entry.has_value()) {
+    if (!minion->is_draining) {
+      minion->vanished_at = minion->entry_heard_at;
+    }
     LogEvent(LogLevel::kInfo, "leader", "minion left the registry")
         .Zone(minion->entry->zone)
         .Field("minion", id.text())
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -155,7 +155,13 @@
     return;
   }
   if (task->phase == TaskPhase::kPlaced && task->attempt == run.attempt) {
-    ReturnToWaiting(*job, run.task);
+    const bool is_suspect =
+        loss == RunLoss::kRunLost &&
+        m_crash_attribution.RecordLoss(*m_state.FindMinion(run.minion), run, Now());
+    // NOTE: a suspect stays placed until it is judged, so that a later leader suspects it as well.
+    if (!is_suspect || job->is_cancelled) {
+      ReturnToWaiting(*job, run.task);
+    }
     const std::size_t step = static_cast<std::size_t>(run.task.step);
     if (job->accepted.work.steps[step].kind == WorkStepKind::kGang) {
       StopStep(*job, run.task.step, "a member of the gang was lost");
@@ -166,6 +172,44 @@
   SchedulePlan();
 }
 
+void LeaderSession::JudgeSuspects() {
+  for (const JudgedRun& run : m_crash_attribution.TakeJudged(m_state, Now())) {
+    TrackedJob* const job = m_state.FindJob(run.task.job);
+    TaskProgress* const task = m_state.FindTask(run.task);
+    if (job == nullptr || task == nullptr) {
+      continue;
+    }
+    if (task->phase == TaskPhase::kPlaced && task->attempt == run.attempt &&
+        m_state.FindRun(run.task, run.attempt) == nullptr) {
+      ReturnToWaiting(*job, run.task);
+    }
+    if (run.cause != CrashCause::kOutage && !HasEnded(job->progress.state) && !job->is_cancelled) {
+      RecordCrash(*job, *task, run);
+    }
+    EndJobIfSettled(*job);
+    m_journal->MarkDirty(*job);
+    SchedulePlan();
+  }
+}
+
+void LeaderSession::RecordCrash(TrackedJob& job, TaskProgress& task, const JudgedRun& run) {
+  ++task.crashes;
+  task.crashes_of_one_job += run.cause == CrashCause::kOneJob ? 1 : 0;
+  LogEvent(LogLevel::kWarning, "runs", "a minion crashed when it started a task")
+      .Job(run.task.job)
+      .Field("task", FormatTaskName(run.task))
+      .Field("attempt", run.attempt.value())
+      .Field("minion", run.minion.text())
+      .Field("crashes", task.crashes)
+      .Field("crashes_of_one_job", task.crashes_of_one_job)
+      .Write();
+  m_context.metrics.Increment("papayalift_task_crashes_total");
+  if (IsCrashLooping(task)) {
+    EndJob(job, WorkState::kFailed, "a task crashes the minions that start it");
+    StopJob(job, "the job has failed");
+  }
+}
+
 void LeaderSession::OnStarted(const TrackedRun& run) {
   TrackedJob* const job = m_state.FindJob(run.task.job);
   if (job != nullptr && !job->has_started) {
--- a/src/libraries/leader/leader_state.cc
+++ b/src/libraries/leader/leader_state.cc
@@ -19,18 +19,6 @@
   return found == minions.end() ? nullptr : &found->second;
 }
 
-const TrackedMinion* LeaderState::FindPredecessor(const MinionId& id,
-                                                  const std::string& address) const {
-  const TrackedMinion* predecessor = nullptr;
-  for (const auto& [other_id, other] : minions) {
-    if (other_id != id && other.address == address &&
-        (predecessor == nullptr || other.entry_heard_at > predecessor->entry_heard_at)) {
-      predecessor = &other;
-    }
-  }
-  return predecessor;
-}
-
 TaskProgress* LeaderState::FindTask(const TaskName& name) {
   TrackedJob* const job = FindJob(name.job);
   if (job == nullptr || static_cast<std::size_t>(name.step) >= job->progress.steps.size()) {
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -15,6 +15,9 @@
 
 namespace papayalift {
 
+/// A run that is still active this long after its start has outlived it.
+constexpr Milliseconds kStartProbation{2'000};
+
 enum class TrackedRunState {
   /// The placement is not stored yet, and no order was sent.
   kDecided,
@@ -46,6 +49,11 @@
   int percent = 0;
   /// When `percent` last rose.
   Milliseconds last_progress_at{0};
+  /// The run is suspected of crashing minions: nothing is placed beside it until it has outlived
+  /// its start.
+  bool is_isolated = false;
+  /// A report has listed the run some time after its start.
+  bool has_outlived_start = false;
   /// `percent` in the first report; not 0 for a run that started from a checkpoint.
   std::optional<int> initial_percent;
   Milliseconds initial_percent_at{0};
@@ -104,6 +112,16 @@
   Milliseconds speed_measured_at{0};
 };
 
+/// A time without answers from a minion.
+struct MinionSilence {
+  /// When the first call failed.
+  Milliseconds since{0};
+  /// The host refused a connection: it is up, but the minion's process is gone.
+  bool was_refused = false;
+  /// Another minion answered at the address.
+  bool was_replaced = false;
+};
+
 struct TrackedMinion {
   MinionId id;
   /// Empty while the minion is not registered.
@@ -111,6 +129,11 @@
   Revision entry_revision;
   /// Hash of the entry's text without its counters, to recognize an entry that has not changed.
   std::uint64_t entry_hash = 0;
+  /// Zone and state of the latest entry, kept when the minion leaves the registry.
+  ZoneId zone;
+  bool is_draining = false;
+  /// When the entry of this incarnation was first received.
+  Milliseconds registered_at{0};
   /// When the entry, changed or not, was last received from the store.
   Milliseconds entry_heard_at{0};
   std::string address;
@@ -138,6 +161,12 @@
   TaskName last_started_task;
   /// Unanswered calls since the last answer.
   int unanswered_calls = 0;
+  /// Since the last answer; empty if no call has failed since.
+  std::optional<MinionSilence> silence;
+  /// The silence that was ended by an answer after the last report.
+  std::optional<MinionSilence> previous_silence;
+  /// When the minion last left the registry without draining, or started a new incarnation.
+  std::optional<Milliseconds> vanished_at;
   /// Every call since the last report was answered, so the minion has not restarted.
   bool is_incarnation_confirmed = false;
   MinionHealth health;
@@ -161,8 +190,6 @@
 
   TrackedJob* FindJob(const JobId& id);
   TrackedMinion* FindMinion(const MinionId& id);
-  /// The other minion that was last registered at the address; null if there was none.
-  const TrackedMinion* FindPredecessor(const MinionId& id, const std::string& address) const;
   TaskProgress* FindTask(const TaskName& name);
   TrackedRun* FindRun(const TaskName& name, AttemptNumber attempt);
 
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -22,6 +22,10 @@
 constexpr Milliseconds kUrgentSlack{2'000};
 /// Work that such a step may make others lose, relative to its own.
 constexpr double kMaxLostWorkShare = 0.5;
+/// How long a task that is suspected of crashing minions waits for one without other runs. With
+/// spare capacity the others run on it would not have many, and a task must not be left waiting.
+constexpr Milliseconds kMaxIsolationWait{20'000};
+constexpr Milliseconds kMaxIsolationWaitWithSpareCapacity{2'000};
 /// Older speed measurements are ignored: a minion that was slow may have recovered.
 constexpr Milliseconds kSpeedMaxAge{6'000};
 
@@ -33,12 +37,19 @@
          state.registry_heard_at - minion.entry_heard_at > max_heartbeat_age;
 }
 
+/// Whether the minion runs a task that is suspected of crashing minions and may still do so.
+bool HasRunOnProbation(const TrackedMinion& minion) {
+  return std::any_of(minion.runs.begin(), minion.runs.end(), [](const auto& entry) {
+    return entry.second.is_isolated && !entry.second.has_outlived_start;
+  });
+}
+
 bool IsUsable(const LeaderState& state, const TrackedMinion& minion, Milliseconds max_heartbeat_age,
               Milliseconds now) {
   return minion.entry.has_value() && minion.entry->state == MinionState::kReady &&
          minion.has_reported && minion.incarnation == minion.entry->incarnation &&
          minion.unanswered_calls == 0 && now >= minion.health.avoid_until &&
-         !IsHeartbeatOverdue(state, minion, max_heartbeat_age) &&
+         !IsHeartbeatOverdue(state, minion, max_heartbeat_age) && !HasRunOnProbation(minion) &&
          !state.evacuated_zones.contains(minion.entry->zone);
 }
 
@@ -50,6 +61,7 @@
   planned.labels = minion.entry->labels;
   planned.capacity = minion.entry->capacity;
   planned.free = minion.entry->capacity - minion.allocated;
+  planned.is_idle = minion.runs.empty();
   const bool is_recent = now - minion.health.speed_measured_at < kSpeedMaxAge;
   planned.speed = is_recent ? minion.health.speed : 1;
   for (const auto& [task, run] : minion.runs) {
@@ -157,6 +169,8 @@
     pending.is_guaranteed = m_usage.IsGuaranteed(job.accepted);
     pending.waited = now - *job.ready_since[step];
     pending.may_stop_borrowers = pending.is_guaranteed && pending.waited >= kBorrowerGracePeriod;
+    pending.max_isolation_wait = kMaxIsolationWait;
+    pending.max_isolation_wait_with_spare_capacity = kMaxIsolationWaitWithSpareCapacity;
     pending.max_rack_wait = pending.spec.estimate * kRackWaitPerEstimate;
     const Milliseconds objective =
         Milliseconds(static_cast<std::int64_t>(
@@ -166,7 +180,50 @@
     pending.slack =
         job.known_since + objective - now - RemainingCriticalPath(job.accepted, job.progress, step);
     pending.max_lost_work = MaxLostWork(pending);
-    m_snapshot.pending_steps.push_back(std::move(pending));
+    pending.isolated = WaitingSuspects(tasks);
+    if (!is_gang) {
+      HoldBackSuspects(pending, HasTaskOnProbation(job, step));
+    }
+    if (!pending.task_indexes.empty()) {
+      m_snapshot.pending_steps.push_back(std::move(pending));
+    }
+  }
+
+  /// The waiting tasks that are suspected of crashing minions.
+  static std::set<int> WaitingSuspects(const std::vector<TaskProgress>& tasks) {
+    std::set<int> suspects;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+      if (tasks[index].phase == TaskPhase::kWaiting && tasks[index].crashes > 0) {
+        suspects.insert(static_cast<int>(index));
+      }
+    }
+    return suspects;
+  }
+
+  bool HasTaskOnProbation(const TrackedJob& job, std::size_t step) const {
+    const std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+      const TaskName name{job.accepted.id, 0, static_cast<int>(step), static_cast<int>(index)};
+      const TrackedRun* const run =
+          tasks[index].crashes == 0 ? nullptr : m_state.FindRun(name, tasks[index].attempt);
+      if (run != nullptr && run->is_isolated && !run->has_outlived_start) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /// The suspects of a step start one at a time, so that a job whose tasks all crash their minions
+  /// takes down few.
+  static void HoldBackSuspects(PendingStep& pending, bool has_task_on_probation) {
+    std::set<int> held_back = pending.isolated;
+    if (!held_back.empty() && !has_task_on_probation) {
+      held_back.erase(held_back.begin());
+    }
+    for (const int index : held_back) {
+      pending.isolated.erase(index);
+      std::erase(pending.task_indexes, index);
+    }
   }
 
   static double MaxLostWork(const PendingStep& pending) {
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -25,22 +25,6 @@
 /// not act on a term that another node holds by now.
 constexpr Milliseconds kMaxTermAgeOfStart{1'200};
 
-/// How a call that had no effect, or may have had one, ended.
-std::string OrderResultText(OrderResult result) {
-  switch (result) {
-    case OrderResult::kNotSent:
-      return "not sent";
-    case OrderResult::kUnclear:
-      return "unclear";
-    default:
-      return "refused";
-  }
-}
-
-bool IsDraining(const TrackedMinion& minion) {
-  return minion.entry.has_value() && minion.entry->state == MinionState::kDraining;
-}
-
 }  // namespace
 
 RunSupervisor::RunSupervisor(Timers& timers, MinionPort& minions, LeaderState& state,
@@ -83,32 +67,6 @@
   return MinionTime(MinMinionClock(minion).value() + std::max(Milliseconds(0), left).count());
 }
 
-void RunSupervisor::RecordUnansweredCall(TrackedMinion& minion, const std::string& call,
-                                         OrderResult result, const std::string& detail) const {
-  if (minion.unanswered_calls == 0 && minion.has_reported) {
-    LogEvent(LogLevel::kInfo, "runs", "first failed call to a minion")
-        .Field("minion", minion.id.text())
-        .Zone(minion.entry.has_value() ? minion.entry->zone : ZoneId())
-        .Field("rack", minion.entry.has_value() ? minion.entry->rack.text() : "")
-        .Field("call", call)
-        .Field("result", OrderResultText(result))
-        .Reason(detail)
-        .Field("runs", static_cast<std::int64_t>(minion.runs.size()))
-        .Field("listed", minion.entry.has_value() ? 1 : 0)
-        .Field("draining", IsDraining(minion) ? 1 : 0)
-        .Field("since_report_ms", (Now() - minion.last_report_at).count())
-        .Field("since_start_ms", minion.last_start_sent_at.has_value()
-                                     ? (Now() - *minion.last_start_sent_at).count()
-                                     : -1)
-        .Field("last_start", minion.last_start_sent_at.has_value()
-                                 ? FormatTaskName(minion.last_started_task)
-                                 : "")
-        .Write();
-  }
-  ++minion.unanswered_calls;
-  minion.is_incarnation_confirmed = false;
-}
-
 // --- starts ---
 
 void RunSupervisor::Start(TrackedRun& run, const std::string& payload,
@@ -180,7 +138,7 @@
   }
   TrackedMinion& minion = *m_state.FindMinion(minion_id);
   if (answer.result == OrderResult::kDone) {
-    minion.unanswered_calls = 0;
+    RecordAnswer(minion);
     run->answered_at = Now();
     if (run->state == TrackedRunState::kOrdered) {
       run->state = TrackedRunState::kRunning;
@@ -191,10 +149,11 @@
     return;
   }
   const bool may_have_started = run->orders_sent > 1 || answer.result == OrderResult::kUnclear;
+  const bool is_not_sent =
+      answer.result == OrderResult::kNotSent || answer.result == OrderResult::kNoListener;
   if (answer.result == OrderResult::kUnclear ||
-      (may_have_started && run->state == TrackedRunState::kOrdered &&
-       answer.result == OrderResult::kNotSent)) {
-    RecordUnansweredCall(minion, "start", answer.result, answer.detail);
+      (may_have_started && run->state == TrackedRunState::kOrdered && is_not_sent)) {
+    RecordFailedCall(minion, "start", answer.result, answer.detail);
     if (run->state == TrackedRunState::kRunning) {
       // A report has listed the run in the meantime, which replaces the answer.
       return;
@@ -211,8 +170,8 @@
     return;
   }
   minion.health.avoid_until = std::max(minion.health.avoid_until, Now() + kRetryDelay);
-  if (answer.result == OrderResult::kNotSent) {
-    RecordUnansweredCall(minion, "start", answer.result, answer.detail);
+  if (is_not_sent || answer.result == OrderResult::kOtherMinion) {
+    RecordFailedCall(minion, "start", answer.result, answer.detail);
   }
   RequestHold(minion);
   LoseRun(minion_id, order.task, RunLoss::kNeverStarted, answer.detail);
@@ -280,11 +239,11 @@
   }
   TrackedMinion& minion = *m_state.FindMinion(minion_id);
   if (answer.result != OrderResult::kDone) {
-    RecordUnansweredCall(minion, "stop", answer.result, answer.detail);
+    RecordFailedCall(minion, "stop", answer.result, answer.detail);
     SendStopLater(order.task, minion_id, order.attempt);
     return;
   }
-  minion.unanswered_calls = 0;
+  RecordAnswer(minion);
   run->stop_answered_at = Now();
   RequestHold(minion);
 }
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -105,9 +105,11 @@
   std::optional<MinionTime> NextLeaseEnd(const TrackedMinion& minion,
                                          Milliseconds usual_lease) const;
   MinionTime MinMinionClock(const TrackedMinion& minion) const;
-  /// Logs the first one since the last answer.
-  void RecordUnansweredCall(TrackedMinion& minion, const std::string& call, OrderResult result,
-                            const std::string& detail) const;
+  void RecordFailedCall(TrackedMinion& minion, const char* call, OrderResult result,
+                        const std::string& detail);
+  void LogFirstFailedCall(const TrackedMinion& minion, const char* call, OrderResult result,
+                          const std::string& detail) const;
+  static void RecordAnswer(TrackedMinion& minion);
   TrackedRun* FindRun(const TaskName& task, const MinionId& minion, AttemptNumber attempt);
   Milliseconds Now() const { return m_timers.clock().Now(); }
 
--- /dev/null
+++ b/src/libraries/leader/run_supervisor_calls.cc
@@ -0,0 +1,69 @@
+#include <utility>
+
+#include "libraries/leader/run_supervisor.h"
+#include "libraries/log/log_event.h"
+
+namespace papayalift {
+
+namespace {
+
+/// How a call ended that a minion did not answer as asked.
+std::string OrderResultText(OrderResult result) {
+  switch (result) {
+    case OrderResult::kNotSent:
+      return "not sent";
+    case OrderResult::kNoListener:
+      return "no listener";
+    case OrderResult::kOtherMinion:
+      return "another minion";
+    case OrderResult::kUnclear:
+      return "unclear";
+    default:
+      return "refused";
+  }
+}
+
+}  // namespace
+
+void RunSupervisor::RecordFailedCall(TrackedMinion& minion, const char* call, OrderResult result,
+                                     const std::string& detail) {
+  if (minion.unanswered_calls == 0 && minion.has_reported) {
+    LogFirstFailedCall(minion, call, result, detail);
+  }
+  ++minion.unanswered_calls;
+  minion.is_incarnation_confirmed = false;
+  if (!minion.silence.has_value()) {
+    minion.silence = MinionSilence{Now()};
+  }
+  MinionSilence& silence = *minion.silence;
+  silence.was_refused = silence.was_refused || result == OrderResult::kNoListener;
+  silence.was_replaced = silence.was_replaced || result == OrderResult::kOtherMinion;
+}
+
+void RunSupervisor::RecordAnswer(TrackedMinion& minion) {
+  minion.unanswered_calls = 0;
+  if (minion.silence.has_value()) {
+    minion.previous_silence = std::exchange(minion.silence, std::nullopt);
+  }
+}
+
+void RunSupervisor::LogFirstFailedCall(const TrackedMinion& minion, const char* call,
+                                       OrderResult result, const std::string& detail) const {
+  LogEvent event(LogLevel::kInfo, "runs", "first failed call to a minion");
+  event.Zone(minion.zone)
+      .Field("minion", minion.id.text())
+      .Field("call", call)
+      .Field("result", OrderResultText(result))
+      .Reason(detail)
+      .Field("runs", static_cast<std::int64_t>(minion.runs.size()))
+      .Field("listed", minion.entry.has_value() ? 1 : 0)
+      .Field("draining", minion.is_draining ? 1 : 0)
+      .Field("since_report_ms", (Now() - minion.last_report_at).count());
+  if (minion.last_start_sent_at.has_value()) {
+    event.Field("since_start_ms", (Now() - *minion.last_start_sent_at).count())
+        .Field("last_start", FormatTaskName(minion.last_started_task));
+  }
+  event.Write();
+}
+
+}  // namespace papayalift
--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -133,7 +133,7 @@
         .Field("silent_calls", minion.unanswered_calls)
         .Write();
   }
-  minion.unanswered_calls = 0;
+  RecordAnswer(minion);
   minion.is_incarnation_confirmed = true;
   minion.last_report_at = Now();
   ProcessReport(minion, sent_at, answer.report);
@@ -151,7 +151,7 @@
 void RunSupervisor::OnHoldFailed(TrackedMinion& minion, const HoldAnswer& answer) {
   // The call may have carried an acknowledgement, which must be sent again.
   minion.last_acknowledgement_sent = EndNumber(0);
-  RecordUnansweredCall(minion, "hold", answer.result, answer.detail);
+  RecordFailedCall(minion, "hold", answer.result, answer.detail);
   if (minion.unanswered_calls == 2) {
     LogEvent(LogLevel::kWarning, "runs", "minion does not answer")
         .Field("minion", minion.id.text())
--- a/src/libraries/leader/run_supervisor_reports.cc
+++ b/src/libraries/leader/run_supervisor_reports.cc
@@ -35,6 +35,7 @@
   }
   ProcessActiveRuns(minion, report);
   ResolveMissingRuns(minion, sent_at, report);
+  minion.previous_silence.reset();
   if (is_first_report) {
     m_callbacks.on_capacity_added();
   }
@@ -56,6 +57,8 @@
     minion.last_acknowledgement_sent = EndNumber(0);
     minion.unsaved_ends.clear();
     minion.lease_until.reset();
+    minion.vanished_at =
+        minion.previous_silence.has_value() ? minion.previous_silence->since : Now();
   }
   // NOTE: runs of the previous incarnation are not given up here but in ResolveMissingRuns(), like
   // all runs that a report does not list. A start in flight may have reached the new incarnation.
@@ -96,6 +99,8 @@
       m_callbacks.on_started(*run);
     }
     RecordProgress(*run, active.percent, Now());
+    const Milliseconds started_at = std::max(run->ordered_at, m_state.elected_at);
+    run->has_outlived_start = run->has_outlived_start || Now() - started_at >= kStartProbation;
     m_callbacks.on_active(*run, active);
   }
 }
@@ -133,10 +138,12 @@
     const bool was_stopped = run.stop_answered_at.has_value() && *run.stop_answered_at <= sent_at;
     const bool was_there =
         run.answered_at.has_value() && *run.answered_at < sent_at && !run.stop_wanted;
-    if (!was_stopped && run.orders_sent == 0) {
+    const bool is_restored = run.orders_sent == 0;
+    const bool is_new_incarnation = run.incarnation != report.incarnation;
+    if (!was_stopped && is_restored && !is_new_incarnation) {
       // Placed by a previous leader. Since this report the minion rejects that leader's orders.
       never_started.push_back(task);
-    } else if (was_stopped || was_there) {
+    } else if (was_stopped || was_there || is_restored) {
       gone.push_back(task);
     }
   }
--- a/src/libraries/planner/plan_capacity.cc
+++ b/src/libraries/planner/plan_capacity.cc
@@ -15,6 +15,8 @@
 }  // namespace
 
 PlanCapacity::PlanCapacity(const PlanSnapshot& snapshot) {
+  Resources total;
+  Resources free;
   m_minions.reserve(snapshot.minions.size());
   for (const PlanMinion& minion : snapshot.minions) {
     const std::size_t index = m_minions.size();
@@ -22,10 +24,13 @@
     m_racks[minion.rack].push_back(index);
     m_everywhere.push_back(index);
     const Resources free_after_stops = minion.free + minion.being_freed;
-    m_minions.push_back(
-        MinionCapacity{&minion, minion.free, free_after_stops, free_after_stops, {}});
+    m_minions.push_back(MinionCapacity{
+        &minion, minion.free, free_after_stops, free_after_stops, {}, minion.is_idle});
     m_free_accelerators += minion.free.accelerators;
+    total += minion.capacity;
+    free += minion.free;
   }
+  m_has_spare_capacity = total.Fits(free + free);
   m_minions_of_victims.reserve(snapshot.victims.size());
   for (std::size_t number = 0; number < snapshot.victims.size(); ++number) {
     const PlanVictim& victim = snapshot.victims[number];
@@ -63,13 +68,20 @@
   capacity.free -= needs;
   capacity.free_after_stops -= needs;
   capacity.free_after_reclaim -= needs;
+  capacity.is_idle = false;
   m_free_accelerators -= needs.accelerators;
 }
 
+void PlanCapacity::Occupy(const MinionId& id) {
+  const Resources free = Find(id)->free;
+  Allocate(id, free);
+}
+
 void PlanCapacity::Reserve(const MinionId& id, const Resources& needs) {
   MinionCapacity& capacity = *Find(id);
   capacity.free_after_stops -= needs;
   capacity.free_after_reclaim -= needs;
+  capacity.is_idle = false;
   m_free_accelerators -= capacity.free.accelerators;
   capacity.free = Least(capacity.free, capacity.free_after_stops);
   m_free_accelerators += capacity.free.accelerators;
--- a/src/libraries/planner/plan_capacity.h
+++ b/src/libraries/planner/plan_capacity.h
@@ -18,6 +18,8 @@
   Resources free_after_reclaim;
   /// Indexes of the snapshot's victims with runs on this minion, in ascending order.
   std::vector<std::size_t> victims;
+  /// Nothing runs or is placed on the minion.
+  bool is_idle = false;
 };
 
 /// The member of MinionCapacity that a search uses.
@@ -32,6 +34,8 @@
 
   /// Allocates capacity to a task that starts now.
   void Allocate(const MinionId& id, const Resources& needs);
+  /// Makes all free capacity of a minion unavailable.
+  void Occupy(const MinionId& id);
   /// Reserves capacity for a task that starts once others have ended.
   void Reserve(const MinionId& id, const Resources& needs);
   /// Adds the resources of a run that this pass stops.
@@ -47,6 +51,8 @@
   const std::vector<std::size_t>& MinionsOfVictim(std::size_t victim) const {
     return m_minions_of_victims[victim];
   }
+  /// Whether less than half of each kind of resource was in use when the pass began.
+  bool has_spare_capacity() const { return m_has_spare_capacity; }
   /// Accelerators available at once, on all minions together.
   std::int64_t free_accelerators() const { return m_free_accelerators; }
 
@@ -57,6 +63,7 @@
   std::map<RackId, std::vector<std::size_t>> m_racks;
   std::vector<std::vector<std::size_t>> m_minions_of_victims;
   std::int64_t m_free_accelerators = 0;
+  bool m_has_spare_capacity = false;
 };
 
 }  // namespace papayalift
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -25,6 +25,8 @@
   Resources free;
   /// Allocated to runs that are being stopped.
   Resources being_freed;
+  /// Nothing runs on the minion.
+  bool is_idle = false;
   /// Work per second relative to a healthy minion.
   double speed = 1;
 };
@@ -37,6 +39,8 @@
   StepSpec spec;
   /// Indexes of the waiting tasks; for a gang, all tasks.
   std::vector<int> task_indexes;
+  /// Waiting tasks that are suspected of crashing minions and start on minions without other runs.
+  std::set<int> isolated;
   /// Number of the step's tasks already placed on each minion; only filled if the step limits them.
   std::map<MinionId, int> placed_on_minion;
   /// Minions on which tasks of the job have failed.
@@ -54,6 +58,10 @@
   Milliseconds slack{0};
   /// How long the step waits for its preferred rack before it runs elsewhere.
   Milliseconds max_rack_wait{0};
+  /// How long the step waits for minions without other runs before isolated tasks start elsewhere:
+  /// while at least half of the capacity is in use, and otherwise.
+  Milliseconds max_isolation_wait{0};
+  Milliseconds max_isolation_wait_with_spare_capacity{0};
 };
 
 /// The minion chosen for the task with the index.
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -1,8 +1,10 @@
 #include "libraries/planner/task_planner.h"
 
 #include <algorithm>
+#include <deque>
 #include <utility>
 
+#include "libraries/planner/isolation.h"
 #include "libraries/planner/placement_search.h"
 #include "libraries/planner/plan_capacity.h"
 #include "libraries/planner/reclaim_search.h"
@@ -44,7 +46,17 @@
     std::sort(order.begin(), order.end(), [](const PendingStep* left, const PendingStep* right) {
       return PlansBefore(*left, *right);
     });
+    // Isolated tasks come first, since few minions are free for them.
+    std::deque<PendingStep> rests;
+    for (const PendingStep*& pending : order) {
+      if (pending->spec.kind != WorkStepKind::kGang && !pending->isolated.empty()) {
+        pending = &rests.emplace_back(PlanIsolatedTasks(*pending));
+      }
+    }
     for (const PendingStep* const pending : order) {
+      if (pending->task_indexes.empty()) {
+        continue;
+      }
       if (pending->spec.kind == WorkStepKind::kGang) {
         PlanGang(*pending);
       } else {
@@ -55,7 +67,81 @@
   }
 
  private:
+  /// Starts the isolated tasks if there are minions for them. Returns the rest of the step.
+  PendingStep PlanIsolatedTasks(const PendingStep& pending) {
+    std::vector<PlannedPlacement> placements = FindIsolatedPlacements(pending, m_capacity);
+    if (placements.empty() && HasWaitedForIsolation(pending, m_capacity)) {
+      placements = PlaceOnEmptiest(pending);
+    }
+    PendingStep rest = WithoutIsolated(pending);
+    if (placements.empty()) {
+      ReserveForIsolation(pending);
+      return rest;
+    }
+    StartIsolated(pending, FoundPlacements{placements, true});
+    for (const PlannedPlacement& placement : placements) {
+      ++rest.placed_on_minion[placement.minion];
+    }
+    return rest;
+  }
+
+  std::vector<PlannedPlacement> PlaceOnEmptiest(const PendingStep& pending) const {
+    const int index = *pending.isolated.begin();
+    const std::optional<MinionId> minion =
+        FindEmptiestMinion(pending, m_capacity, pending.spec.needs);
+    if (!minion.has_value() || !MayAddTask(pending, *minion)) {
+      return {};
+    }
+    return {PlannedPlacement{index, *minion}};
+  }
+
+  static bool MayAddTask(const PendingStep& pending, const MinionId& minion) {
+    const auto placed = pending.placed_on_minion.find(minion);
+    return pending.spec.max_tasks_per_worker == 0 || placed == pending.placed_on_minion.end() ||
+           placed->second < pending.spec.max_tasks_per_worker;
+  }
+
+  void StartIsolated(const PendingStep& pending, const FoundPlacements& found) {
+    Start(pending, found);
+    for (const PlannedPlacement& placement : found.placements) {
+      if (pending.isolated.contains(placement.index)) {
+        m_capacity.Occupy(placement.minion);
+      }
+    }
+  }
+
+  /// Keeps the emptiest minion free of new tasks, so that one without runs becomes available. Only
+  /// one in each pass, to leave the others to tasks that are not suspected.
+  void ReserveForIsolation(const PendingStep& pending) {
+    if (m_has_reserved_minion) {
+      return;
+    }
+    if (const std::optional<MinionId> minion =
+            FindEmptiestMinion(pending, m_capacity, Resources{})) {
+      m_capacity.Occupy(*minion);
+      m_has_reserved_minion = true;
+    }
+  }
+
+  /// Returns whether the gang is done with: it starts, or waits for minions for its isolated
+  /// members.
+  bool PlanIsolatedGang(const PendingStep& pending) {
+    const std::optional<FoundPlacements> found = FindIsolatedGang(pending, m_capacity);
+    if (found.has_value()) {
+      StartIsolated(pending, *found);
+      return true;
+    }
+    if (HasWaitedForIsolation(pending, m_capacity)) {
+      return false;
+    }
+    ReserveForIsolation(pending);
+    return true;
+  }
+
   void PlanGang(const PendingStep& pending) {
+    if (!pending.isolated.empty() && PlanIsolatedGang(pending)) {
+      return;
+    }
     const std::int64_t wanted =
         pending.spec.needs.accelerators * static_cast<std::int64_t>(pending.task_indexes.size());
     const std::optional<FoundPlacements> found =
@@ -144,6 +230,7 @@
   const PlanSnapshot& m_snapshot;
   PlanCapacity m_capacity;
   std::vector<bool> m_is_stopped;
+  bool m_has_reserved_minion = false;
   Plan m_plan;
 };
 
--- a/src/libraries/work/run_messages.h
+++ b/src/libraries/work/run_messages.h
@@ -84,11 +84,14 @@
   /// Rejected: the lease named in the order had expired.
   kLeaseExpired,
   kNoCapacity,
-  /// Rejected without effect: the minion is unhealthy, the address belongs to another minion by
-  /// now, or the order is malformed.
+  /// Rejected without effect: the minion is unhealthy, or the order is malformed.
   kRefused,
+  /// Rejected without effect: the address belongs to another minion by now.
+  kOtherMinion,
   /// The order was not sent and had no effect.
   kNotSent,
+  /// As kNotSent, because no process listens at the minion's address.
+  kNoListener,
   /// No answer: the order may have been executed, or may still be.
   kUnclear,
 };
--- a/src/stand_ins/fleet/fleet_minions_crashes.cc
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -131,11 +131,11 @@
   }
   if (minion.successor.has_value()) {
     // Another minion is at the address and does not take orders meant for this one.
-    m_timers.After(kConnectDelay, [answer] { answer(OrderResult::kRefused); });
+    m_timers.After(kConnectDelay, [answer] { answer(OrderResult::kOtherMinion); });
   } else if (minion.outage == OutageKind::kSilent || !minion.is_reachable) {
     m_timers.After(timeout, [answer] { answer(OrderResult::kUnclear); });
   } else {
-    m_timers.After(kConnectDelay, [answer] { answer(OrderResult::kNotSent); });
+    m_timers.After(kConnectDelay, [answer] { answer(OrderResult::kNoListener); });
   }
   return true;
 }
--- a/src/stand_ins/fleet/minion_wire.cc
+++ b/src/stand_ins/fleet/minion_wire.cc
@@ -39,7 +39,11 @@
     case OrderResult::kRefused:
       respond(Answer(Json::object(), HttpStatus::kUnavailable));
       return;
+    case OrderResult::kOtherMinion:
+      respond(Answer(Json::object(), HttpStatus::kMisdirected));
+      return;
     case OrderResult::kNotSent:
+    case OrderResult::kNoListener:
     case OrderResult::kUnclear:
       respond(NoAnswer());
       return;
