Leader: Blame a job alone only for starts that the minion confirmed

What callers would see: a job could fail although one of its two blamed runs had never begun, since its minion had ended just before the order arrived.

Cause: a start that was not answered counted as much as one that the minion had confirmed. Change: such a start still makes a suspect and counts towards the four crashes, but not towards the two of one job.

crashing_task_test (26 of 27, as before), crash_property_test, leader_test (80), cluster_property_test (2) pass.

--- a/src/libraries/journal/job_progress.h
+++ b/src/libraries/journal/job_progress.h
@@ -27,7 +27,7 @@
   AttemptNumber last_failed;
   /// Minions that crashed when they started the task.
   int crashes = 0;
-  /// Those of them on which no other job's task had just started as well.
+  /// Those of them that only this job can have crashed.
   int crashes_of_one_job = 0;
   std::string checkpoint;
   /// Minion and incarnation that the attempt is placed on; only set while the phase is kPlaced.
--- a/src/libraries/leader/crash_attribution.cc
+++ b/src/libraries/leader/crash_attribution.cc
@@ -68,7 +68,8 @@
   }
   Crash& crash = FindOrAdd(minion, run, now);
   crash.was_host_up = crash.was_host_up || (silence.has_value() && silence->was_refused);
-  crash.suspects.push_back(Suspect{run.task, run.attempt, run.orders_sent > 0});
+  crash.suspects.push_back(
+      Suspect{run.task, run.attempt, run.orders_sent > 0, run.answered_at.has_value()});
   return true;
 }
 
@@ -123,11 +124,11 @@
   const bool is_one_job =
       std::all_of(crash.suspects.begin(), crash.suspects.end(),
                   [&first](const Suspect& suspect) { return suspect.task.job == first; });
-  const CrashCause cause = is_outage    ? CrashCause::kOutage
-                           : is_one_job ? CrashCause::kOneJob
-                                        : CrashCause::kSeveralJobs;
   for (std::size_t index = crash.judged_suspects; index < crash.suspects.size(); ++index) {
     const Suspect& suspect = crash.suspects[index];
+    const CrashCause cause = is_outage                            ? CrashCause::kOutage
+                             : is_one_job && suspect.is_confirmed ? CrashCause::kOneJob
+                                                                  : CrashCause::kUncertain;
     judged.push_back(JudgedRun{suspect.task, suspect.attempt, crash.minion, cause});
   }
 }
--- a/src/libraries/leader/crash_attribution.h
+++ b/src/libraries/leader/crash_attribution.h
@@ -11,10 +11,10 @@
 
 /// What a minion's process is taken to have ended of.
 enum class CrashCause {
-  /// Only tasks of one job had just started there.
+  /// Only tasks of one job had just started there, and the minion had confirmed this one.
   kOneJob,
-  /// Tasks of several jobs had just started there; any of them may be the cause.
-  kSeveralJobs,
+  /// Tasks of several jobs had just started there, or the minion may have ended before the start.
+  kUncertain,
   /// Other minions of the zone were lost at the same time.
   kOutage,
 };
@@ -42,6 +42,8 @@
     AttemptNumber attempt;
     /// This leader sent the start and so knows its time.
     bool is_start_known = false;
+    /// The minion has confirmed the start, so it was alive when it got the order.
+    bool is_confirmed = false;
   };
 
   /// The end of one incarnation of a minion.
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -16,7 +16,7 @@
 namespace papayalift {
 
 /// A run that is still active this long after its start has outlived it.
-constexpr Milliseconds kStartProbation{2'000};
+constexpr Milliseconds kStartProbation{1'000};
 
 enum class TrackedRunState {
   /// The placement is not stored yet, and no order was sent.
