Leader: Ask a minion for a report when it registers again

What callers saw: a minion that was cut off until its entry expired, and that registers again with the same incarnation, got no work until the next leader; with all minions cut off in turn, jobs waited for ever.

Cause: calls to it had gone unanswered, which makes it unusable, and without an entry and runs nothing asked it again. Only a new incarnation was asked for a report. Change: every registration after an absence is answered by a request for a report.

--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -148,7 +148,7 @@
   if (is_registration && m_has_started) {
     LogRegistration(minion, registered_before);
   }
-  if (is_new_life && m_has_started) {
+  if ((is_new_life || is_registration) && m_has_started) {
     m_supervisor->RequestHold(minion);
   }
   SchedulePlan();
