--- a/src/stand_ins/fleet/fleet_stand_in.cc
+++ b/src/stand_ins/fleet/fleet_stand_in.cc
@@ -147,7 +147,7 @@
   } else if (action == "forget") {
     m_store.CompactHistory();
   } else if (action == "fail-store") {
-    m_store_wire.FailNext(FaultsOf(request, kStoreFaults));
+    m_store_wire.FailNext(FaultsOf(request, kStoreFaults), QueryValue(request, "key"));
   } else if (action == "fail-minion") {
     m_minions.FailNextOrders(MinionId(QueryValue(request, "minion")),
                              FaultsOf(request, kOrderFaults));
--- a/src/stand_ins/fleet/fleet_stand_in.h
+++ b/src/stand_ins/fleet/fleet_stand_in.h
@@ -34,9 +34,10 @@
 
   void Handle(const HttpRequest& request, const HttpResponder& respond);
   /// Actions: "put" and "remove" write to the store as an operator; "forget" compacts its history;
-  /// "fail-store" and "fail-minion" inject faults; "restart" starts a new incarnation of a minion;
-  /// "know" registers a job's specification; "broken" lists the violations; "starts" counts the
-  /// starts of a job; "jobs" lists the records of all jobs.
+  /// "fail-store" and "fail-minion" inject faults, the former with "key" only into writes of keys
+  /// with that prefix; "restart" starts a new incarnation of a minion; "know" registers a job's
+  /// specification; "broken" lists the violations; "starts" counts the starts of a job; "jobs"
+  /// lists the records of all jobs.
   void HandleControl(const HttpRequest& request, const HttpResponder& respond);
   HttpResponse Control(const HttpRequest& request);
   void WriteAsOperator(const HttpRequest& request, WriteKind kind);
--- a/src/stand_ins/fleet/store_wire.cc
+++ b/src/stand_ins/fleet/store_wire.cc
@@ -161,12 +161,7 @@
 void StoreWire::HandleTransaction(const HttpRequest& request, const HttpResponder& respond) {
   const Transaction transaction =
       DecodeTransaction(Json::parse(request.body.empty() ? "{}" : request.body));
-  StoreCallFault fault = StoreCallFault::kNone;
-  if (!m_faults.empty()) {
-    fault = m_faults.front();
-    m_faults.pop_front();
-  }
-  switch (fault) {
+  switch (TakeFault(transaction)) {
     case StoreCallFault::kNone:
       respond(AnswerOf(m_store.Apply(transaction)));
       return;
@@ -184,6 +179,19 @@
   }
 }
 
+StoreCallFault StoreWire::TakeFault(const Transaction& transaction) {
+  const bool is_meant =
+      m_faulty_prefix.empty() ||
+      std::any_of(transaction.writes().begin(), transaction.writes().end(),
+                  [this](const Write& write) { return write.key.starts_with(m_faulty_prefix); });
+  if (m_faults.empty() || !is_meant) {
+    return StoreCallFault::kNone;
+  }
+  const StoreCallFault fault = m_faults.front();
+  m_faults.pop_front();
+  return fault;
+}
+
 void StoreWire::HandleLease(const HttpRequest& request, const HttpResponder& respond) {
   if (request.path == "/kv-lease") {
     const std::int64_t time_to_live = Json::parse(request.body).at("ttlMs").get<std::int64_t>();
--- a/src/stand_ins/fleet/store_wire.h
+++ b/src/stand_ins/fleet/store_wire.h
@@ -27,8 +27,12 @@
 
   void Handle(const HttpRequest& request, const HttpResponder& respond);
 
-  /// Applies the faults to the next transactions, in order.
-  void FailNext(std::deque<StoreCallFault> faults) { m_faults = std::move(faults); }
+  /// Applies the faults, in order, to the next transactions that write or delete a key with the
+  /// prefix; to any transactions if the prefix is empty.
+  void FailNext(std::deque<StoreCallFault> faults, std::string written_prefix) {
+    m_faults = std::move(faults);
+    m_faulty_prefix = std::move(written_prefix);
+  }
 
  private:
   void HandleKey(const HttpRequest& request, const HttpResponder& respond);
@@ -38,10 +42,12 @@
                  const HttpResponder& respond);
   void HandleTransaction(const HttpRequest& request, const HttpResponder& respond);
   void HandleLease(const HttpRequest& request, const HttpResponder& respond);
+  StoreCallFault TakeFault(const Transaction& transaction);
 
   Timers& m_timers;
   FleetStore& m_store;
   std::deque<StoreCallFault> m_faults;
+  std::string m_faulty_prefix;
 };
 
 }  // namespace papayalift
--- a/tests/leader/job_request_handler_test.cc
+++ b/tests/leader/job_request_handler_test.cc
@@ -184,6 +184,43 @@
             JobReplyKind::kNoSuchJob);
 }
 
+// Found by meta/platform_day: the faults meant for the write hit the confirmation of an old view.
+Test(job_request_handler, submission_without_confirmed_manifest_is_not_run_until_repeated) {
+  TestCluster cluster(2);
+  ClusterNode& follower = cluster.node(1 - cluster.leader_index());
+  follower.Ask(JobRequestKind::kQuery, "/p1/", "key");
+  cluster.Run(Milliseconds(1'200));
+  cluster.minions.RegisterJob(MakeJobId(1), SmallJob());
+  follower.store().FailNextCommits({StoreFault::kAnswerLost});
+  const std::string body = EncodeJobBody(SmallJob().work);
+  cr_assert(follower.Ask(JobRequestKind::kSubmit, kPath, "key", body).kind ==
+            JobReplyKind::kUnavailable);
+  cluster.Run(Milliseconds(6'000));
+  cr_assert(follower.Ask(JobRequestKind::kQuery, kPath, "key").kind == JobReplyKind::kNoSuchJob);
+  cr_assert_eq(cluster.minions.starts(MakeJobId(1)), 0);
+  cr_assert(follower.Ask(JobRequestKind::kSubmit, kPath, "key", body).kind ==
+            JobReplyKind::kAccepted);
+  cluster.Run(Milliseconds(8'000));
+  cr_assert_eq(cluster.minions.starts(MakeJobId(1)), 1);
+}
+
+// A refusal after a conflict promises that the earlier, unanswered send has no later effect either.
+Test(job_request_handler, submission_refused_after_manifest_change_is_never_run) {
+  TestCluster cluster(2);
+  ClusterNode& follower = cluster.node(1 - cluster.leader_index());
+  follower.Ask(JobRequestKind::kQuery, "/p1/", "key");
+  cluster.minions.RegisterJob(MakeJobId(1), SmallJob());
+  follower.store().FailNextCommits(
+      {StoreFault::kAppliedLate, StoreFault::kNone, StoreFault::kRefused});
+  cluster.PutManifest(2);
+  cr_assert(
+      follower.Ask(JobRequestKind::kSubmit, kPath, "key", EncodeJobBody(SmallJob().work)).kind ==
+      JobReplyKind::kUnavailable);
+  cluster.Run(Milliseconds(6'000));
+  cr_assert(follower.Ask(JobRequestKind::kQuery, kPath, "key").kind == JobReplyKind::kNoSuchJob);
+  cr_assert_eq(cluster.minions.starts(MakeJobId(1)), 0);
+}
+
 // Guards against refusals that can't be found in the logs by their job's id (found on the
 // incidents).
 Test(job_request_handler, refusal_carries_its_job_id) {
