JobRequests: Answer every request within its budget

JobRequestHandler::Handle() promises its reply before the consumer's X-Deadline-Ms is over, but only the write had a deadline. A request makes up to three store calls one after the other (the manifest's confirmation, the accepted job, its progress), each with a timeout of a second, and begins again after a conflict with a changed manifest. So with a slow store the consumer got no answer: it had left before the reply. The same is one way to "no answer came in time about job N".

A submission with a budget of 600 ms was sent to the store after its budget, and could run although its consumer had left.

Change: a timer refuses the request at its deadline (503, not run). It ends where a write begins, which has a deadline of its own; a write in progress is still answered "unclear", never "not run". A conflict after the deadline refuses the request; the manifest has moved on then, so no earlier send can apply. For budgets under 400 ms half of it, not 200 ms, is kept for the reply; such requests would have no time at all otherwise.

Ruled out, by tests that passed before too: a silent store, one that rejects every call, 300 queries at once at a node that has just started while the store has dropped its history. Each is answered once, in time.

--- a/src/libraries/job_requests/job_request_handler.cc
+++ b/src/libraries/job_requests/job_request_handler.cc
@@ -62,7 +62,8 @@
 void JobRequestHandler::Handle(JobRequest request, JobReplyCallback reply) {
   const RequestContextPointer context = std::make_shared<RequestContext>();
   context->arrived_at = m_timers.clock().Now();
-  context->deadline = context->arrived_at + request.budget - kReplyMargin;
+  context->deadline =
+      context->arrived_at + request.budget - std::min(kReplyMargin, request.budget / 2);
   context->request = std::move(request);
   context->reply = std::move(reply);
   // Lets the log name the job even if the request is refused before its queue is known.
@@ -74,7 +75,11 @@
 
 void JobRequestHandler::Dispatch(const RequestContextPointer& context) {
   ++context->dispatches;
+  StartDeadlineTimer(context);
   m_view.Confirm(kMaxManifestAge, [this, context](Freshness freshness) {
+    if (context->is_answered) {
+      return;
+    }
     if (freshness == Freshness::kUnknown) {
       Refuse(context, JobReplyKind::kUnavailable, "the manifest can't be confirmed");
       return;
@@ -98,6 +103,13 @@
   });
 }
 
+void JobRequestHandler::StartDeadlineTimer(const RequestContextPointer& context) {
+  const Milliseconds remaining = context->deadline - m_timers.clock().Now();
+  context->deadline_timer = m_timers.After(std::max(remaining, Milliseconds(0)), [this, context] {
+    Refuse(context, JobReplyKind::kUnavailable, "the store did not answer in time");
+  });
+}
+
 bool JobRequestHandler::Authorize(const RequestContextPointer& context,
                                   const FleetManifest& manifest) {
   const QueueSpec* const queue =
@@ -156,10 +168,15 @@
       .Expect(m_schema.ManifestKey(), m_view.revision())
       .Put(AcceptedKey(job.id), EncodeAcceptedJob(job))
       .Put(WaitingKey(job.queue, job.id), "");
+  Commit(context, transaction, AcceptedKey(job.id), JobReplyKind::kAccepted);
+}
+
+void JobRequestHandler::Commit(const RequestContextPointer& context, const Transaction& transaction,
+                               const std::string& written_key, JobReplyKind success) {
+  m_timers.Cancel(context->deadline_timer);
   CommitWithRetries(m_timers, m_store, transaction, context->deadline,
-                    [this, context](const WriteResult& result) {
-                      OnWriteFinished(context, result, AcceptedKey(context->job),
-                                      JobReplyKind::kAccepted);
+                    [this, context, written_key, success](const WriteResult& result) {
+                      OnWriteFinished(context, result, written_key, success);
                     });
 }
 
@@ -187,7 +204,7 @@
   if (const StoreItem* const manifest = FindItem(result.items, m_schema.ManifestKey())) {
     m_view.Adopt(*manifest);
   }
-  if (context->dispatches >= kMaxDispatches) {
+  if (context->dispatches >= kMaxDispatches || m_timers.clock().Now() >= context->deadline) {
     Refuse(context, JobReplyKind::kUnavailable, "the manifest changes too fast");
     return;
   }
@@ -196,74 +213,76 @@
 
 // --- query ---
 
-void JobRequestHandler::QueryPendingCount(const RequestContextPointer& context) {
-  m_store.ReadAll(WaitingPrefix(context->queue.id), [this, context](const ReadAnswer& answer) {
+std::function<void(ReadAnswer)> JobRequestHandler::WhenRead(
+    const RequestContextPointer& context, std::function<void(const ReadAnswer&)> handle) {
+  return [this, context, handle = std::move(handle)](const ReadAnswer& answer) {
+    if (context->is_answered) {
+      return;
+    }
     if (answer.result != ReadResult::kOk) {
       Refuse(context, JobReplyKind::kUnavailable, "the store can't be read");
       return;
     }
-    JobReply reply{JobReplyKind::kPending};
-    reply.pending = static_cast<std::int64_t>(answer.items.size());
-    Finish(context, reply);
-  });
+    handle(answer);
+  };
+}
+
+void JobRequestHandler::QueryPendingCount(const RequestContextPointer& context) {
+  m_store.ReadAll(WaitingPrefix(context->queue.id),
+                  WhenRead(context, [this, context](const ReadAnswer& answer) {
+                    JobReply reply{JobReplyKind::kPending};
+                    reply.pending = static_cast<std::int64_t>(answer.items.size());
+                    Finish(context, reply);
+                  }));
 }
 
 void JobRequestHandler::QueryState(const RequestContextPointer& context) {
-  m_store.ReadAll(AcceptedKey(context->job), [this, context](const ReadAnswer& accepted) {
-    if (accepted.result != ReadResult::kOk) {
-      Refuse(context, JobReplyKind::kUnavailable, "the store can't be read");
-      return;
-    }
-    if (FindItem(accepted.items, AcceptedKey(context->job)) == nullptr) {
-      Refuse(context, JobReplyKind::kNoSuchJob, "no such job");
-      return;
-    }
-    ReplyWithState(context, accepted);
-  });
+  m_store.ReadAll(AcceptedKey(context->job),
+                  WhenRead(context, [this, context](const ReadAnswer& accepted) {
+                    if (FindItem(accepted.items, AcceptedKey(context->job)) == nullptr) {
+                      Refuse(context, JobReplyKind::kNoSuchJob, "no such job");
+                      return;
+                    }
+                    ReplyWithState(context, accepted);
+                  }));
 }
 
 void JobRequestHandler::ReplyWithState(const RequestContextPointer& context,
                                        const ReadAnswer& accepted) {
   const bool is_cancelled = FindItem(accepted.items, CancelKey(context->job)) != nullptr;
-  m_store.Read(
-      ProgressKey(context->job), [this, context, is_cancelled](const ReadAnswer& progress) {
-        if (progress.result != ReadResult::kOk) {
-          Refuse(context, JobReplyKind::kUnavailable, "the store can't be read");
-          return;
-        }
-        JobReply reply{JobReplyKind::kState, context->job};
-        if (!progress.items.empty()) {
-          const absl::StatusOr<WorkState> state = DecodeWorkState(progress.items.front().value);
-          if (!state.ok()) {
-            Refuse(context, JobReplyKind::kUnavailable, "the job's record can't be read");
-            return;
-          }
-          reply.state = *state;
-        }
-        if (is_cancelled && !HasEnded(reply.state)) {
-          reply.state = WorkState::kCancelled;
-        }
-        Finish(context, reply);
-      });
+  m_store.Read(ProgressKey(context->job),
+               WhenRead(context, [this, context, is_cancelled](const ReadAnswer& progress) {
+                 JobReply reply{JobReplyKind::kState, context->job};
+                 if (!progress.items.empty()) {
+                   const absl::StatusOr<WorkState> state =
+                       DecodeWorkState(progress.items.front().value);
+                   if (!state.ok()) {
+                     Refuse(context, JobReplyKind::kUnavailable, "the job's record can't be read");
+                     return;
+                   }
+                   reply.state = *state;
+                 }
+                 if (is_cancelled && !HasEnded(reply.state)) {
+                   reply.state = WorkState::kCancelled;
+                 }
+                 Finish(context, reply);
+               }));
 }
 
 // --- cancel ---
 
 void JobRequestHandler::Cancel(const RequestContextPointer& context) {
-  m_store.ReadAll(AcceptedKey(context->job), [this, context](const ReadAnswer& accepted) {
-    if (accepted.result != ReadResult::kOk) {
-      Refuse(context, JobReplyKind::kUnavailable, "the store can't be read");
-      return;
-    }
-    const StoreItem* const job = FindItem(accepted.items, AcceptedKey(context->job));
-    if (job == nullptr) {
-      Refuse(context, JobReplyKind::kNoSuchJob, "no such job");
-    } else if (FindItem(accepted.items, CancelKey(context->job)) != nullptr) {
-      Finish(context, JobReply{JobReplyKind::kCancelled, context->job});
-    } else {
-      CommitCancellation(context, *job);
-    }
-  });
+  m_store.ReadAll(
+      AcceptedKey(context->job), WhenRead(context, [this, context](const ReadAnswer& accepted) {
+        const StoreItem* const job = FindItem(accepted.items, AcceptedKey(context->job));
+        if (job == nullptr) {
+          Refuse(context, JobReplyKind::kNoSuchJob, "no such job");
+        } else if (FindItem(accepted.items, CancelKey(context->job)) != nullptr) {
+          Finish(context, JobReply{JobReplyKind::kCancelled, context->job});
+        } else {
+          CommitCancellation(context, *job);
+        }
+      }));
 }
 
 void JobRequestHandler::CommitCancellation(const RequestContextPointer& context,
@@ -276,11 +295,7 @@
       .Expect(m_schema.ManifestKey(), m_view.revision())
       .Put(CancelKey(context->job), "")
       .Delete(WaitingKey(queue, context->job));
-  CommitWithRetries(m_timers, m_store, transaction, context->deadline,
-                    [this, context](const WriteResult& result) {
-                      OnWriteFinished(context, result, CancelKey(context->job),
-                                      JobReplyKind::kCancelled);
-                    });
+  Commit(context, transaction, CancelKey(context->job), JobReplyKind::kCancelled);
 }
 
 // --- replies ---
@@ -293,6 +308,8 @@
 }
 
 void JobRequestHandler::Finish(const RequestContextPointer& context, JobReply reply) {
+  context->is_answered = true;
+  m_timers.Cancel(context->deadline_timer);
   const std::string kind = EnumText(kReplyNames, reply.kind);
   const std::string request = EnumText(kRequestNames, context->request.kind);
   const Milliseconds duration = m_timers.clock().Now() - context->arrived_at;
--- a/src/libraries/job_requests/job_request_handler.h
+++ b/src/libraries/job_requests/job_request_handler.h
@@ -32,16 +32,27 @@
     WorkspaceId workspace;
     JobId job;
     int dispatches = 0;
+    TimerId deadline_timer = 0;
+    bool is_answered = false;
   };
   using RequestContextPointer = std::shared_ptr<RequestContext>;
 
   void Dispatch(const RequestContextPointer& context);
+  /// Refuses the request at its deadline, unless it is answered before or a write begins, whose own
+  /// deadline then applies.
+  void StartDeadlineTimer(const RequestContextPointer& context);
+  void Commit(const RequestContextPointer& context, const Transaction& transaction,
+              const std::string& written_key, JobReplyKind success);
   bool Authorize(const RequestContextPointer& context, const FleetManifest& manifest);
   void Submit(const RequestContextPointer& context);
   /// Replies to a write that creates `written_key`, or dispatches the request again if the manifest
   /// has changed. Replies with `success` also if `written_key` existed before.
   void OnWriteFinished(const RequestContextPointer& context, const WriteResult& result,
                        const std::string& written_key, JobReplyKind success);
+  /// The callback of a read: refuses the request if the read has failed, and has no effect if the
+  /// request was answered in the meantime.
+  std::function<void(ReadAnswer)> WhenRead(const RequestContextPointer& context,
+                                           std::function<void(const ReadAnswer&)> handle);
   void QueryState(const RequestContextPointer& context);
   void QueryPendingCount(const RequestContextPointer& context);
   void Cancel(const RequestContextPointer& context);
--- a/tests/leader/fake_store_port.cc
+++ b/tests/leader/fake_store_port.cc
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Milliseconds kNetworkDelay{2};
 constexpr Milliseconds kCallTimeout{1'000};
 constexpr Milliseconds kAppliedLateDelay{2'500};
 constexpr Milliseconds kWatchPollInterval{5};
@@ -39,7 +38,7 @@
     return;
   }
   if (fault == StoreFault::kRefused) {
-    RunLater(kNetworkDelay, [callback] {
+    RunLater(m_network_delay, [callback] {
       callback(CommitAnswer{TransactionResult::kNotSent, {}, {}, "store busy"});
     });
     return;
@@ -52,24 +51,33 @@
     return;
   }
   // A transaction in flight is applied even if its sender has ended.
-  m_timers.After(kNetworkDelay, [this, transaction, callback, fault] {
+  m_timers.After(m_network_delay, [this, transaction, callback, fault] {
     const CommitAnswer answer = m_store.Apply(transaction);
     if (fault == StoreFault::kAnswerLost) {
       RunLater(kCallTimeout, [callback] {
         callback(CommitAnswer{TransactionResult::kUnclear, {}, {}, "answer lost"});
       });
     } else {
-      RunLater(kNetworkDelay, [callback, answer] { callback(answer); });
+      RunLater(m_network_delay, [callback, answer] { callback(answer); });
     }
   });
 }
 
+void FakeStorePort::RunRead(std::function<void(bool is_answered)> read) {
+  bool is_answered = m_is_reachable;
+  if (m_reads_to_refuse > 0) {
+    --m_reads_to_refuse;
+    is_answered = false;
+  }
+  RunLater(m_is_reachable ? m_network_delay * 2 : kCallTimeout,
+           [read = std::move(read), is_answered] { read(is_answered); });
+}
+
 void FakeStorePort::Read(const std::string& key, std::function<void(ReadAnswer)> callback) {
   ++m_reads;
-  const bool is_reachable = m_is_reachable;
-  RunLater(is_reachable ? kNetworkDelay * 2 : kCallTimeout, [this, key, callback, is_reachable] {
+  RunRead([this, key, callback](bool is_answered) {
     ReadAnswer answer;
-    if (is_reachable) {
+    if (is_answered) {
       m_store.ChangesAfter("", m_store.revision());
       answer.result = ReadResult::kOk;
       if (const StoreItem* const item = m_store.Find(key); item != nullptr) {
@@ -82,10 +90,9 @@
 }
 
 void FakeStorePort::ReadAll(const std::string& prefix, std::function<void(ReadAnswer)> callback) {
-  const bool is_reachable = m_is_reachable;
-  RunLater(is_reachable ? kNetworkDelay * 2 : kCallTimeout, [this, prefix, callback, is_reachable] {
+  RunRead([this, prefix, callback](bool is_answered) {
     ReadAnswer answer;
-    if (is_reachable) {
+    if (is_answered) {
       answer.result = ReadResult::kOk;
       answer.items = m_store.ItemsBelow(prefix);
       answer.revision = m_store.revision();
--- a/tests/leader/fake_store_port.h
+++ b/tests/leader/fake_store_port.h
@@ -40,6 +40,10 @@
   void FailNextCommits(std::deque<StoreFault> faults) { m_faults = std::move(faults); }
   /// While the store is unreachable, calls time out.
   void SetReachable(bool is_reachable) { m_is_reachable = is_reachable; }
+  /// From now on each commit and read is answered after twice this time.
+  void SetNetworkDelay(Milliseconds delay) { m_network_delay = delay; }
+  /// Rejects the next reads without effect.
+  void RefuseNextReads(int reads) { m_reads_to_refuse = reads; }
   /// While watches are silent, they report no changes.
   void SetWatchesSilent(bool is_silent) { m_watches_are_silent = is_silent; }
   /// Simulates the end of the process: no answer is delivered any more.
@@ -51,13 +55,19 @@
   std::size_t max_entries() const { return m_max_entries; }
 
  private:
+  static constexpr Milliseconds kNetworkDelay{2};
+
   void RunLater(Milliseconds delay, std::function<void()> action);
+  /// Calls `read` with whether the read is answered, once it is answered or has failed.
+  void RunRead(std::function<void(bool is_answered)> read);
   void PollWatch(const std::string& prefix, Revision after, Milliseconds until,
                  const std::function<void(WatchAnswer)>& callback);
 
   VirtualTimers& m_timers;
   FleetStore& m_store;
   std::deque<StoreFault> m_faults;
+  Milliseconds m_network_delay = kNetworkDelay;
+  int m_reads_to_refuse = 0;
   bool m_is_reachable = true;
   bool m_watches_are_silent = false;
   bool m_is_detached = false;
--- a/tests/leader/test_cluster.h
+++ b/tests/leader/test_cluster.h
@@ -26,6 +26,7 @@
   const FakeMinionPort& minions() const { return m_minions; }
   LeaderElection& election() { return m_election; }
   ManifestView& view() { return m_view; }
+  JobRequestHandler& request_handler() { return m_request_handler; }
   const LeaderSession* session() const { return m_session.get(); }
 
   /// Sends a request and advances the clock until the reply arrives; kUnclear after 4 seconds.
