JobRequests: Retry failed reads within the request's budget

A query or cancellation whose read of the store failed once was refused at once, though most of its budget was left: with 429 after milliseconds, so that a consumer may use up its retries while the store rejects calls for a part of a second, and with a lost call after the timeout of 1,000 ms of its 3,000.

New tests, failing before: a query of which one to four reads are rejected, and a query and a cancellation whose read is lost, were refused instead of answered. A query whose reads all fail stays refused, once, in time.

Change: after a failed read the request is dispatched again, after 100 ms and then twice as long each time, at most four times and never past its deadline. The manifest is confirmed first, so that at a node that has lost the store the request ends as soon as that is known, and its consumer goes to another node: at worst it is held for one more call timeout (about 2.1 s instead of 1 s), and only if its view was confirmed within the last 300 ms. A submission reads nothing and is not affected.

Ruled out: retrying an unconfirmed manifest.

--- a/src/libraries/job_requests/job_request_handler.cc
+++ b/src/libraries/job_requests/job_request_handler.cc
@@ -19,8 +19,11 @@
 constexpr Milliseconds kMaxManifestAge{300};
 /// Part of a request's budget that is reserved for sending the reply.
 constexpr Milliseconds kReplyMargin{200};
-/// A write that conflicts with a changed manifest dispatches its request again, up to this limit.
+/// A write that conflicts with a changed manifest, or a failed read, dispatches its request again,
+/// up to this limit.
 constexpr int kMaxDispatches = 5;
+/// Pause after the first failed read of a request; doubled after each further one.
+constexpr Milliseconds kFirstReadRetryDelay{100};
 constexpr std::size_t kJobIdLength = 16;
 
 constexpr std::array<EnumName<JobReplyKind>, 11> kReplyNames{
@@ -219,14 +222,25 @@
     if (context->is_answered) {
       return;
     }
-    if (answer.result != ReadResult::kOk) {
-      Refuse(context, JobReplyKind::kUnavailable, "the store can't be read");
-      return;
+    if (answer.result == ReadResult::kOk) {
+      handle(answer);
+    } else {
+      RetryFailedRead(context);
     }
-    handle(answer);
   };
 }
 
+void JobRequestHandler::RetryFailedRead(const RequestContextPointer& context) {
+  const Milliseconds delay = kFirstReadRetryDelay * (1 << (context->dispatches - 1));
+  if (context->dispatches >= kMaxDispatches ||
+      m_timers.clock().Now() + delay >= context->deadline) {
+    Refuse(context, JobReplyKind::kUnavailable, "the store can't be read");
+    return;
+  }
+  m_timers.Cancel(context->deadline_timer);
+  m_timers.After(delay, [this, context] { Dispatch(context); });
+}
+
 void JobRequestHandler::QueryPendingCount(const RequestContextPointer& context) {
   m_store.ReadAll(WaitingPrefix(context->queue.id),
                   WhenRead(context, [this, context](const ReadAnswer& answer) {
--- a/src/libraries/job_requests/job_request_handler.h
+++ b/src/libraries/job_requests/job_request_handler.h
@@ -49,10 +49,13 @@
   /// has changed. Replies with `success` also if `written_key` existed before.
   void OnWriteFinished(const RequestContextPointer& context, const WriteResult& result,
                        const std::string& written_key, JobReplyKind success);
-  /// The callback of a read: refuses the request if the read has failed, and has no effect if the
+  /// The callback of a read: retries the request if the read has failed, and has no effect if the
   /// request was answered in the meantime.
   std::function<void(ReadAnswer)> WhenRead(const RequestContextPointer& context,
                                            std::function<void(const ReadAnswer&)> handle);
+  /// Dispatches the request again after a pause, or refuses it if its deadline is too near. The
+  /// manifest is confirmed again, which fails soon if the store is unreachable.
+  void RetryFailedRead(const RequestContextPointer& context);
   void QueryState(const RequestContextPointer& context);
   void QueryPendingCount(const RequestContextPointer& context);
   void Cancel(const RequestContextPointer& context);
--- a/tests/leader/job_request_deadline_test.cc
+++ b/tests/leader/job_request_deadline_test.cc
@@ -130,6 +130,53 @@
   cr_assert(seen->first_after < kBudget);
 }
 
+// Found at the end of a day on calead-sched-grown, when hundreds of queries arrive within a second.
+Test(job_request_deadline, query_whose_reads_are_rejected_for_a_moment_is_answered) {
+  for (const int reads : {1, 2, 3, 4}) {
+    TestCluster cluster(2);
+    cluster.Submit(MakeJobId(1), SmallJob());
+    cluster.Run(Milliseconds(1'000));
+    Follower(cluster).store().RefuseNextReads(reads);
+    const SeenRepliesPointer seen = Send(cluster, Follower(cluster), JobRequestKind::kQuery);
+    cluster.Run(kPatience);
+    cr_expect_eq(seen->count, 1);
+    cr_expect(seen->first.kind == JobReplyKind::kState, "%d reads rejected", reads);
+    cr_expect(seen->first_after < kBudget);
+  }
+}
+
+Test(job_request_deadline, request_whose_read_is_lost_is_answered) {
+  for (const JobRequestKind kind : {JobRequestKind::kQuery, JobRequestKind::kCancel}) {
+    TestCluster cluster(2);
+    ClusterNode& follower = Follower(cluster);
+    cluster.Submit(MakeJobId(1), SmallJob());
+    cluster.Run(Milliseconds(1'000));
+    follower.Ask(JobRequestKind::kQuery, "/p1/", "key");
+    follower.store().SetReachable(false);
+    const SeenRepliesPointer seen = Send(cluster, follower, kind);
+    cluster.Run(Milliseconds(10));
+    follower.store().SetReachable(true);
+    cluster.Run(kPatience);
+    cr_expect_eq(seen->count, 1);
+    cr_expect(seen->first.kind ==
+              (kind == JobRequestKind::kQuery ? JobReplyKind::kState : JobReplyKind::kCancelled));
+    cr_expect(seen->first_after < kBudget);
+  }
+}
+
+Test(job_request_deadline, query_whose_reads_stay_unanswered_is_refused_within_its_budget) {
+  TestCluster cluster(2);
+  ClusterNode& follower = Follower(cluster);
+  cluster.Submit(MakeJobId(1), SmallJob());
+  constexpr int kMany = 1'000;
+  follower.store().RefuseNextReads(kMany);
+  const SeenRepliesPointer seen = Send(cluster, follower, JobRequestKind::kQuery);
+  cluster.Run(kPatience);
+  cr_assert_eq(seen->count, 1);
+  cr_assert(seen->first.kind == JobReplyKind::kUnavailable);
+  cr_assert(seen->first_after < kBudget);
+}
+
 Test(job_request_deadline, queries_at_a_node_that_has_just_started_are_all_answered) {
   constexpr int kQueries = 300;
   TestCluster cluster(2);
