--- a/src/stand_ins/fleet/fleet_minions_crashes.cc
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -118,7 +118,7 @@
   Milliseconds delay{0};
   for (const auto& [id, minion] : m_minions) {
     if (IsUp(id)) {
-      m_timers.After(delay, [this, id, outage] { Crash(id, outage); });
+      m_timers.After(delay, [this, id = id, outage] { Crash(id, outage); });
       delay += interval;
     }
   }
