Fleet stand-in: Count no crash under a task for a minion that loses its power

The rule counts minions that have crashed under a task. The stand-in also counted a deadly task's minion in a lost zone, which is silent and has no power; it did not crash under the task. Now only ends with refused connections count, the rest of the check is as it was.

--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -77,7 +77,7 @@
 /// What the minions observed of one task.
 struct TaskRecord {
   int starts = 0;
-  /// Number of minions that crashed under the task, if it is deadly.
+  /// Number of minions that crashed under the task, if it is deadly. Lost zones don't count.
   int crashes = 0;
   /// Starts after as many crashes as suffice to recognize a deadly task.
   int starts_after_crashes = 0;
@@ -137,6 +137,8 @@
   TaskRecord RecordOf(const TaskName& task) const;
   /// Number of runs of the job that ended with their minion's process.
   int lost_runs(const JobId& job) const;
+  /// The same for that task of the job that lost most.
+  int max_lost_runs_of_task(const JobId& job) const;
   /// Number of crashes so far, by tasks and by calls of Crash().
   int crashes() const { return m_crashes; }
   std::vector<MinionId> RunningOn(const JobId& job) const;
--- a/src/stand_ins/fleet/fleet_minions_crashes.cc
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -69,7 +69,8 @@
   AdvanceAll();
   Minion& minion = m_minions.at(id);
   for (const auto& [task, run] : minion.runs) {
-    if (IsDeadly(task)) {
+    // A minion that loses its power with its zone has not crashed under its tasks.
+    if (IsDeadly(task) && outage.kind == OutageKind::kRefused) {
       ++m_task_records[task].crashes;
     }
   }
@@ -176,6 +177,14 @@
   return found == m_task_records.end() ? TaskRecord{} : found->second;
 }
 
+int FleetMinions::max_lost_runs_of_task(const JobId& job) const {
+  int most = 0;
+  for (const auto& [task, record] : m_task_records) {
+    most = std::max(most, task.job == job ? record.lost_runs : 0);
+  }
+  return most;
+}
+
 int FleetMinions::lost_runs(const JobId& job) const {
   int sum = 0;
   for (const auto& [task, record] : m_task_records) {
