Fleet stand-in: Let rooms shrink and grow

A minion's room can change while it runs; the minion publishes it at once or with its next heartbeat, also while it is cut off from the store. A start counts as over capacity if it fits neither the room nor a former one that shrank less than contactMs and one heartbeat before the order arrived (named settings of the stand-in); what is being stopped counts, as before.

The ten tests hold on this code: shrinks before the plan (published at once or a heartbeat later), while watches are silent, before the history is forgotten, under a change of leader, while cut off from the store (27 moments, two orders lost at each), below what runs, growth, and guaranteed jobs on a shrunken room.

--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -32,6 +32,9 @@
 }
 
 void FleetMinions::Publish(const Minion& minion) {
+  if (minion.is_cut_off_from_store) {
+    return;
+  }
   m_store.Put(
       "servers/" + minion.id.text(),
       fmt::format(R"({{"service":"pool","address":"{}","zone":"a","state":"{}","coldLeftMs":0,)"
@@ -44,11 +47,8 @@
 }
 
 void FleetMinions::SendHeartbeats() {
-  for (auto& [id, minion] : m_minions) {
-    if (minion.is_reachable) {
-      ++minion.heartbeats;
-      Publish(minion);
-    }
+  for (const auto& [id, minion] : m_minions) {
+    SendHeartbeat(id);
   }
 }
 
@@ -208,7 +208,7 @@
     AddViolation("unasked", order.task);
     return;
   }
-  if (step != nullptr && !(AllocatedOn(minion) + step->needs).Fits(minion.capacity)) {
+  if (step != nullptr && !FitsRoom(minion, AllocatedOn(minion) + step->needs, arrived_at)) {
     AddViolation("over capacity on " + minion.id.text(), order.task);
   }
   if (m_acknowledged_done.contains(order.task)) {
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -36,6 +36,15 @@
   kRefused,
 };
 
+/// When a minion's entry shows a new capacity.
+enum class Publication { kAtOnce, kWithNextHeartbeat };
+
+/// After a shrink, starts that fit the former room are no violations for the sum of both times.
+struct ShrinkSettings {
+  Milliseconds contact_bound{3'000};
+  Milliseconds heartbeat_interval{1'500};
+};
+
 /// What the minions observed of one job.
 struct JobRecord {
   int starts = 0;
@@ -60,6 +69,12 @@
   bool Has(const MinionId& id) const { return m_minions.contains(id); }
   /// Every reachable minion writes its entry again with other counters.
   void SendHeartbeats();
+  void SendHeartbeat(const MinionId& id);
+  void SetShrinkSettings(const ShrinkSettings& settings) { m_shrink = settings; }
+  void SetCapacity(const MinionId& id, const Resources& capacity, Publication publication);
+  /// While it is cut off from the store, the minion's entry stays as it is; orders still reach it.
+  void SetCutOffFromStore(const MinionId& id, bool is_cut_off);
+  void SetRack(const MinionId& id, const RackId& rack);
   void SetDraining(const MinionId& id);
   /// Kills all runs on the minion and starts a new incarnation under the same id at once.
   void Restart(const MinionId& id);
@@ -95,6 +110,11 @@
     bool is_stopping = false;
     std::string checkpoint;
   };
+  /// A room that the minion had before it shrank.
+  struct FormerRoom {
+    Resources capacity;
+    Milliseconds shrunk_at{0};
+  };
   struct Minion {
     MinionId id;
     RackId rack;
@@ -109,6 +129,8 @@
     EndNumber acknowledged;
     MinionState state = MinionState::kReady;
     bool is_reachable = true;
+    bool is_cut_off_from_store = false;
+    std::vector<FormerRoom> former_rooms;
     std::deque<OrderFault> faults;
     int heartbeats = 0;
   };
@@ -134,6 +156,8 @@
   static std::vector<TaskName> MembersOn(const Minion& minion, const Run& run);
   void BreakGangOf(const Run& run);
   void CheckStart(const Minion& minion, const StartOrder& order, Milliseconds arrived_at);
+  /// Whether that much fits the minion's room, or a former one that still counted at `arrived_at`.
+  bool FitsRoom(const Minion& minion, const Resources& taken, Milliseconds arrived_at) const;
   Resources AllocatedOn(const Minion& minion) const;
   const StepSpec* StepOf(const TaskName& task) const;
   void AddViolation(const std::string& rule, const TaskName& task);
@@ -147,6 +171,7 @@
   std::map<JobId, int> m_starts;
   std::map<JobId, Milliseconds> m_last_orders;
   std::optional<Milliseconds> m_evacuated_since;
+  ShrinkSettings m_shrink;
   /// Tasks that completed successfully, and those whose completion was acknowledged.
   std::set<TaskName> m_done;
   std::set<TaskName> m_acknowledged_done;
--- /dev/null
+++ b/src/stand_ins/fleet/fleet_minions_room.cc
@@ -0,0 +1,47 @@
+#include <algorithm>
+
+#include "stand_ins/fleet/fleet_minions.h"
+
+namespace papayalift {
+
+void FleetMinions::SendHeartbeat(const MinionId& id) {
+  Minion& minion = m_minions.at(id);
+  if (minion.is_reachable) {
+    ++minion.heartbeats;
+    Publish(minion);
+  }
+}
+
+void FleetMinions::SetCapacity(const MinionId& id, const Resources& capacity,
+                               Publication publication) {
+  Minion& minion = m_minions.at(id);
+  if (!minion.capacity.Fits(capacity)) {
+    minion.former_rooms.push_back(FormerRoom{minion.capacity, m_timers.clock().Now()});
+  }
+  minion.capacity = capacity;
+  if (publication == Publication::kAtOnce && minion.is_reachable) {
+    Publish(minion);
+  }
+}
+
+void FleetMinions::SetCutOffFromStore(const MinionId& id, bool is_cut_off) {
+  m_minions.at(id).is_cut_off_from_store = is_cut_off;
+}
+
+void FleetMinions::SetRack(const MinionId& id, const RackId& rack) {
+  m_minions.at(id).rack = rack;
+  Publish(m_minions.at(id));
+}
+
+bool FleetMinions::FitsRoom(const Minion& minion, const Resources& taken,
+                            Milliseconds arrived_at) const {
+  const Milliseconds counts_for = m_shrink.contact_bound + m_shrink.heartbeat_interval;
+  return taken.Fits(minion.capacity) ||
+         std::any_of(minion.former_rooms.begin(), minion.former_rooms.end(),
+                     [&taken, counts_for, arrived_at](const FormerRoom& room) {
+                       return arrived_at <= room.shrunk_at + counts_for &&
+                              taken.Fits(room.capacity);
+                     });
+}
+
+}  // namespace papayalift
--- /dev/null
+++ b/tests/leader/shrinking_capacity_test.cc
@@ -0,0 +1,240 @@
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include <nlohmann/json.hpp>
+
+#include "leader/test_cluster.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr Resources kWholeRoom{8'000, 8'000, 8};
+constexpr Resources kHalfRoom{4'000, 4'000, 4};
+constexpr Resources kNoRoom{0, 0, 0};
+constexpr Milliseconds kHeartbeatInterval{1'500};
+/// Longer than a room that has shrunk still counts.
+constexpr Milliseconds kAfterShrink{5'000};
+constexpr Milliseconds kLong{120'000};
+
+RegisteredJob MakeTasks(int count, std::int64_t accelerators, Milliseconds duration = kLong) {
+  RegisteredJob job;
+  job.work.steps = {MakeStep(count, accelerators)};
+  job.duration = duration;
+  return job;
+}
+
+RegisteredJob MakeGang(int count, std::int64_t accelerators, Milliseconds duration = kLong) {
+  RegisteredJob job = MakeTasks(count, accelerators, duration);
+  job.work.steps[0].kind = WorkStepKind::kGang;
+  return job;
+}
+
+MinionId Minion(int number) { return MinionId(fmt::format("m{}", number)); }
+
+/// A cluster with the product's settings, whose minions write their heartbeats in turn.
+class ShrinkingCluster : public TestCluster {
+ public:
+  ShrinkingCluster(int nodes, int minion_count)
+      : TestCluster(nodes, minion_count, Settings()), m_minion_count(minion_count) {
+    RunInTurn(kHeartbeatInterval * 2);
+  }
+
+  /// Advances the time while each minion writes a heartbeat at its own moment of each interval.
+  void RunInTurn(Milliseconds time) {
+    const Milliseconds end = timers.clock().Now() + time;
+    const Milliseconds pause = kHeartbeatInterval / m_minion_count;
+    while (timers.clock().Now() < end) {
+      if (timers.clock().Now() >= m_next_heartbeat) {
+        minions.SendHeartbeat(Minion(m_next_minion));
+        m_next_minion = (m_next_minion + 1) % m_minion_count;
+        m_next_heartbeat = timers.clock().Now() + pause;
+      }
+      Run(std::min(end, m_next_heartbeat) - timers.clock().Now());
+    }
+  }
+
+  void SetRoom(int number, const Resources& room, Publication publication = Publication::kAtOnce) {
+    minions.SetCapacity(Minion(number), room, publication);
+  }
+  void SetAllRooms(const Resources& room) {
+    for (int number = 0; number < m_minion_count; ++number) {
+      SetRoom(number, room);
+    }
+  }
+  void FailCommits(StoreFault fault, std::size_t times) {
+    leader()->store().FailNextCommits(std::deque<StoreFault>(times, fault));
+  }
+  /// Submits the job while there is no room, and lets the leader decide on its placement while the
+  /// next commits fail.
+  void DecideWhileCommitsFail(const RegisteredJob& job, StoreFault fault, std::size_t times) {
+    SetAllRooms(kNoRoom);
+    RunInTurn(kAfterShrink);
+    Submit(MakeJobId(1), job);
+    RunInTurn(Milliseconds(300));
+    cr_assert_eq(minions.starts(), 0);
+    FailCommits(fault, times);
+    SetAllRooms(kWholeRoom);
+    RunInTurn(Milliseconds(200));
+  }
+  std::size_t running(int job) { return minions.RunningOn(MakeJobId(job)).size(); }
+
+ private:
+  static LeaderSettings Settings() {
+    LeaderSettings settings;
+    settings.registration_freshness = Milliseconds(1'500);
+    settings.max_heartbeat_age = kHeartbeatInterval + kHeartbeatInterval / 2;
+    return settings;
+  }
+
+  const int m_minion_count;
+  int m_next_minion = 0;
+  Milliseconds m_next_heartbeat{0};
+};
+
+void AssertNoViolations(const TestCluster& cluster) {
+  for (const std::string& violation : cluster.minions.violations()) {
+    cr_expect(false, "%s", violation.c_str());
+  }
+}
+
+/// Number of failed commits after which a decided placement is older than a shrunken room counts.
+constexpr std::size_t kRefusals = 40;
+constexpr std::size_t kLostAnswers = 6;
+constexpr Milliseconds kFailingTime{8'000};
+
+}  // namespace
+
+Test(shrinking_capacity, room_shrunk_before_the_plan_gets_only_what_fits) {
+  for (const Publication publication : {Publication::kAtOnce, Publication::kWithNextHeartbeat}) {
+    ShrinkingCluster cluster(1, 1);
+    cluster.SetRoom(0, kHalfRoom, publication);
+    cluster.RunInTurn(kAfterShrink);
+    cluster.Submit(MakeJobId(1), MakeTasks(8, 1));
+    cluster.RunInTurn(Milliseconds(3'000));
+    AssertNoViolations(cluster);
+    cr_assert_eq(cluster.running(1), 4);
+  }
+}
+
+Test(shrinking_capacity, gang_larger_than_a_write_starts_on_no_room_that_shrank_unseen) {
+  constexpr int kMinions = 40;
+  ShrinkingCluster cluster(1, kMinions);
+  cluster.node(0).store().SetWatchesSilent(true);
+  cluster.RunInTurn(Milliseconds(1'000));
+  cluster.SetAllRooms(kHalfRoom);
+  cluster.RunInTurn(kAfterShrink);
+  cluster.Submit(MakeJobId(1), MakeGang(kMinions, 8));
+  cluster.RunInTurn(Milliseconds(4'000));
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.minions.starts(), 0);
+}
+
+Test(shrinking_capacity, room_that_shrank_while_watches_were_silent_gets_only_what_fits) {
+  ShrinkingCluster cluster(1, 2);
+  cluster.node(0).store().SetWatchesSilent(true);
+  cluster.RunInTurn(Milliseconds(1'000));
+  cluster.SetAllRooms(kHalfRoom);
+  cluster.RunInTurn(kAfterShrink);
+  cluster.Submit(MakeJobId(1), MakeTasks(16, 1));
+  cluster.RunInTurn(Milliseconds(4'000));
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), 8);
+}
+
+Test(shrinking_capacity, room_that_shrank_before_the_history_was_forgotten_gets_only_what_fits) {
+  ShrinkingCluster cluster(1, 2);
+  cluster.node(0).store().SetWatchesSilent(true);
+  cluster.RunInTurn(Milliseconds(1'000));
+  cluster.SetAllRooms(kHalfRoom);
+  cluster.store.CompactHistory();
+  cluster.RunInTurn(kAfterShrink);
+  cluster.node(0).store().SetWatchesSilent(false);
+  cluster.Submit(MakeJobId(1), MakeTasks(16, 1));
+  cluster.RunInTurn(Milliseconds(4'000));
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), 8);
+}
+
+Test(shrinking_capacity, room_that_shrank_under_a_change_of_leader_gets_only_what_fits) {
+  ShrinkingCluster cluster(2, 1);
+  cluster.DecideWhileCommitsFail(MakeTasks(8, 1), StoreFault::kAnswerLost, 1);
+  cluster.SetRoom(0, kHalfRoom);
+  cluster.Kill(cluster.leader_index());
+  cluster.RunInTurn(Milliseconds(15'000));
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), 4);
+}
+
+Test(shrinking_capacity, room_that_shrinks_while_cut_off_from_the_store_gets_only_what_counts) {
+  for (int delay = 500; delay <= 7'000; delay += 250) {
+    ShrinkingCluster cluster(1, 4);
+    cluster.minions.SetCutOffFromStore(Minion(1), true);
+    cluster.SetRoom(1, kNoRoom);
+    cluster.RunInTurn(Milliseconds(delay));
+    cluster.minions.FailNextOrders(Minion(1), {OrderFault::kLost, OrderFault::kLost});
+    cluster.Submit(MakeJobId(1), MakeTasks(4, 8));
+    cluster.RunInTurn(Milliseconds(4'000));
+    AssertNoViolations(cluster);
+    cr_assert_geq(cluster.running(1), 3);
+  }
+}
+
+Test(shrinking_capacity, run_on_a_room_that_shrinks_below_it_goes_on) {
+  ShrinkingCluster cluster(1, 1);
+  cluster.Submit(MakeJobId(1), MakeTasks(1, 8));
+  cluster.RunInTurn(Milliseconds(500));
+  cluster.SetRoom(0, kHalfRoom);
+  cluster.Submit(MakeJobId(2), MakeTasks(4, 1));
+  cluster.RunInTurn(kAfterShrink);
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), 1);
+  cr_assert_eq(cluster.running(2), 0);
+}
+
+Test(shrinking_capacity, room_that_grows_again_is_used_soon) {
+  ShrinkingCluster cluster(1, 2);
+  cluster.SetAllRooms(kNoRoom);
+  cluster.RunInTurn(kAfterShrink);
+  cluster.Submit(MakeJobId(1), MakeTasks(2, 8));
+  cluster.RunInTurn(Milliseconds(2'000));
+  cr_assert_eq(cluster.running(1), 0);
+  cluster.SetRoom(0, kWholeRoom);
+  cluster.RunInTurn(Milliseconds(500));
+  cr_assert_eq(cluster.running(1), 1);
+  cluster.SetRoom(1, kWholeRoom, Publication::kWithNextHeartbeat);
+  cluster.RunInTurn(kHeartbeatInterval + Milliseconds(500));
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), 2);
+}
+
+Test(shrinking_capacity, guaranteed_job_on_a_shrunken_room_waits_for_all_that_exceeds_it) {
+  ShrinkingCluster cluster(1, 1);
+  cluster.Submit(MakeJobId(1), MakeTasks(1, 4));
+  cluster.Submit(MakeJobId(2), MakeTasks(1, 4));
+  cluster.RunInTurn(Milliseconds(500));
+  cluster.SetRoom(0, kHalfRoom);
+  cluster.RunInTurn(kAfterShrink);
+  cluster.Submit(MakeJobId(9), MakeTasks(1, 4), Priority(0));
+  cluster.RunInTurn(Milliseconds(2'000));
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(9), 1);
+  cr_assert_eq(cluster.running(1) + cluster.running(2), 0);
+}
+
+Test(shrinking_capacity, guaranteed_job_larger_than_a_shrunken_room_stops_nothing_there) {
+  ShrinkingCluster cluster(1, 1);
+  cluster.Submit(MakeJobId(1), MakeTasks(1, 4));
+  cluster.Submit(MakeJobId(2), MakeTasks(1, 4));
+  cluster.RunInTurn(Milliseconds(500));
+  cluster.SetRoom(0, kHalfRoom);
+  cluster.RunInTurn(kAfterShrink);
+  cluster.Submit(MakeJobId(9), MakeTasks(1, 8), Priority(0));
+  cluster.RunInTurn(Milliseconds(2'000));
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1) + cluster.running(2), 2);
+  cr_assert_eq(cluster.running(9), 0);
+}
+
+}  // namespace papayalift
--- a/tests/leader/test_cluster.cc
+++ b/tests/leader/test_cluster.cc
@@ -182,6 +182,7 @@
                          {"gang", step.kind == WorkStepKind::kGang},
                          {"rackLocal", step.prefers_one_rack},
                          {"after", step.after},
+                         {"constraints", step.required_label},
                          {"antiAffinity", step.max_tasks_per_worker}};
     body["phases"].push_back(phase);
   }
