Planner: Count a minion with too little room as having none free

Callers saw: a gang that fits on three empty minions didn't start as long as a fourth, whose room had shrunk below what runs there, kept its runs.

Cause: the planner first compares what a gang wants with the sum of all free accelerators. A minion with eight accelerators in use and room for none counted as minus eight in that sum. No room can be negative since runs aren't killed for a shrink, so the sum is over what each minion has free, at least 0. Looked at and right as they are: searches on one minion (what doesn't fit doesn't fit), reclaim (victims fill up the lack first), and reservations.

Failed before: task_planner::gang_is_placed_beside_a_minion_with_less_room_than_its_runs_take The expression (plan.starts.size()) == (1) is false. shrinking_capacity::gang_starts_beside_a_room_that_shrank_below_what_runs_there The expression (cluster.running(2)) == (3) is false.

--- a/src/libraries/planner/plan_capacity.cc
+++ b/src/libraries/planner/plan_capacity.cc
@@ -12,6 +12,11 @@
                    std::min(left.accelerators, right.accelerators)};
 }
 
+/// 0 if more is allocated than the minion has: it may have shrunk below what runs there.
+std::int64_t FreeAcceleratorsOf(const MinionCapacity& capacity) {
+  return std::max<std::int64_t>(0, capacity.free.accelerators);
+}
+
 }  // namespace
 
 PlanCapacity::PlanCapacity(const PlanSnapshot& snapshot) {
@@ -24,7 +29,7 @@
     const Resources free_after_stops = minion.free + minion.being_freed;
     m_minions.push_back(
         MinionCapacity{&minion, minion.free, free_after_stops, free_after_stops, {}});
-    m_free_accelerators += minion.free.accelerators;
+    m_free_accelerators += FreeAcceleratorsOf(m_minions.back());
   }
   m_minions_of_victims.reserve(snapshot.victims.size());
   for (std::size_t number = 0; number < snapshot.victims.size(); ++number) {
@@ -60,19 +65,20 @@
 
 void PlanCapacity::Allocate(const MinionId& id, const Resources& needs) {
   MinionCapacity& capacity = *Find(id);
+  m_free_accelerators -= FreeAcceleratorsOf(capacity);
   capacity.free -= needs;
   capacity.free_after_stops -= needs;
   capacity.free_after_reclaim -= needs;
-  m_free_accelerators -= needs.accelerators;
+  m_free_accelerators += FreeAcceleratorsOf(capacity);
 }
 
 void PlanCapacity::Reserve(const MinionId& id, const Resources& needs) {
   MinionCapacity& capacity = *Find(id);
   capacity.free_after_stops -= needs;
   capacity.free_after_reclaim -= needs;
-  m_free_accelerators -= capacity.free.accelerators;
+  m_free_accelerators -= FreeAcceleratorsOf(capacity);
   capacity.free = Least(capacity.free, capacity.free_after_stops);
-  m_free_accelerators += capacity.free.accelerators;
+  m_free_accelerators += FreeAcceleratorsOf(capacity);
 }
 
 void PlanCapacity::AddBeingFreed(const MinionId& id, const Resources& freed) {
--- a/tests/leader/shrinking_capacity_test.cc
+++ b/tests/leader/shrinking_capacity_test.cc
@@ -193,6 +193,20 @@
   cr_assert_eq(cluster.running(2), 0);
 }
 
+Test(shrinking_capacity, gang_starts_beside_a_room_that_shrank_below_what_runs_there) {
+  ShrinkingCluster cluster(1, 4);
+  cluster.Submit(MakeJobId(1), MakeTasks(1, 8));
+  cluster.RunInTurn(Milliseconds(500));
+  const MinionId full = cluster.minions.RunningOn(MakeJobId(1)).at(0);
+  cluster.minions.SetCapacity(full, kNoRoom, Publication::kAtOnce);
+  cluster.RunInTurn(kAfterShrink);
+  cluster.Submit(MakeJobId(2), MakeGang(3, 8));
+  cluster.RunInTurn(Milliseconds(2'000));
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), 1);
+  cr_assert_eq(cluster.running(2), 3);
+}
+
 Test(shrinking_capacity, room_that_grows_again_is_used_soon) {
   ShrinkingCluster cluster(1, 2);
   cluster.SetAllRooms(kNoRoom);
--- a/tests/planner/task_planner_test.cc
+++ b/tests/planner/task_planner_test.cc
@@ -73,6 +73,15 @@
   cr_assert(fixture.Run().starts.empty());
 }
 
+Test(task_planner, gang_is_placed_beside_a_minion_with_less_room_than_its_runs_take) {
+  PlannerFixture fixture;
+  fixture.snapshot.minions[0].free = Resources{} - kCapacity;
+  fixture.AddPendingStep("a", WorkStepKind::kGang, 3, 8);
+  const Plan plan = fixture.Run();
+  cr_assert_eq(plan.starts.size(), 1);
+  cr_assert_eq(MinionsOf(plan.starts[0]).size(), 3);
+}
+
 Test(task_planner, independent_tasks_start_up_to_the_free_capacity) {
   PlannerFixture fixture;
   fixture.AddPendingStep("singles", WorkStepKind::kIndependentTasks, 5, 8);
