Leader: Check a minion's registration before each start order

Cause: a start rested on the registration as it was when the placement was decided. Between decision and order lie the write, which is sent again unchanged for as long as it is refused or unanswered, and the repetitions of an order without an answer; what the watch on the registry brings meanwhile was not looked at. The class: an action on a check made earlier (time of check, time of use).

Fix: the supervisor asks the session before each order, the first and each repeated one: the minion is registered under the incarnation that was chosen, ready, its heartbeat not overdue, its zone in use, and all that is placed there fits its room. A start not sent goes back to planning; one that is not repeated is stopped, as after a lapsed term. If one member of a gang meets an obstacle, none is sent. The planner and this check share RegistryAllowsWork(). Ruled out: retrying the write with new conditions, which wouldn't help repeated orders; killing nothing for a shrink stays as it is.

--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -57,6 +57,7 @@
       m_context.timers, m_context.minions, m_state, m_settings.supervisor,
       [this] { return m_context.election.confirmed_at(); },
       SupervisorCallbacks{
+          [this](const TrackedRun& run) { return ObstacleToStart(run); },
           [this](const MinionId& minion, const EndedRun& end) { OnEnded(minion, end); },
           [this](const TrackedRun& run, RunLoss loss, const std::string& reason) {
             OnLost(run, loss, reason);
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "libraries/leader/job_journal.h"
@@ -92,6 +94,12 @@
   void StartIfLoaded();
   void RestoreRuns(TrackedJob& job);
 
+  /// Why the run must not be started, by the registration of its minion as known now; nullopt if it
+  /// may. Checked before each order, so that no start depends on older knowledge than its order.
+  std::optional<std::string> ObstacleToStart(const TrackedRun& run) const;
+  /// The steps with gangs of which a placement in the write has an obstacle.
+  std::set<int> ObstructedGangs(const TrackedJob& job, const ProgressWrite& write);
+
   // Outcomes of runs.
   void OnEnded(const MinionId& minion, const EndedRun& end);
   void OnLost(const TrackedRun& run, RunLoss loss, const std::string& reason);
--- a/src/libraries/leader/leader_session_journal.cc
+++ b/src/libraries/leader/leader_session_journal.cc
@@ -1,5 +1,6 @@
 #include "libraries/journal/journal_keys.h"
 #include "libraries/leader/leader_session.h"
+#include "libraries/leader/minion_usability.h"
 #include "libraries/log/log_event.h"
 
 namespace papayalift {
@@ -11,17 +12,49 @@
 
 }  // namespace
 
+std::optional<std::string> LeaderSession::ObstacleToStart(const TrackedRun& run) const {
+  const TrackedMinion& minion = m_state.minions.at(run.minion);
+  if (!minion.entry.has_value()) {
+    return "its minion has left the registry";
+  }
+  if (minion.entry->incarnation != run.incarnation || minion.incarnation != run.incarnation) {
+    return "its minion has started anew";
+  }
+  if (!RegistryAllowsWork(m_state, minion, m_settings.max_heartbeat_age)) {
+    return "its minion drains, is in an evacuated zone or has not written its heartbeat";
+  }
+  if (!minion.allocated.Fits(minion.entry->capacity)) {
+    return "its minion's room has shrunk below what is placed there";
+  }
+  return std::nullopt;
+}
+
+std::set<int> LeaderSession::ObstructedGangs(const TrackedJob& job, const ProgressWrite& write) {
+  std::set<int> obstructed;
+  for (const TaskName& name : write.placements) {
+    const WorkStepKind kind = job.accepted.work.steps[static_cast<std::size_t>(name.step)].kind;
+    const TrackedRun* const run = m_state.FindRun(name, m_state.FindTask(name)->attempt);
+    if (kind == WorkStepKind::kGang && run != nullptr && ObstacleToStart(*run).has_value()) {
+      obstructed.insert(name.step);
+    }
+  }
+  return obstructed;
+}
+
 void LeaderSession::OnStored(TrackedJob& job, const ProgressWrite& write) {
   const bool is_too_old = Now() - write.sent_at > kMaxPlacementAge;
+  const std::set<int> obstructed_gangs = ObstructedGangs(job, write);
   for (const TaskName& name : write.placements) {
     const TaskProgress& task = *m_state.FindTask(name);
     TrackedRun* const run = m_state.FindRun(name, task.attempt);
     if (run == nullptr || run->state != TrackedRunState::kDecided) {
       continue;
     }
-    if (run->stop_wanted || is_too_old || job.is_cancelled || HasEnded(job.progress.state)) {
+    if (run->stop_wanted || is_too_old || job.is_cancelled || HasEnded(job.progress.state) ||
+        obstructed_gangs.contains(name.step)) {
       DiscardPlacement(job, name);
       m_journal->MarkDirty(job);
+      SchedulePlan();
       continue;
     }
     m_context.metrics.Observe("papayalift_start_after_known_ms",
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <utility>
 
+#include "libraries/leader/minion_usability.h"
 #include "libraries/leader/workspace_usage.h"
 
 namespace papayalift {
@@ -25,21 +26,11 @@
 /// Older speed measurements are ignored: a minion that was slow may have recovered.
 constexpr Milliseconds kSpeedMaxAge{6'000};
 
-/// Whether heartbeats of others have arrived, but none of this minion for too long. Load that it
-/// answers: a rack or zone is lost at once, and idle minions there are asked for nothing.
-bool IsHeartbeatOverdue(const LeaderState& state, const TrackedMinion& minion,
-                        Milliseconds max_heartbeat_age) {
-  return state.has_heartbeats &&
-         state.registry_heard_at - minion.entry_heard_at > max_heartbeat_age;
-}
-
 bool IsUsable(const LeaderState& state, const TrackedMinion& minion, Milliseconds max_heartbeat_age,
               Milliseconds now) {
-  return minion.entry.has_value() && minion.entry->state == MinionState::kReady &&
-         minion.has_reported && minion.incarnation == minion.entry->incarnation &&
-         minion.unanswered_calls == 0 && now >= minion.health.avoid_until &&
-         !IsHeartbeatOverdue(state, minion, max_heartbeat_age) &&
-         !state.evacuated_zones.contains(minion.entry->zone);
+  return RegistryAllowsWork(state, minion, max_heartbeat_age) && minion.has_reported &&
+         minion.incarnation == minion.entry->incarnation && minion.unanswered_calls == 0 &&
+         now >= minion.health.avoid_until;
 }
 
 PlanMinion PlanMinionOf(const TrackedMinion& minion, Milliseconds now) {
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -95,8 +95,8 @@
     LoseRun(minion_id, task, RunLoss::kNeverStarted, "the minion has not reported its clock");
     return;
   }
-  if (Now() - m_term_confirmed_at() > kMaxTermAgeOfStart) {
-    HoldBackStart(run);
+  if (const std::optional<std::string> obstacle = ObstacleToStart(run)) {
+    HoldBackStart(run, *obstacle);
     return;
   }
   minion.lease_until = std::max(minion.lease_until.value_or(*lease), *lease);
@@ -111,17 +111,24 @@
                   });
 }
 
-void RunSupervisor::HoldBackStart(TrackedRun& run) {
-  LogEvent(LogLevel::kWarning, "runs", "a start is not sent: the term was not confirmed lately")
+std::optional<std::string> RunSupervisor::ObstacleToStart(const TrackedRun& run) const {
+  if (Now() - m_term_confirmed_at() > kMaxTermAgeOfStart) {
+    return "the term was not confirmed lately";
+  }
+  return m_callbacks.obstacle_to_start(run);
+}
+
+void RunSupervisor::HoldBackStart(TrackedRun& run, const std::string& reason) {
+  LogEvent(LogLevel::kWarning, "runs", "a start is not sent")
       .Job(run.task.job)
       .Field("task", FormatTaskName(run.task))
       .Field("attempt", run.attempt.value())
       .Field("minion", run.minion.text())
       .Field("term_age_ms", (Now() - m_term_confirmed_at()).count())
+      .Reason(reason)
       .Write();
   if (run.orders_sent == 0) {
-    LoseRun(MinionId(run.minion), TaskName(run.task), RunLoss::kNeverStarted,
-            "the term was not confirmed lately");
+    LoseRun(MinionId(run.minion), TaskName(run.task), RunLoss::kNeverStarted, reason);
   } else {
     Stop(run, "its start was not answered");
   }
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -5,7 +5,9 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
 
 #include "libraries/leader/leader_state.h"
 #include "libraries/loop/timers.h"
@@ -22,6 +24,8 @@
 };
 
 struct SupervisorCallbacks {
+  /// Why the run must not be started on its minion, by what is known now; nullopt if it may.
+  std::function<std::optional<std::string>(const TrackedRun&)> obstacle_to_start;
   /// A minion reported the end of a run; its resources are released. Also called for unknown runs.
   std::function<void(const MinionId&, const EndedRun&)> on_ended;
   /// The run was given up and its resources are released.
@@ -80,7 +84,8 @@
 
   void SendStart(const TaskName& task, const MinionId& minion, AttemptNumber attempt,
                  const std::string& payload, const std::string& checkpoint);
-  void HoldBackStart(TrackedRun& run);
+  std::optional<std::string> ObstacleToStart(const TrackedRun& run) const;
+  void HoldBackStart(TrackedRun& run, const std::string& reason);
   /// Sends the same order again after a short delay, unless the run's state is known by then.
   void RepeatStartLater(const StartOrder& order, const MinionId& minion);
   void OnStartAnswer(const StartOrder& order, const MinionId& minion, const OrderAnswer& answer);
--- a/tests/leader/run_supervisor_test.cc
+++ b/tests/leader/run_supervisor_test.cc
@@ -25,6 +25,7 @@
     supervisor = std::make_shared<RunSupervisor>(
         timers, port, state, SupervisorSettings{}, [this] { return confirmed_at; },
         SupervisorCallbacks{
+            [](const TrackedRun&) { return std::optional<std::string>(); },
             [](const MinionId&, const EndedRun&) {},
             [this](const TrackedRun&, RunLoss loss, const std::string&) { losses.push_back(loss); },
             [](const TrackedRun&) {}, [](TrackedRun&, const ActiveRun&) {}, [] {}, [] {}});
--- a/tests/leader/shrinking_capacity_test.cc
+++ b/tests/leader/shrinking_capacity_test.cc
@@ -118,6 +118,39 @@
   }
 }
 
+Test(shrinking_capacity, room_shrunk_while_the_write_is_refused_gets_only_what_fits) {
+  ShrinkingCluster cluster(1, 1);
+  cluster.DecideWhileCommitsFail(MakeTasks(8, 1), StoreFault::kRefused, kRefusals);
+  cluster.SetRoom(0, kHalfRoom);
+  cluster.RunInTurn(kFailingTime);
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), 4);
+}
+
+Test(shrinking_capacity, room_shrunk_while_answers_of_the_write_are_lost_gets_only_what_fits) {
+  ShrinkingCluster cluster(1, 1);
+  cluster.DecideWhileCommitsFail(MakeTasks(8, 1), StoreFault::kAnswerLost, kLostAnswers);
+  cluster.SetRoom(0, kHalfRoom);
+  cluster.RunInTurn(kFailingTime);
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), 4);
+}
+
+Test(shrinking_capacity, start_is_not_repeated_once_the_room_is_known_to_have_shrunk) {
+  ShrinkingCluster cluster(1, 1);
+  cluster.minions.FailNextOrders(Minion(0), {OrderFault::kLost});
+  cluster.Submit(MakeJobId(1), MakeTasks(1, 8));
+  cluster.RunInTurn(Milliseconds(100));
+  cr_assert_eq(cluster.node(0).minions().starts(), 1);
+  cluster.SetRoom(0, kHalfRoom);
+  cluster.RunInTurn(Milliseconds(4'000));
+  cr_assert_eq(cluster.node(0).minions().starts(), 1);
+  cluster.SetRoom(0, kWholeRoom);
+  cluster.RunInTurn(Milliseconds(1'000));
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), 1);
+}
+
 Test(shrinking_capacity, gang_larger_than_a_write_starts_on_no_room_that_shrank_unseen) {
   constexpr int kMinions = 40;
   ShrinkingCluster cluster(1, kMinions);
@@ -223,6 +256,19 @@
   cr_assert_eq(cluster.running(1), 2);
 }
 
+Test(shrinking_capacity, gang_of_which_one_room_shrinks_before_its_start_runs_once_it_grows) {
+  ShrinkingCluster cluster(1, 4);
+  cluster.DecideWhileCommitsFail(MakeGang(4, 8), StoreFault::kAnswerLost, kLostAnswers);
+  cluster.SetRoom(2, kHalfRoom);
+  cluster.RunInTurn(kFailingTime);
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), 0);
+  cluster.SetRoom(2, kWholeRoom);
+  cluster.RunInTurn(Milliseconds(2'000));
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), 4);
+}
+
 Test(shrinking_capacity, guaranteed_job_on_a_shrunken_room_waits_for_all_that_exceeds_it) {
   ShrinkingCluster cluster(1, 1);
   cluster.Submit(MakeJobId(1), MakeTasks(1, 4));
@@ -251,4 +297,43 @@
   cr_assert_eq(cluster.running(9), 0);
 }
 
+Test(shrinking_capacity, minion_that_drains_while_answers_of_the_write_are_lost_gets_no_start) {
+  ShrinkingCluster cluster(1, 1);
+  cluster.DecideWhileCommitsFail(MakeTasks(1, 8), StoreFault::kAnswerLost, kLostAnswers);
+  cluster.minions.SetDraining(Minion(0));
+  cluster.RunInTurn(kFailingTime);
+  cr_assert_eq(cluster.node(0).minions().starts(), 0);
+}
+
+Test(shrinking_capacity, start_is_not_repeated_once_the_minion_is_known_to_drain) {
+  ShrinkingCluster cluster(1, 1);
+  cluster.minions.FailNextOrders(Minion(0), {OrderFault::kLost});
+  cluster.Submit(MakeJobId(1), MakeTasks(1, 8));
+  cluster.RunInTurn(Milliseconds(100));
+  cluster.minions.SetDraining(Minion(0));
+  cluster.RunInTurn(Milliseconds(4'000));
+  cr_assert_eq(cluster.node(0).minions().starts(), 1);
+}
+
+Test(shrinking_capacity, minion_in_a_zone_evacuated_while_answers_are_lost_gets_no_start) {
+  ShrinkingCluster cluster(1, 1);
+  cluster.DecideWhileCommitsFail(MakeTasks(1, 8), StoreFault::kAnswerLost, kLostAnswers);
+  cluster.store.Put("op/evacuate/a", "{}");
+  cluster.minions.SetEvacuatedSince(cluster.timers.clock().Now());
+  cluster.RunInTurn(kFailingTime);
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.node(0).minions().starts(), 0);
+}
+
+Test(shrinking_capacity, minion_reborn_while_answers_are_lost_gets_no_start_decided_before) {
+  ShrinkingCluster cluster(1, 1);
+  RegisteredJob job = MakeTasks(1, 8);
+  job.work.steps[0].required_label = "r0";
+  cluster.DecideWhileCommitsFail(job, StoreFault::kAnswerLost, kLostAnswers);
+  cluster.minions.Restart(Minion(0));
+  cluster.minions.SetRack(Minion(0), RackId("r9"));
+  cluster.RunInTurn(kFailingTime);
+  cr_assert_eq(cluster.node(0).minions().starts(), 0);
+}
+
 }  // namespace papayalift
