--- a/src/libraries/leader/job_journal.cc
+++ b/src/libraries/leader/job_journal.cc
@@ -147,6 +147,9 @@
 
 void JobJournal::SendWrite(TrackedJob& job) {
   job.write->sent_at = Now();
+  if (!job.write->may_have_applied) {
+    job.write->conditions_held_at = job.write->sent_at;
+  }
   m_store.Commit(job.write->transaction,
                  [weak = weak_from_this(), id = job.accepted.id](const CommitAnswer& answer) {
                    const std::shared_ptr<JobJournal> self = weak.lock();
@@ -161,6 +164,8 @@
   switch (answer.result) {
     case TransactionResult::kApplied:
       m_callbacks.on_confirmed(job.write->sent_at);
+      // Had an earlier send been applied, this one would have met its record.
+      job.write->conditions_held_at = job.write->sent_at;
       FinishWrite(job, answer.revision);
       return;
     case TransactionResult::kConflict:
--- a/src/libraries/leader/leader_session_journal.cc
+++ b/src/libraries/leader/leader_session_journal.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// A placement is discarded if its write was last sent longer ago than this when it is answered.
+/// A placement is discarded if its conditions held longer ago than this when its write is answered.
 constexpr Milliseconds kMaxPlacementAge{1'500};
 
 }  // namespace
@@ -42,7 +42,7 @@
 }
 
 void LeaderSession::OnStored(TrackedJob& job, const ProgressWrite& write) {
-  const bool is_too_old = Now() - write.sent_at > kMaxPlacementAge;
+  const bool is_too_old = Now() - write.conditions_held_at > kMaxPlacementAge;
   const std::set<int> obstructed_gangs = ObstructedGangs(job, write);
   for (const TaskName& name : write.placements) {
     const TaskProgress& task = *m_state.FindTask(name);
@@ -63,7 +63,7 @@
   }
   if (!write.placements.empty()) {
     // The write was conditional on the manifest's revision.
-    m_context.view.RecordConfirmation(write.sent_at);
+    m_context.view.RecordConfirmation(write.conditions_held_at);
   }
   EndJobIfSettled(job);
   for (const EndReference& end : write.ends) {
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -64,7 +64,11 @@
   std::string value;
   std::vector<TaskName> placements;
   std::vector<EndReference> ends;
+  /// When it was last sent.
   Milliseconds sent_at{0};
+  /// The earliest time at which the store may have applied it; its conditions held at that time or
+  /// later.
+  Milliseconds conditions_held_at{0};
   /// An earlier send of the same write was not answered.
   bool may_have_applied = false;
   bool removes_waiting_key = false;
--- a/tests/leader/shrinking_capacity_test.cc
+++ b/tests/leader/shrinking_capacity_test.cc
@@ -297,6 +297,37 @@
   cr_assert_eq(cluster.running(9), 0);
 }
 
+Test(shrinking_capacity, write_that_is_answered_late_starts_nothing_on_what_it_compared_before) {
+  ShrinkingCluster cluster(1, 1);
+  cluster.DecideWhileCommitsFail(MakeTasks(8, 1), StoreFault::kAnswerLost, kLostAnswers);
+  cluster.node(0).store().SetWatchesSilent(true);
+  cluster.SetRoom(0, kHalfRoom);
+  cluster.RunInTurn(kFailingTime);
+  AssertNoViolations(cluster);
+  cr_assert_leq(cluster.running(1), 4);
+}
+
+Test(shrinking_capacity, manifest_counts_as_known_from_when_a_write_answered_late_compared_it) {
+  TestCluster cluster(1, 1);
+  cluster.minions.SetCapacity(Minion(0), kNoRoom, Publication::kAtOnce);
+  cluster.Run(Milliseconds(300));
+  cluster.Submit(MakeJobId(1), MakeTasks(8, 1));
+  cluster.Run(Milliseconds(300));
+  cluster.node(0).store().FailNextCommits(
+      std::deque<StoreFault>(kLostAnswers, StoreFault::kAnswerLost));
+  cluster.minions.SetCapacity(Minion(0), kWholeRoom, Publication::kAtOnce);
+  cluster.Run(Milliseconds(200));
+  cluster.node(0).store().SetWatchesSilent(true);
+  cluster.PutManifest(2);
+  const Milliseconds changed_at = cluster.timers.clock().Now();
+  const ManifestView& view = cluster.node(0).view();
+  while (cluster.timers.clock().Now() < changed_at + kFailingTime) {
+    cluster.Run(Milliseconds(1));
+    const bool is_current = view.manifest()->version == ManifestVersion(2);
+    cr_assert(is_current || view.age() >= cluster.timers.clock().Now() - changed_at);
+  }
+}
+
 Test(shrinking_capacity, minion_that_drains_while_answers_of_the_write_are_lost_gets_no_start) {
   ShrinkingCluster cluster(1, 1);
   cluster.DecideWhileCommitsFail(MakeTasks(1, 8), StoreFault::kAnswerLost, kLostAnswers);
