Leader: Take no refused write's entries for news of the registry

Cause: a refused write shows the registrations that it compared, at most some 28. Each was also taken for news of the registry as a whole, so after 2.25 s the heartbeats of all minions that the write hadn't compared counted as overdue, and they got no work. It also hid the watch's silence, on which the jobs are read anew. Only the watch and a read of the whole registry say something of all minions.

Failed before: gang_larger_than_a_write_starts_where_it_fits_while_watches_are_silent The expression (cluster.running(1)) == (kMinions) is false.

--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -76,6 +76,7 @@
 }
 
 void LeaderSession::ApplyMinionItems(const ReadAnswer& answer) {
+  m_state.registry_heard_at = Now();
   for (auto& [id, minion] : m_state.minions) {
     const std::string key = m_context.schema.MinionKey(id);
     const bool is_listed = std::any_of(answer.items.begin(), answer.items.end(),
@@ -93,12 +94,12 @@
   if (change.kind == WriteKind::kDelete) {
     UnlistMinion(m_context.schema.MinionOfKey(change.item.key));
   } else {
+    m_state.registry_heard_at = Now();
     ApplyMinionItem(change.item);
   }
 }
 
 void LeaderSession::ApplyMinionItem(const StoreItem& item) {
-  m_state.registry_heard_at = Now();
   const MinionId id = m_context.schema.MinionOfKey(item.key);
   const std::uint64_t hash = Hash64(m_context.schema.WithoutCounters(item.value));
   if (TrackedMinion* const known = m_state.FindMinion(id);
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -154,7 +154,8 @@
   std::map<JobId, TrackedJob> jobs;
   std::map<MinionId, TrackedMinion> minions;
   std::set<ZoneId> evacuated_zones;
-  /// When any minion's entry was last received.
+  /// When the registry was last read or its watch last reported an entry. Entries that a refused
+  /// write shows do not count: they say nothing of the others.
   Milliseconds registry_heard_at{0};
   /// An entry has a new revision but is unchanged, so minions write theirs again and again, and one
   /// that is not received has not been written.
--- a/tests/leader/shrinking_capacity_test.cc
+++ b/tests/leader/shrinking_capacity_test.cc
@@ -164,6 +164,19 @@
   cr_assert_eq(cluster.minions.starts(), 0);
 }
 
+Test(shrinking_capacity, gang_larger_than_a_write_starts_where_it_fits_while_watches_are_silent) {
+  constexpr int kMinions = 40;
+  ShrinkingCluster cluster(1, kMinions);
+  cluster.node(0).store().SetWatchesSilent(true);
+  cluster.RunInTurn(Milliseconds(1'000));
+  cluster.SetAllRooms(kHalfRoom);
+  cluster.RunInTurn(kAfterShrink);
+  cluster.Submit(MakeJobId(1), MakeGang(kMinions, 4));
+  cluster.RunInTurn(Milliseconds(4'000));
+  AssertNoViolations(cluster);
+  cr_assert_eq(cluster.running(1), kMinions);
+}
+
 Test(shrinking_capacity, room_that_shrank_while_watches_were_silent_gets_only_what_fits) {
   ShrinkingCluster cluster(1, 2);
   cluster.node(0).store().SetWatchesSilent(true);
