Leader: Send no start on a registration that isn't known lately

Cause: a write compares the registrations that weren't heard lately, but at most some 25 of them (the store takes 32 entries); what lay beyond was left to the watch, however long it had been silent. And a registration that was heard lately when the write was built isn't compared, however long the write is refused before it is stored.

Fix: the leader keeps the time from which on it may lack changes of the registry: when the last watch call that brought changes, or the last whole read, was sent. A registration is known at that time, or when a write compared it. No order, first or repeated, is sent if that is longer ago than registration_freshness (drainMs less the margin, which is less than contactMs); the registry is read anew instead, once at a time, and the plan made again. A write compares what has been known for less than half of that, so that time is left for the write. As the watch covers all minions, one heartbeat of any tells that the others' registrations stand; before, each minion's own was needed, and those between beats were compared and refused for no reason. A read without new entries no longer counts as heartbeats (registry_read_again_without_news_leaves_all_minions_in_use fails if it does).

--- a/src/libraries/leader/job_journal.cc
+++ b/src/libraries/leader/job_journal.cc
@@ -5,6 +5,7 @@
 
 #include "libraries/journal/job_progress_codec.h"
 #include "libraries/journal/journal_keys.h"
+#include "libraries/leader/minion_usability.h"
 #include "libraries/log/log_event.h"
 
 namespace papayalift {
@@ -129,18 +130,20 @@
   }
   for (const MinionId& id : minions) {
     const TrackedMinion& minion = *m_state.FindMinion(id);
-    if (Now() - minion.entry_heard_at < m_registration_freshness) {
-      // NOTE: each heartbeat of a minion gives its registration a new revision, so comparing it
-      // would refuse many placements for no reason.
+    if (Now() - RegistrationKnownAt(m_state, minion) < m_registration_freshness / 2) {
+      // NOTE: half of the time is left for the write and the orders. Each heartbeat of a minion
+      // gives its registration a new revision, so comparing it would refuse many placements for no
+      // reason.
       continue;
     }
     const std::size_t entries =
         write.transaction.comparisons().size() + write.transaction.writes().size();
     if (entries + kReservedEntries >= kMaxTransactionEntries) {
-      // NOTE: registrations beyond the limit are not compared; changes to them are only detected by
-      // the watch on the registry.
+      // NOTE: registrations beyond the limit are not compared. If they are not known lately by the
+      // time of the orders, no order is sent and the registry is read anew.
       break;
     }
+    write.compared_minions.push_back(id);
     write.transaction.Expect(m_schema.MinionKey(id), minion.entry_revision);
   }
 }
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -31,9 +31,9 @@
 
 struct LeaderSettings {
   SupervisorSettings supervisor;
-  /// A placement does not depend on the revision of a minion's registration that was received
-  /// within this time. Must be less than the time within which minions that drain get no more work.
-  Milliseconds registration_freshness{0};
+  /// No start is sent unless it is known how its minion's registration stood in the store within
+  /// this time. Must be less than the time within which minions that drain get no more work.
+  Milliseconds registration_freshness{1'500};
   /// A minion gets no work if heartbeats of others have arrived since its last one for this long.
   Milliseconds max_heartbeat_age{2'250};
   /// How long the records of a job are kept after it has ended.
@@ -71,9 +71,14 @@
 
   // Loading and watching the stored state.
   void LoadPrefix(std::size_t index);
-  void OnPrefixLoaded(std::size_t index, const ReadAnswer& answer);
+  void OnPrefixLoaded(std::size_t index, Milliseconds sent_at, const ReadAnswer& answer);
   void WatchPrefix(std::size_t index, Revision after);
-  void OnPrefixChanged(std::size_t index, Revision after, const WatchAnswer& answer);
+  void OnPrefixChanged(std::size_t index, Revision after, Milliseconds sent_at,
+                       const WatchAnswer& answer);
+  /// Records that the prefix is known as the store held it at `sent_at`.
+  void RecordKnown(const WatchedPrefix& watched, Milliseconds sent_at);
+  /// Reads the registry anew if a start was held back because it is not known lately.
+  void RereadRegistry();
   void RetryLater(std::function<void(LeaderSession&)> action);
   /// Reads the accepted jobs and the operator's keys again while the store answers but its watches
   /// report no heartbeats. Load that it answers: a store about to forget its history leaves watches
@@ -83,6 +88,8 @@
   void ApplyProgressItems(const ReadAnswer& answer);
   void ApplyAcceptedItems(const ReadAnswer& answer);
   void ApplyAcceptedChange(const WatchedChange& change);
+  /// Whether any entry was written since it was last received.
+  bool HasNewEntries(const ReadAnswer& answer);
   void ApplyMinionItems(const ReadAnswer& answer);
   void ApplyMinionChange(const WatchedChange& change);
   void ApplyOperatorItems(const ReadAnswer& answer);
@@ -95,8 +102,10 @@
   void RestoreRuns(TrackedJob& job);
 
   /// Why the run must not be started, by the registration of its minion as known now; nullopt if it
-  /// may. Checked before each order, so that no start depends on older knowledge than its order.
-  std::optional<std::string> ObstacleToStart(const TrackedRun& run) const;
+  /// may. Checked before each order, so that no start depends on older knowledge than its order. If
+  /// the registration is not known lately, the registry is read anew.
+  std::optional<std::string> ObstacleToStart(const TrackedRun& run);
+  void ConfirmRegistration(const MinionId& id, Milliseconds at);
   /// The steps with gangs of which a placement in the write has an obstacle.
   std::set<int> ObstructedGangs(const TrackedJob& job, const ProgressWrite& write);
 
@@ -142,6 +151,7 @@
   bool m_has_started = false;
   bool m_is_closed = false;
   bool m_is_plan_scheduled = false;
+  bool m_is_registry_read_in_flight = false;
   Milliseconds m_last_plan_duration{0};
   std::shared_ptr<JobJournal> m_journal;
   std::shared_ptr<RunSupervisor> m_supervisor;
--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -75,8 +75,17 @@
   SchedulePlan();
 }
 
+bool LeaderSession::HasNewEntries(const ReadAnswer& answer) {
+  return std::any_of(answer.items.begin(), answer.items.end(), [this](const StoreItem& item) {
+    const TrackedMinion* const known = m_state.FindMinion(m_context.schema.MinionOfKey(item.key));
+    return known == nullptr || item.revision > known->entry_revision;
+  });
+}
+
 void LeaderSession::ApplyMinionItems(const ReadAnswer& answer) {
-  m_state.registry_heard_at = Now();
+  if (HasNewEntries(answer)) {
+    m_state.registry_heard_at = Now();
+  }
   for (auto& [id, minion] : m_state.minions) {
     const std::string key = m_context.schema.MinionKey(id);
     const bool is_listed = std::any_of(answer.items.begin(), answer.items.end(),
@@ -104,9 +113,11 @@
   const std::uint64_t hash = Hash64(m_context.schema.WithoutCounters(item.value));
   if (TrackedMinion* const known = m_state.FindMinion(id);
       known != nullptr && known->entry.has_value() && known->entry_hash == hash) {
-    m_state.has_heartbeats = m_state.has_heartbeats || item.revision > known->entry_revision;
-    known->entry_revision = std::max(known->entry_revision, item.revision);
-    known->entry_heard_at = Now();
+    if (item.revision > known->entry_revision) {
+      m_state.has_heartbeats = true;
+      known->entry_revision = item.revision;
+      known->entry_heard_at = Now();
+    }
     return;
   }
   absl::StatusOr<MinionEntry> entry = m_context.schema.DecodeMinion(id, item.value);
--- a/src/libraries/leader/leader_session_journal.cc
+++ b/src/libraries/leader/leader_session_journal.cc
@@ -12,8 +12,18 @@
 
 }  // namespace
 
-std::optional<std::string> LeaderSession::ObstacleToStart(const TrackedRun& run) const {
+void LeaderSession::ConfirmRegistration(const MinionId& id, Milliseconds at) {
+  if (TrackedMinion* const minion = m_state.FindMinion(id); minion != nullptr) {
+    minion->entry_confirmed_at = std::max(minion->entry_confirmed_at, at);
+  }
+}
+
+std::optional<std::string> LeaderSession::ObstacleToStart(const TrackedRun& run) {
   const TrackedMinion& minion = m_state.minions.at(run.minion);
+  if (Now() - RegistrationKnownAt(m_state, minion) > m_settings.registration_freshness) {
+    RereadRegistry();
+    return "its minion's registration is not known lately";
+  }
   if (!minion.entry.has_value()) {
     return "its minion has left the registry";
   }
@@ -34,7 +44,16 @@
   for (const TaskName& name : write.placements) {
     const WorkStepKind kind = job.accepted.work.steps[static_cast<std::size_t>(name.step)].kind;
     const TrackedRun* const run = m_state.FindRun(name, m_state.FindTask(name)->attempt);
-    if (kind == WorkStepKind::kGang && run != nullptr && ObstacleToStart(*run).has_value()) {
+    if (kind != WorkStepKind::kGang || run == nullptr || obstructed.contains(name.step)) {
+      continue;
+    }
+    if (const std::optional<std::string> obstacle = ObstacleToStart(*run)) {
+      LogEvent(LogLevel::kWarning, "leader", "the starts of a gang are not sent")
+          .Job(name.job)
+          .Field("step", name.step)
+          .Field("minion", run->minion.text())
+          .Reason(*obstacle)
+          .Write();
       obstructed.insert(name.step);
     }
   }
@@ -43,6 +62,9 @@
 
 void LeaderSession::OnStored(TrackedJob& job, const ProgressWrite& write) {
   const bool is_too_old = Now() - write.conditions_held_at > kMaxPlacementAge;
+  for (const MinionId& id : write.compared_minions) {
+    ConfirmRegistration(id, write.conditions_held_at);
+  }
   const std::set<int> obstructed_gangs = ObstructedGangs(job, write);
   for (const TaskName& name : write.placements) {
     const TaskProgress& task = *m_state.FindTask(name);
@@ -91,6 +113,7 @@
         UnlistMinion(m_context.schema.MinionOfKey(item.key));
       } else {
         ApplyMinionItem(item);
+        ConfirmRegistration(m_context.schema.MinionOfKey(item.key), write.sent_at);
       }
     }
   }
--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -24,16 +24,18 @@
 }  // namespace
 
 void LeaderSession::LoadPrefix(std::size_t index) {
-  m_context.store.ReadAll(m_watched_prefixes[index].prefix,
-                          [weak = weak_from_this(), index](const ReadAnswer& answer) {
-                            const Self self = weak.lock();
-                            if (self != nullptr && !self->m_is_closed) {
-                              self->OnPrefixLoaded(index, answer);
-                            }
-                          });
+  m_context.store.ReadAll(
+      m_watched_prefixes[index].prefix,
+      [weak = weak_from_this(), index, sent_at = Now()](const ReadAnswer& answer) {
+        const Self self = weak.lock();
+        if (self != nullptr && !self->m_is_closed) {
+          self->OnPrefixLoaded(index, sent_at, answer);
+        }
+      });
 }
 
-void LeaderSession::OnPrefixLoaded(std::size_t index, const ReadAnswer& answer) {
+void LeaderSession::OnPrefixLoaded(std::size_t index, Milliseconds sent_at,
+                                   const ReadAnswer& answer) {
   WatchedPrefix& watched = m_watched_prefixes[index];
   if (answer.result != ReadResult::kOk) {
     LogReadFailure(watched.prefix, answer.error);
@@ -41,6 +43,7 @@
     return;
   }
   (this->*watched.apply_items)(answer);
+  RecordKnown(watched, sent_at);
   watched.is_loaded = true;
   WatchPrefix(index, answer.revision);
   StartIfLoaded();
@@ -48,16 +51,18 @@
 }
 
 void LeaderSession::WatchPrefix(std::size_t index, Revision after) {
-  m_context.store.Watch(m_watched_prefixes[index].prefix, after, kWatchWait,
-                        [weak = weak_from_this(), index, after](const WatchAnswer& answer) {
-                          const Self self = weak.lock();
-                          if (self != nullptr && !self->m_is_closed) {
-                            self->OnPrefixChanged(index, after, answer);
-                          }
-                        });
+  m_context.store.Watch(
+      m_watched_prefixes[index].prefix, after, kWatchWait,
+      [weak = weak_from_this(), index, after, sent_at = Now()](const WatchAnswer& answer) {
+        const Self self = weak.lock();
+        if (self != nullptr && !self->m_is_closed) {
+          self->OnPrefixChanged(index, after, sent_at, answer);
+        }
+      });
 }
 
-void LeaderSession::OnPrefixChanged(std::size_t index, Revision after, const WatchAnswer& answer) {
+void LeaderSession::OnPrefixChanged(std::size_t index, Revision after, Milliseconds sent_at,
+                                    const WatchAnswer& answer) {
   const WatchedPrefix& watched = m_watched_prefixes[index];
   if (answer.result == WatchResult::kCompacted) {
     LogEvent(LogLevel::kWarning, "leader", "the store has forgotten changes; reading anew")
@@ -75,6 +80,8 @@
     (this->*watched.apply_change)(change);
   }
   if (!answer.changes.empty()) {
+    // NOTE: a watch without changes shows nothing: the store may be about to forget its history.
+    RecordKnown(watched, sent_at);
     StartIfLoaded();
   }
   const Revision next = std::max(after, answer.revision);
@@ -99,6 +106,35 @@
   });
 }
 
+void LeaderSession::RecordKnown(const WatchedPrefix& watched, Milliseconds sent_at) {
+  if (watched.prefix == m_context.schema.MinionPrefix()) {
+    m_state.registry_known_at = std::max(m_state.registry_known_at, sent_at);
+  }
+}
+
+void LeaderSession::RereadRegistry() {
+  if (m_is_registry_read_in_flight) {
+    return;
+  }
+  m_is_registry_read_in_flight = true;
+  m_context.store.ReadAll(m_context.schema.MinionPrefix(),
+                          [weak = weak_from_this(), sent_at = Now()](const ReadAnswer& answer) {
+                            const Self self = weak.lock();
+                            if (self == nullptr || self->m_is_closed) {
+                              return;
+                            }
+                            self->m_is_registry_read_in_flight = false;
+                            if (answer.result != ReadResult::kOk) {
+                              LogReadFailure(self->m_context.schema.MinionPrefix(), answer.error);
+                              return;
+                            }
+                            self->ApplyMinionItems(answer);
+                            self->m_state.registry_known_at =
+                                std::max(self->m_state.registry_known_at, sent_at);
+                            self->SchedulePlan();
+                          });
+}
+
 void LeaderSession::RereadIfWatchesAreSilent() {
   if (!m_state.has_heartbeats || Now() - m_state.registry_heard_at < kMaxWatchSilence ||
       m_context.election.contact_age() >= kMaxWatchSilence) {
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -63,6 +63,8 @@
   Transaction transaction;
   std::string value;
   std::vector<TaskName> placements;
+  /// Minions whose registrations the write compares.
+  std::vector<MinionId> compared_minions;
   std::vector<EndReference> ends;
   /// When it was last sent.
   Milliseconds sent_at{0};
@@ -117,6 +119,8 @@
   std::uint64_t entry_hash = 0;
   /// When the entry, changed or not, was last received from the store.
   Milliseconds entry_heard_at{0};
+  /// When a write that was conditional on the entry's revision last found it in the store.
+  Milliseconds entry_confirmed_at{0};
   std::string address;
   /// The incarnation that last answered a call of this term; 0 before the first answer.
   MinionIncarnation incarnation;
@@ -154,9 +158,11 @@
   std::map<JobId, TrackedJob> jobs;
   std::map<MinionId, TrackedMinion> minions;
   std::set<ZoneId> evacuated_zones;
-  /// When the registry was last read or its watch last reported an entry. Entries that a refused
-  /// write shows do not count: they say nothing of the others.
+  /// When the registry's watch, or a read of all of it, last showed an entry written since. Entries
+  /// that a refused write shows do not count: they say nothing of the others.
   Milliseconds registry_heard_at{0};
+  /// All changes of the registry before this time are known.
+  Milliseconds registry_known_at{0};
   /// An entry has a new revision but is unchanged, so minions write theirs again and again, and one
   /// that is not received has not been written.
   bool has_heartbeats = false;
--- a/src/libraries/leader/minion_usability.cc
+++ b/src/libraries/leader/minion_usability.cc
@@ -1,5 +1,7 @@
 #include "libraries/leader/minion_usability.h"
 
+#include <algorithm>
+
 namespace papayalift {
 
 namespace {
@@ -19,4 +21,8 @@
          !state.evacuated_zones.contains(minion.entry->zone);
 }
 
+Milliseconds RegistrationKnownAt(const LeaderState& state, const TrackedMinion& minion) {
+  return std::max(state.registry_known_at, minion.entry_confirmed_at);
+}
+
 }  // namespace papayalift
--- a/src/libraries/leader/minion_usability.h
+++ b/src/libraries/leader/minion_usability.h
@@ -12,4 +12,7 @@
 bool RegistryAllowsWork(const LeaderState& state, const TrackedMinion& minion,
                         Milliseconds max_heartbeat_age);
 
+/// The latest time at which the minion's registration is known to have been as it is held here.
+Milliseconds RegistrationKnownAt(const LeaderState& state, const TrackedMinion& minion);
+
 }  // namespace papayalift
--- a/src/services/edge_process.cc
+++ b/src/services/edge_process.cc
@@ -126,7 +126,7 @@
     LeaderSettings settings;
     settings.supervisor.longest_lease = m_settings.longest_lease;
     settings.registration_freshness =
-        std::max(Milliseconds(0), m_settings.drain_bound - kDrainMargin);
+        std::max(m_settings.drain_bound / 2, m_settings.drain_bound - kDrainMargin);
     settings.max_heartbeat_age = m_settings.heartbeat_interval + m_settings.heartbeat_interval / 2;
     // Jobs are kept longer than configured, so that one that has long ended can still be queried.
     constexpr int kRetentionTimes = 2;
--- a/tests/leader/shrinking_capacity_test.cc
+++ b/tests/leader/shrinking_capacity_test.cc
@@ -154,9 +154,14 @@
 Test(shrinking_capacity, gang_larger_than_a_write_starts_on_no_room_that_shrank_unseen) {
   constexpr int kMinions = 40;
   ShrinkingCluster cluster(1, kMinions);
+  cluster.Run(Milliseconds(200));
   cluster.node(0).store().SetWatchesSilent(true);
-  cluster.RunInTurn(Milliseconds(1'000));
-  cluster.SetAllRooms(kHalfRoom);
+  // The last in the order of ids, which a write compares last, is the only one with news.
+  const int last = 9;
+  for (int number = 0; number < kMinions; ++number) {
+    cluster.minions.SetCutOffFromStore(Minion(number), number != last);
+  }
+  cluster.SetRoom(last, kHalfRoom);
   cluster.RunInTurn(kAfterShrink);
   cluster.Submit(MakeJobId(1), MakeGang(kMinions, 8));
   cluster.RunInTurn(Milliseconds(4'000));
@@ -341,6 +346,27 @@
   }
 }
 
+Test(shrinking_capacity, registry_read_again_without_news_leaves_all_minions_in_use) {
+  ShrinkingCluster cluster(1, 4);
+  cluster.Run(Milliseconds(6'000));
+  cluster.store.Put("unrelated", "");
+  cluster.store.CompactHistory();
+  cluster.Run(Milliseconds(3'000));
+  cluster.Submit(MakeJobId(1), MakeTasks(4, 8));
+  cluster.Run(Milliseconds(1'000));
+  cr_assert_eq(cluster.running(1), 4);
+}
+
+Test(shrinking_capacity, write_that_is_refused_for_long_starts_nothing_on_what_it_did_not_compare) {
+  ShrinkingCluster cluster(1, 1);
+  cluster.DecideWhileCommitsFail(MakeTasks(8, 1), StoreFault::kRefused, kRefusals);
+  cluster.node(0).store().SetWatchesSilent(true);
+  cluster.SetRoom(0, kHalfRoom);
+  cluster.RunInTurn(kFailingTime);
+  AssertNoViolations(cluster);
+  cr_assert_leq(cluster.running(1), 4);
+}
+
 Test(shrinking_capacity, minion_that_drains_while_answers_of_the_write_are_lost_gets_no_start) {
   ShrinkingCluster cluster(1, 1);
   cluster.DecideWhileCommitsFail(MakeTasks(1, 8), StoreFault::kAnswerLost, kLostAnswers);
