Tests: Let rooms shrink under faults in any order

A property over shrinks (published at once, with the next heartbeat, or not at all while cut off from the store), growth, silent watches, forgotten history, lost and refused writes, lost and late orders, killed leaders and restarted minions, with the product's freshness and heartbeats in turn: no start over a room, none twice or after its end, and every job done at the end.

--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -28,13 +28,14 @@
   minion.capacity = capacity;
   minion.started_at = m_timers.clock().Now();
   m_minions[id] = minion;
-  Publish(minion);
+  Publish(m_minions[id]);
 }
 
-void FleetMinions::Publish(const Minion& minion) {
+void FleetMinions::Publish(Minion& minion) {
   if (minion.is_cut_off_from_store) {
     return;
   }
+  minion.published_at = m_timers.clock().Now();
   m_store.Put(
       "servers/" + minion.id.text(),
       fmt::format(R"({{"service":"pool","address":"{}","zone":"a","state":"{}","coldLeftMs":0,)"
@@ -69,8 +70,11 @@
   fresh.capacity = old.capacity;
   fresh.is_reachable = old.is_reachable;
   fresh.started_at = m_timers.clock().Now();
+  fresh.is_cut_off_from_store = old.is_cut_off_from_store;
+  fresh.published_at = old.published_at;
+  fresh.former_rooms = old.former_rooms;
   old = fresh;
-  Publish(fresh);
+  Publish(old);
 }
 
 void FleetMinions::SetReachable(const MinionId& id, bool is_reachable) {
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -74,6 +74,8 @@
   void SetCapacity(const MinionId& id, const Resources& capacity, Publication publication);
   /// While it is cut off from the store, the minion's entry stays as it is; orders still reach it.
   void SetCutOffFromStore(const MinionId& id, bool is_cut_off);
+  /// The platform removes the entry of a minion that has been silent for three heartbeat intervals.
+  void RemoveSilentEntries();
   void SetRack(const MinionId& id, const RackId& rack);
   void SetDraining(const MinionId& id);
   /// Kills all runs on the minion and starts a new incarnation under the same id at once.
@@ -131,13 +133,14 @@
     bool is_reachable = true;
     bool is_cut_off_from_store = false;
     std::vector<FormerRoom> former_rooms;
+    Milliseconds published_at{0};
     std::deque<OrderFault> faults;
     int heartbeats = 0;
   };
 
   OrderFault NextFault(Minion& minion);
   MinionTime ClockOf(const Minion& minion) const;
-  void Publish(const Minion& minion);
+  void Publish(Minion& minion);
   void CarryOutLater(const MinionId& id, std::function<void(Minion&)> action);
   OrderAnswer CarryOutStart(Minion& minion, const StartOrder& order, Milliseconds arrived_at);
   OrderAnswer CarryOutStop(Minion& minion, const StopOrder& order);
--- a/src/stand_ins/fleet/fleet_minions_room.cc
+++ b/src/stand_ins/fleet/fleet_minions_room.cc
@@ -28,6 +28,17 @@
   m_minions.at(id).is_cut_off_from_store = is_cut_off;
 }
 
+void FleetMinions::RemoveSilentEntries() {
+  constexpr int kSilentIntervals = 3;
+  const Milliseconds limit = m_shrink.heartbeat_interval * kSilentIntervals;
+  for (const auto& [id, minion] : m_minions) {
+    const std::string key = "servers/" + id.text();
+    if (m_timers.clock().Now() - minion.published_at > limit && m_store.Find(key) != nullptr) {
+      m_store.Remove(key);
+    }
+  }
+}
+
 void FleetMinions::SetRack(const MinionId& id, const RackId& rack) {
   m_minions.at(id).rack = rack;
   Publish(m_minions.at(id));
--- a/tests/leader/shrinking_capacity_test.cc
+++ b/tests/leader/shrinking_capacity_test.cc
@@ -50,6 +50,7 @@
         minions.SendHeartbeat(Minion(m_next_minion));
         m_next_minion = (m_next_minion + 1) % m_minion_count;
         m_next_heartbeat = timers.clock().Now() + pause;
+        minions.RemoveSilentEntries();
       }
       Run(std::min(end, m_next_heartbeat) - timers.clock().Now());
     }
@@ -99,6 +100,164 @@
   }
 }
 
+enum class Action {
+  kSubmitTasks,
+  kSubmitGang,
+  kSubmitGuaranteed,
+  kShrinkAtOnce,
+  kShrinkWithHeartbeat,
+  kGrow,
+  kCutOffFromStore,
+  kReconnectToStore,
+  kSilenceWatches,
+  kReportWatches,
+  kForgetHistory,
+  kLoseCommits,
+  kRefuseCommits,
+  kLoseOrders,
+  kDelayOrders,
+  kKillLeader,
+  kRestartMinion,
+  kRunBriefly,
+  kRunLonger,
+};
+constexpr int kActionKinds = static_cast<int>(Action::kRunLonger) + 1;
+
+/// Drives a cluster by numbers, each of which encodes an action and its parameter.
+class ShrinkingScenario {
+ public:
+  void Apply(int number) {
+    m_parameter = number / kActionKinds;
+    switch (static_cast<Action>(number % kActionKinds)) {
+      case Action::kSubmitTasks:
+        Submit(MakeTasks(1 + m_parameter % 12, 1 + m_parameter % 4), Priority(2));
+        break;
+      case Action::kSubmitGang:
+        Submit(MakeGang(1 + m_parameter % kMinions, 1 + m_parameter % 8), Priority(1));
+        break;
+      case Action::kSubmitGuaranteed:
+        Submit(MakeGang(1 + m_parameter % 2, 1 + m_parameter % 8), Priority(0));
+        break;
+      case Action::kShrinkAtOnce:
+        m_cluster.SetRoom(Chosen(), ChosenRoom());
+        break;
+      case Action::kShrinkWithHeartbeat:
+        m_cluster.SetRoom(Chosen(), ChosenRoom(), Publication::kWithNextHeartbeat);
+        break;
+      case Action::kGrow:
+        m_cluster.SetRoom(Chosen(), kWholeRoom);
+        break;
+      case Action::kCutOffFromStore:
+        m_cluster.minions.SetCutOffFromStore(Minion(Chosen()), true);
+        break;
+      case Action::kReconnectToStore:
+        m_cluster.minions.SetCutOffFromStore(Minion(Chosen()), false);
+        break;
+      case Action::kSilenceWatches:
+        SetWatchesSilent(true);
+        break;
+      case Action::kReportWatches:
+        SetWatchesSilent(false);
+        break;
+      case Action::kForgetHistory:
+        m_cluster.store.CompactHistory();
+        break;
+      case Action::kLoseCommits:
+        FailCommits(StoreFault::kAnswerLost, 1 + m_parameter % 6);
+        break;
+      case Action::kRefuseCommits:
+        FailCommits(StoreFault::kRefused, 1 + m_parameter % 40);
+        break;
+      case Action::kLoseOrders:
+        m_cluster.minions.FailNextOrders(
+            Minion(Chosen()), {OrderFault::kLost, OrderFault::kLost, OrderFault::kAnswerLost});
+        break;
+      case Action::kDelayOrders:
+        m_cluster.minions.FailNextOrders(Minion(Chosen()), {OrderFault::kLate, OrderFault::kLate});
+        break;
+      case Action::kKillLeader:
+        KillLeader();
+        break;
+      case Action::kRestartMinion:
+        m_cluster.minions.Restart(Minion(Chosen()));
+        break;
+      case Action::kRunBriefly:
+        m_cluster.RunInTurn(Milliseconds(1 + m_parameter % 40));
+        break;
+      case Action::kRunLonger:
+        m_cluster.RunInTurn(Milliseconds(100 + m_parameter * 5));
+        break;
+    }
+  }
+
+  /// Ends all faults, restores all rooms and advances the time until every job must have ended.
+  void Settle() {
+    SetWatchesSilent(false);
+    FailCommits(StoreFault::kNone, 0);
+    for (int number = 0; number < kMinions; ++number) {
+      m_cluster.minions.SetCutOffFromStore(Minion(number), false);
+      m_cluster.minions.FailNextOrders(Minion(number), {});
+      m_cluster.SetRoom(number, kWholeRoom);
+    }
+    m_cluster.RunInTurn(Milliseconds(60'000));
+  }
+
+  void Check() {
+    for (const std::string& violation : m_cluster.minions.violations()) {
+      RC_FAIL(violation);
+    }
+    for (const JobId& job : m_accepted) {
+      if (m_cluster.StateOf(job) != WorkState::kDone) {
+        RC_FAIL("job " + job.text() + " is not done");
+      }
+    }
+  }
+
+ private:
+  static constexpr int kMinions = 4;
+  static constexpr int kMaxJobs = 10;
+
+  int Chosen() const { return m_parameter % kMinions; }
+  Resources ChosenRoom() const { return Resources{1'000, 1'000, 1} * (m_parameter / kMinions % 8); }
+
+  void Submit(RegisteredJob job, Priority priority) {
+    if (m_jobs >= kMaxJobs) {
+      return;
+    }
+    job.duration = Milliseconds(200 + (m_parameter % 5) * 1'000);
+    const JobId id = MakeJobId(++m_jobs);
+    if (m_cluster.Submit(id, job, priority).kind == JobReplyKind::kAccepted) {
+      m_accepted.push_back(id);
+    }
+  }
+
+  void SetWatchesSilent(bool are_silent) {
+    for (std::size_t index = 0; index < m_cluster.size(); ++index) {
+      m_cluster.node(index).store().SetWatchesSilent(are_silent);
+    }
+  }
+
+  void FailCommits(StoreFault fault, int times) {
+    if (ClusterNode* const leader = m_cluster.leader(); leader != nullptr) {
+      leader->store().FailNextCommits(
+          std::deque<StoreFault>(static_cast<std::size_t>(times), fault));
+    }
+  }
+
+  void KillLeader() {
+    if (m_cluster.leader() != nullptr) {
+      const std::size_t index = m_cluster.leader_index();
+      m_cluster.Kill(index);
+      m_cluster.Restart(index);
+    }
+  }
+
+  ShrinkingCluster m_cluster{2, kMinions};
+  int m_parameter = 0;
+  int m_jobs = 0;
+  std::vector<JobId> m_accepted;
+};
+
 /// Number of failed commits after which a decided placement is older than a shrunken room counts.
 constexpr std::size_t kRefusals = 40;
 constexpr std::size_t kLostAnswers = 6;
@@ -406,4 +565,18 @@
   cr_assert_eq(cluster.node(0).minions().starts(), 0);
 }
 
+Test(shrinking_capacity, any_sequence_of_shrinks_and_faults_ends_every_job_within_the_rooms) {
+  const bool held = rc::check("rooms shrink and grow under faults in any order", [] {
+    ShrinkingScenario scenario;
+    const std::vector<int> numbers =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, kActionKinds * 1'000));
+    for (const int number : numbers) {
+      scenario.Apply(number);
+    }
+    scenario.Settle();
+    scenario.Check();
+  });
+  cr_assert(held);
+}
+
 }  // namespace papayalift
