--- a/src/libraries/leader/job_journal.cc
+++ b/src/libraries/leader/job_journal.cc
@@ -5,6 +5,7 @@
 
 #include "libraries/journal/job_progress_codec.h"
 #include "libraries/journal/journal_keys.h"
+#include "libraries/leader/minion_usability.h"
 #include "libraries/log/log_event.h"
 
 namespace papayalift {
@@ -129,24 +130,29 @@
   }
   for (const MinionId& id : minions) {
     const TrackedMinion& minion = *m_state.FindMinion(id);
-    if (Now() - minion.entry_heard_at < m_registration_freshness) {
-      // NOTE: each heartbeat of a minion gives its registration a new revision, so comparing it
-      // would refuse many placements for no reason.
+    if (Now() - RegistrationKnownAt(m_state, minion) < m_registration_freshness / 2) {
+      // NOTE: half of the time is left for the write and the orders. Each heartbeat of a minion
+      // gives its registration a new revision, so comparing it would refuse many placements for no
+      // reason.
       continue;
     }
     const std::size_t entries =
         write.transaction.comparisons().size() + write.transaction.writes().size();
     if (entries + kReservedEntries >= kMaxTransactionEntries) {
-      // NOTE: registrations beyond the limit are not compared; changes to them are only detected by
-      // the watch on the registry.
+      // NOTE: registrations beyond the limit are not compared. If they are not known lately by the
+      // time of the orders, no order is sent and the registry is read anew.
       break;
     }
+    write.compared_minions.push_back(id);
     write.transaction.Expect(m_schema.MinionKey(id), minion.entry_revision);
   }
 }
 
 void JobJournal::SendWrite(TrackedJob& job) {
   job.write->sent_at = Now();
+  if (!job.write->may_have_applied) {
+    job.write->conditions_held_at = job.write->sent_at;
+  }
   m_store.Commit(job.write->transaction,
                  [weak = weak_from_this(), id = job.accepted.id](const CommitAnswer& answer) {
                    const std::shared_ptr<JobJournal> self = weak.lock();
@@ -161,6 +167,8 @@
   switch (answer.result) {
     case TransactionResult::kApplied:
       m_callbacks.on_confirmed(job.write->sent_at);
+      // Had an earlier send been applied, this one would have met its record.
+      job.write->conditions_held_at = job.write->sent_at;
       FinishWrite(job, answer.revision);
       return;
     case TransactionResult::kConflict:
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -71,8 +71,14 @@
   Transaction transaction;
   std::string value;
   std::vector<TaskName> placements;
+  /// Minions whose registrations the write compares.
+  std::vector<MinionId> compared_minions;
   std::vector<EndReference> ends;
+  /// When it was last sent.
   Milliseconds sent_at{0};
+  /// The earliest time at which the store may have applied it; its conditions held at that time or
+  /// later.
+  Milliseconds conditions_held_at{0};
   /// An earlier send of the same write was not answered.
   bool may_have_applied = false;
   bool removes_waiting_key = false;
@@ -136,6 +142,8 @@
   Milliseconds registered_at{0};
   /// When the entry, changed or not, was last received from the store.
   Milliseconds entry_heard_at{0};
+  /// When a write that was conditional on the entry's revision last found it in the store.
+  Milliseconds entry_confirmed_at{0};
   std::string address;
   /// The incarnation that last answered a call of this term; 0 before the first answer.
   MinionIncarnation incarnation;
@@ -182,8 +190,11 @@
   std::map<JobId, TrackedJob> jobs;
   std::map<MinionId, TrackedMinion> minions;
   std::set<ZoneId> evacuated_zones;
-  /// When any minion's entry was last received.
+  /// When the registry's watch, or a read of all of it, last showed an entry written since. Entries
+  /// that a refused write shows do not count: they say nothing of the others.
   Milliseconds registry_heard_at{0};
+  /// All changes of the registry before this time are known.
+  Milliseconds registry_known_at{0};
   /// An entry has a new revision but is unchanged, so minions write theirs again and again, and one
   /// that is not received has not been written.
   bool has_heartbeats = false;
--- a/src/libraries/planner/plan_capacity.cc
+++ b/src/libraries/planner/plan_capacity.cc
@@ -12,6 +12,11 @@
                    std::min(left.accelerators, right.accelerators)};
 }
 
+/// 0 if more is allocated than the minion has: it may have shrunk below what runs there.
+std::int64_t FreeAcceleratorsOf(const MinionCapacity& capacity) {
+  return std::max<std::int64_t>(0, capacity.free.accelerators);
+}
+
 }  // namespace
 
 PlanCapacity::PlanCapacity(const PlanSnapshot& snapshot) {
@@ -26,7 +31,7 @@
     const Resources free_after_stops = minion.free + minion.being_freed;
     m_minions.push_back(MinionCapacity{
         &minion, minion.free, free_after_stops, free_after_stops, {}, minion.is_idle});
-    m_free_accelerators += minion.free.accelerators;
+    m_free_accelerators += FreeAcceleratorsOf(m_minions.back());
     total += minion.capacity;
     free += minion.free;
   }
@@ -65,11 +70,12 @@
 
 void PlanCapacity::Allocate(const MinionId& id, const Resources& needs) {
   MinionCapacity& capacity = *Find(id);
+  m_free_accelerators -= FreeAcceleratorsOf(capacity);
   capacity.free -= needs;
   capacity.free_after_stops -= needs;
   capacity.free_after_reclaim -= needs;
   capacity.is_idle = false;
-  m_free_accelerators -= needs.accelerators;
+  m_free_accelerators += FreeAcceleratorsOf(capacity);
 }
 
 void PlanCapacity::Occupy(const MinionId& id) {
@@ -82,9 +88,9 @@
   capacity.free_after_stops -= needs;
   capacity.free_after_reclaim -= needs;
   capacity.is_idle = false;
-  m_free_accelerators -= capacity.free.accelerators;
+  m_free_accelerators -= FreeAcceleratorsOf(capacity);
   capacity.free = Least(capacity.free, capacity.free_after_stops);
-  m_free_accelerators += capacity.free.accelerators;
+  m_free_accelerators += FreeAcceleratorsOf(capacity);
 }
 
 void PlanCapacity::AddBeingFreed(const MinionId& id, const Resources& freed) {
--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -30,10 +30,14 @@
   minion.capacity = capacity;
   minion.started_at = m_timers.clock().Now();
   m_minions[id] = minion;
-  Publish(minion);
+  Publish(m_minions[id]);
 }
 
-void FleetMinions::Publish(const Minion& minion) {
+void FleetMinions::Publish(Minion& minion) {
+  if (minion.is_cut_off_from_store) {
+    return;
+  }
+  minion.published_at = m_timers.clock().Now();
   m_store.Put(
       "servers/" + minion.id.text(),
       fmt::format(R"({{"service":"pool","address":"{}","zone":"{}","state":"{}","coldLeftMs":0,)"
@@ -47,11 +51,8 @@
 }
 
 void FleetMinions::SendHeartbeats() {
-  for (auto& [id, minion] : m_minions) {
-    if (minion.is_reachable && !minion.outage.has_value()) {
-      ++minion.heartbeats;
-      Publish(minion);
-    }
+  for (const auto& [id, minion] : m_minions) {
+    SendHeartbeat(id);
   }
 }
 
@@ -213,7 +214,7 @@
     AddViolation("unasked", order.task);
     return;
   }
-  if (step != nullptr && !(AllocatedOn(minion) + step->needs).Fits(minion.capacity)) {
+  if (step != nullptr && !FitsRoom(minion, AllocatedOn(minion) + step->needs, arrived_at)) {
     AddViolation("over capacity on " + minion.id.text(), order.task);
   }
   if (m_acknowledged_done.contains(order.task)) {
--- a/src/stand_ins/fleet/fleet_minions_crashes.cc
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -39,6 +39,9 @@
   fresh.capacity = old.capacity;
   fresh.address = old.address;
   fresh.is_reachable = old.is_reachable;
+  fresh.is_cut_off_from_store = old.is_cut_off_from_store;
+  fresh.published_at = old.published_at;
+  fresh.former_rooms = old.former_rooms;
   return fresh;
 }
 
