Leader: Log how young and how certain a lost run was

Cause: whether a task may have crashed its minion depends on how long before the minion's first failed call its start was ordered, and on whether the minion confirmed it.

Ruled out: the last start alone.

Change: the line has the time since the order (since_order_ms) and whether a report or an answer confirmed the run. No decision reads them.

Checked: leader_test and cluster_property_test pass.

--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -147,6 +147,8 @@
       .Field("task", FormatTaskName(run.task))
       .Field("attempt", run.attempt.value())
       .Field("minion", run.minion.text())
+      .Field("since_order_ms", (Now() - run.ordered_at).count())
+      .Field("confirmed", run.answered_at.has_value() ? 1 : 0)
       .Reason(reason)
       .Write();
   TrackedJob* const job = m_state.FindJob(run.task.job);
