Leader: Count a minion that was back before a crash as sound, and give up after three crashes

Cause: an outage was told by when a minion was lost, whether or not it was back since. And the limit for crashes of uncertain cause left no room for one that is excused: the rule allows five starts. Change: a minion that had started anew before the crash counts as sound; three crashes of any cause are enough. A minion that the registry shows with a new incarnation was lost when it was last heard, not when it came back.

--- a/src/libraries/leader/crash_attribution.cc
+++ b/src/libraries/leader/crash_attribution.cc
@@ -15,7 +15,7 @@
 /// Other minions that must have vanished for a loss to count as an outage.
 constexpr int kMinOthersInOutage = 2;
 constexpr int kMaxCrashesOfOneJob = 2;
-constexpr int kMaxCrashes = 4;
+constexpr int kMaxCrashes = 3;
 
 /// When the minion was lost, if it did not announce that it would leave.
 std::optional<Milliseconds> VanishedAt(const TrackedMinion& minion) {
@@ -48,6 +48,12 @@
          (silence.has_value() && (silence->was_refused || silence->was_replaced));
 }
 
+/// Whether the minion had already started anew at the time.
+bool WasBack(const TrackedMinion& minion, Milliseconds at) {
+  return !minion.silence.has_value() && minion.vanished_at.has_value() &&
+         minion.registered_at > *minion.vanished_at && minion.registered_at < at;
+}
+
 bool IsNear(Milliseconds left, Milliseconds right) {
   return std::max(left, right) - std::min(left, right) <= kOutageWindow;
 }
@@ -165,7 +171,7 @@
       continue;
     }
     const std::optional<Milliseconds> vanished_at = VanishedAt(minion);
-    if (vanished_at.has_value() && IsNear(*vanished_at, crash.at)) {
+    if (vanished_at.has_value() && IsNear(*vanished_at, crash.at) && !WasBack(minion, crash.at)) {
       health.vanished += IsExplainedByStart(minion, crash) ? 0 : 1;
     } else if (std::max(minion.entry_heard_at, minion.last_report_at) > crash.at) {
       ++health.sound;
--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -147,7 +147,7 @@
     minion.registered_at = Now();
   }
   if (is_registration && minion.entry.has_value()) {
-    minion.vanished_at = Now();
+    minion.vanished_at = minion.entry_heard_at;
   }
   minion.id = id;
   minion.zone = entry->zone;
