--- a/tests/leader/crash_sequence_test.cc
+++ b/tests/leader/crash_sequence_test.cc
@@ -30,4 +30,11 @@
   ExpectHolds({0, 4023, 1'001'093, 1'001'580, 449, 0, 0, 1'001'229});
 }
 
+// Crashes before the answer to the start counted as those of several jobs, of which four are
+// needed.
+Test(crash_sequence, deadly_task_whose_starts_are_not_answered_is_given_up_within_its_budget) {
+  ExpectHolds({1'000'000, 3914, 0, 0, 1'000'609});
+  ExpectHolds({1'000'000, 965, 1'002'348, 2673, 1'000'793});
+}
+
 }  // namespace papayalift
