--- a/src/libraries/journal/job_progress.h
+++ b/src/libraries/journal/job_progress.h
@@ -25,14 +25,14 @@
   /// Number of failed attempts. A failed attempt of a gang counts for all its members.
   int failures = 0;
   AttemptNumber last_failed;
-  /// Minions that crashed when they started the task.
-  int crashes = 0;
-  /// Those of them that only this job can have crashed.
-  int crashes_of_one_job = 0;
   std::string checkpoint;
   /// Minion and incarnation that the attempt is placed on; only set while the phase is kPlaced.
   MinionId minion;
   MinionIncarnation incarnation;
+  /// Minions that crashed when they started the task.
+  int crashes = 0;
+  /// Those of them that only this job can have crashed.
+  int crashes_of_one_job = 0;
 
   bool operator==(const TaskProgress&) const = default;
 };
--- a/tests/journal/journal_codec_test.cc
+++ b/tests/journal/journal_codec_test.cc
@@ -23,6 +23,32 @@
   cr_assert(DecodeWorkState(EncodeJobProgress(progress)).value() == WorkState::kRunning);
 }
 
+Test(journal_codec, crash_counts_are_kept_while_a_task_waits_and_while_it_is_placed) {
+  JobProgress progress;
+  progress.state = WorkState::kRunning;
+  progress.steps.resize(1);
+  progress.steps[0].tasks.resize(2);
+  for (TaskProgress& task : progress.steps[0].tasks) {
+    task.attempt = AttemptNumber(2);
+    task.crashes = 2;
+    task.crashes_of_one_job = 1;
+  }
+  progress.steps[0].tasks[1].phase = TaskPhase::kPlaced;
+  progress.steps[0].tasks[1].minion = MinionId("m");
+  progress.steps[0].tasks[1].incarnation = MinionIncarnation(1'700);
+  cr_assert(DecodeJobProgress(EncodeJobProgress(progress)).value() == progress);
+}
+
+Test(journal_codec, progress_without_crash_counts_is_decoded) {
+  const JobProgress progress =
+      DecodeJobProgress(
+          R"({"state":"running","ended_at_ms":0,"steps":[[[true,3,1,2,"c","m",17]]]})")
+          .value();
+  cr_assert(progress.steps[0].tasks[0].phase == TaskPhase::kPlaced);
+  cr_assert(progress.steps[0].tasks[0].incarnation == MinionIncarnation(17));
+  cr_assert_eq(progress.steps[0].tasks[0].crashes, 0);
+}
+
 Test(journal_codec, encoded_accepted_job_is_decoded_unchanged) {
   AcceptedJob job;
   job.id = JobId("0123456789abcdef");
--- a/tests/leader/job_request_deadline_test.cc
+++ b/tests/leader/job_request_deadline_test.cc
@@ -28,7 +28,7 @@
 
 SeenRepliesPointer Send(TestCluster& cluster, ClusterNode& node, JobRequestKind kind,
                         Milliseconds budget = kBudget) {
-  const SeenRepliesPointer seen = std::make_shared<SeenReplies>();
+  SeenRepliesPointer seen = std::make_shared<SeenReplies>();
   const Milliseconds sent_at = cluster.timers.clock().Now();
   JobRequest request;
   request.kind = kind;
@@ -186,6 +186,7 @@
   cluster.store.CompactHistory();
   cluster.Restart(0);
   std::vector<SeenRepliesPointer> queries;
+  queries.reserve(kQueries);
   for (int query = 0; query < kQueries; ++query) {
     queries.push_back(Send(cluster, cluster.node(0), JobRequestKind::kQuery));
   }
