--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -141,16 +141,18 @@
 }
 
 void LeaderSession::OnLost(const TrackedRun& run, RunLoss loss, const std::string& reason) {
-  LogEvent(LogLevel::kWarning, "runs",
-           loss == RunLoss::kNeverStarted ? "a run never started" : "a run is lost")
-      .Job(run.task.job)
+  LogEvent event(LogLevel::kWarning, "runs",
+                 loss == RunLoss::kNeverStarted ? "a run never started" : "a run is lost");
+  event.Job(run.task.job)
       .Field("task", FormatTaskName(run.task))
       .Field("attempt", run.attempt.value())
       .Field("minion", run.minion.text())
-      .Field("since_order_ms", (Now() - run.ordered_at).count())
       .Field("confirmed", run.answered_at.has_value() ? 1 : 0)
-      .Reason(reason)
-      .Write();
+      .Reason(reason);
+  if (run.orders_sent > 0) {
+    event.Field("since_order_ms", (Now() - run.ordered_at).count());
+  }
+  event.Write();
   TrackedJob* const job = m_state.FindJob(run.task.job);
   TaskProgress* const task = m_state.FindTask(run.task);
   if (job == nullptr || task == nullptr) {
--- a/tests/loop/async_http_test.cc
+++ b/tests/loop/async_http_test.cc
@@ -88,7 +88,9 @@
   AsyncHttpCall call = fixture.Call(HttpMethod::kPost, "/");
   // Nothing listens on the discard port.
   call.call.url = "http://127.0.0.1:9/";
-  cr_assert(fixture.Send(std::move(call)).result == HttpCallResult::kNotSent);
+  const HttpOutcome outcome = fixture.Send(std::move(call));
+  cr_assert(outcome.result == HttpCallResult::kNotSent);
+  cr_assert(outcome.is_connection_refused);
 }
 
 Test(async_http, late_response_to_disconnected_client_is_ignored) {
--- a/tests/planner/task_planner_test.cc
+++ b/tests/planner/task_planner_test.cc
@@ -2,6 +2,10 @@
 
 #include <criterion/criterion.h>
 
+#include <map>
+#include <set>
+#include <string>
+
 namespace papayalift {
 
 namespace {
@@ -291,4 +295,117 @@
   cr_assert(plan.starts[0].job == JobId("urgent"));
 }
 
+namespace {
+
+/// The fixture with one suspected task, which waits for a minion without runs.
+struct IsolationFixture : PlannerFixture {
+  IsolationFixture() {
+    for (PlanMinion& minion : snapshot.minions) {
+      minion.is_idle = true;
+    }
+    PendingStep& pending = AddPendingStep("suspect", WorkStepKind::kIndependentTasks, 1, 1);
+    pending.isolated = {0};
+    pending.max_isolation_wait = Milliseconds(20'000);
+    pending.max_isolation_wait_with_spare_capacity = Milliseconds(2'000);
+  }
+
+  void Use(std::size_t minion, std::int64_t accelerators) {
+    snapshot.minions[minion].is_idle = false;
+    snapshot.minions[minion].free.accelerators -= accelerators;
+  }
+};
+
+const PlannedStart* StartOf(const Plan& plan, const std::string& job) {
+  for (const PlannedStart& start : plan.starts) {
+    if (start.job == JobId(job)) {
+      return &start;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+Test(task_planner, isolated_task_starts_on_an_idle_minion_and_no_other_task_joins_it) {
+  IsolationFixture fixture;
+  for (const std::size_t minion : {0, 1, 2}) {
+    fixture.Use(minion, 4);
+  }
+  fixture.AddPendingStep("other", WorkStepKind::kIndependentTasks, 20, 1);
+  const Plan plan = fixture.Run();
+  cr_assert(StartOf(plan, "suspect")->placements[0].minion == MinionId("m3"));
+  cr_assert_eq(StartOf(plan, "other")->placements.size(), 12);
+  cr_assert_not(MinionsOf(*StartOf(plan, "other")).contains("m3"));
+}
+
+Test(task_planner, isolated_task_without_an_idle_minion_waits_and_keeps_the_emptiest_free) {
+  IsolationFixture fixture;
+  for (const std::size_t minion : {0, 1, 2, 3}) {
+    fixture.Use(minion, minion == 2 ? 1 : 6);
+  }
+  fixture.AddPendingStep("other", WorkStepKind::kIndependentTasks, 20, 1);
+  const Plan plan = fixture.Run();
+  cr_assert(StartOf(plan, "suspect") == nullptr);
+  cr_assert_eq(StartOf(plan, "other")->placements.size(), 6);
+  cr_assert_not(MinionsOf(*StartOf(plan, "other")).contains("m2"));
+}
+
+Test(task_planner, isolated_task_that_has_waited_starts_beside_few_others) {
+  for (const std::int64_t used : {1, 6}) {
+    IsolationFixture fixture;
+    for (const std::size_t minion : {0, 1, 2, 3}) {
+      fixture.Use(minion, minion == 2 ? 1 : used);
+    }
+    PendingStep& suspect = fixture.snapshot.pending_steps[0];
+    const bool has_spare_capacity = used == 1;
+    const Milliseconds limit = has_spare_capacity ? suspect.max_isolation_wait_with_spare_capacity
+                                                  : suspect.max_isolation_wait;
+    suspect.waited = limit - Milliseconds(1);
+    cr_assert(fixture.Run().starts.empty());
+    suspect.waited = limit;
+    const Plan plan = fixture.Run();
+    cr_assert_eq(plan.starts.size(), 1);
+    cr_assert(has_spare_capacity || plan.starts[0].placements[0].minion == MinionId("m2"));
+  }
+}
+
+Test(task_planner, gang_with_isolated_members_gives_each_of_them_a_minion) {
+  IsolationFixture fixture;
+  fixture.snapshot.pending_steps.clear();
+  PendingStep& gang = fixture.AddPendingStep("gang", WorkStepKind::kGang, 6, 1);
+  gang.isolated = {1, 4};
+  gang.max_isolation_wait = Milliseconds(20'000);
+  const Plan plan = fixture.Run();
+  cr_assert_eq(plan.starts.size(), 1);
+  std::map<MinionId, std::set<int>> tasks;
+  for (const PlannedPlacement& placement : plan.starts[0].placements) {
+    tasks[placement.minion].insert(placement.index);
+  }
+  for (const auto& [minion, indexes] : tasks) {
+    const bool has_isolated = indexes.contains(1) || indexes.contains(4);
+    cr_assert(!has_isolated || indexes.size() == 1);
+  }
+  cr_assert_eq(plan.starts[0].placements.size(), 6);
+}
+
+Test(task_planner, limit_of_tasks_on_a_minion_counts_isolated_ones) {
+  IsolationFixture fixture;
+  fixture.snapshot.pending_steps.clear();
+  for (const std::size_t minion : {0, 1, 2, 3}) {
+    fixture.Use(minion, 1);
+  }
+  PendingStep& step = fixture.AddPendingStep("job", WorkStepKind::kIndependentTasks, 5, 1);
+  step.spec.max_tasks_per_worker = 1;
+  step.isolated = {0};
+  step.waited = step.max_isolation_wait_with_spare_capacity;
+  const Plan plan = fixture.Run();
+  std::map<MinionId, int> counts;
+  for (const PlannedStart& start : plan.starts) {
+    for (const PlannedPlacement& placement : start.placements) {
+      cr_assert_eq(++counts[placement.minion], 1);
+    }
+  }
+  cr_assert_eq(counts.size(), 4);
+}
+
 }  // namespace papayalift
