Tests: Show that placements found by a new leader count as crashes

What callers see: after all nodes and minions lost their power together, a step of 48 tasks of 5 s starts one task each 2.5 s and is done after 120 s instead of 10 s; and an innocent job ends as failed though none of its minions crashed: each drained and left while no node led. Cause: MayHaveCrashedIt() takes every run that this leader did not start for one that had just started, and IsProcessGone() a minion that the leader never saw for a crashed one; the crash has no zone, so no outage is found, and no memory of draining.

--- /dev/null
+++ b/tests/leader/crash_outage_test.cc
@@ -0,0 +1,60 @@
+#include "leader/crash_scenario.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr Milliseconds kOutage{5'000};
+/// Longer than a previous leader's leases, and then three times the tasks' duration.
+constexpr Milliseconds kMaxTimeAfterOutage{30'000};
+constexpr Milliseconds kDuration{5'000};
+
+void EndAllNodesFor(CrashScenario& scenario, Milliseconds time) {
+  for (std::size_t index = 0; index < kNodes; ++index) {
+    scenario.cluster.Kill(index);
+  }
+  scenario.cluster.Run(time);
+  for (std::size_t index = 0; index < kNodes; ++index) {
+    scenario.cluster.Restart(index);
+  }
+}
+
+}  // namespace
+
+// A placement found by a new leader, on a minion that started anew meanwhile, made a suspect.
+Test(crash_outage, tasks_that_lost_their_power_with_all_nodes_start_again_together) {
+  CrashScenario scenario(8);
+  const JobId job = scenario.SubmitInnocent(MakeJob(48, 1, kDuration));
+  scenario.RunUntilStarted(job);
+  scenario.Run(Milliseconds(2'000));
+  scenario.cluster.minions.LoseZone(ZoneId("a"), kOutage);
+  EndAllNodesFor(scenario, kOutage + Milliseconds(100));
+  scenario.Run(kMaxTimeAfterOutage);
+  scenario.ExpectInnocentJobsDone();
+}
+
+// The draining minion of a placement that only a new leader finds counted as crashed.
+Test(crash_outage, task_whose_minions_drained_and_left_under_changing_leaders_is_not_given_up) {
+  CrashScenario scenario(6);
+  const JobId job = scenario.SubmitInnocent(MakeJob(1, 1, kDuration));
+  for (int round = 0; round < 3; ++round) {
+    scenario.RunUntilStarted(job);
+    const MinionId minion = scenario.cluster.minions.RunningOn(job).front();
+    MinionOutage outage;
+    outage.duration = Milliseconds(600'000);
+    for (std::size_t index = 0; index < kNodes; ++index) {
+      scenario.cluster.Kill(index);
+    }
+    scenario.cluster.minions.SetDraining(minion);
+    scenario.cluster.minions.Crash(minion, outage);
+    scenario.cluster.Run(Milliseconds(3'100));
+    for (std::size_t index = 0; index < kNodes; ++index) {
+      scenario.cluster.Restart(index);
+    }
+    scenario.Run(Milliseconds(5'000));
+  }
+  scenario.Run(kMaxTimeAfterOutage);
+  scenario.ExpectInnocentJobsDone();
+}
+
+}  // namespace papayalift
