Planner: Start as many isolated tasks as there are idle minions, and let guarantees reclaim for them

Cause: every suspect of a step waited its turn, also after a single crash that may have any cause; and isolated tasks were left out of what may stop others. Change: suspects take turns only once one of them has likely crashed a minion (a crash of one job, or a second one). The emptiest minion is the one with the most free processors where there are no accelerators.

--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -172,7 +172,7 @@
         job.known_since + objective - now - RemainingCriticalPath(job.accepted, job.progress, step);
     pending.max_lost_work = MaxLostWork(pending);
     pending.isolated = WaitingSuspects(tasks);
-    if (!is_gang) {
+    if (!is_gang && HasLikelyCause(tasks)) {
       HoldBackSuspects(pending, HasTaskOnProbation(job, step));
     }
     if (!pending.task_indexes.empty()) {
@@ -191,6 +191,13 @@
     return suspects;
   }
 
+  /// Whether a task of the step has likely crashed a minion. A single crash may have another cause.
+  static bool HasLikelyCause(const std::vector<TaskProgress>& tasks) {
+    return std::any_of(tasks.begin(), tasks.end(), [](const TaskProgress& task) {
+      return task.crashes > 1 || task.crashes_of_one_job > 0;
+    });
+  }
+
   bool HasTaskOnProbation(const TrackedJob& job, std::size_t step) const {
     const std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
@@ -204,8 +211,8 @@
     return false;
   }
 
-  /// The suspects of a step start one at a time, so that a job whose tasks all crash their minions
-  /// takes down few.
+  /// Lets the suspects of a step start one at a time, so that a job whose tasks all crash their
+  /// minions takes down few.
   static void HoldBackSuspects(PendingStep& pending, bool has_task_on_probation) {
     std::set<int> held_back = pending.isolated;
     if (!held_back.empty() && !has_task_on_probation) {
--- a/src/libraries/planner/isolation.cc
+++ b/src/libraries/planner/isolation.cc
@@ -1,14 +1,20 @@
 #include "libraries/planner/isolation.h"
 
+#include <set>
+#include <utility>
+
 namespace papayalift {
 
 namespace {
 
-/// The fastest minion without runs on which a task of the step fits; null if there is none.
-const MinionCapacity* FindIdleMinion(const PendingStep& pending, const PlanCapacity& capacity) {
+/// The fastest minion without runs, and not taken yet, on which a task of the step fits; null if
+/// there is none.
+const MinionCapacity* FindIdleMinion(const PendingStep& pending, const PlanCapacity& capacity,
+                                     const std::set<MinionId>& taken) {
   const MinionCapacity* best = nullptr;
   for (const MinionCapacity& candidate : capacity.minions()) {
     const bool fits = candidate.is_idle && pending.spec.needs.Fits(candidate.free) &&
+                      !taken.contains(candidate.minion->id) &&
                       IsEligible(pending, *candidate.minion);
     if (fits && (best == nullptr || candidate.minion->speed > best->minion->speed)) {
       best = &candidate;
@@ -21,23 +27,15 @@
 
 std::vector<PlannedPlacement> FindIsolatedPlacements(const PendingStep& pending,
                                                      const PlanCapacity& capacity) {
-  if (pending.isolated.size() == 1) {
-    // Without a copy of the capacity, which is large.
-    const MinionCapacity* const idle = FindIdleMinion(pending, capacity);
-    return idle == nullptr
-               ? std::vector<PlannedPlacement>()
-               : std::vector<PlannedPlacement>{{*pending.isolated.begin(), idle->minion->id}};
-  }
-  PlanCapacity remaining = capacity;
   std::vector<PlannedPlacement> placements;
+  std::set<MinionId> taken;
   for (const int index : pending.isolated) {
-    const MinionCapacity* const idle = FindIdleMinion(pending, remaining);
+    const MinionCapacity* const idle = FindIdleMinion(pending, capacity, taken);
     if (idle == nullptr) {
-      return {};
+      break;
     }
-    const MinionId id = idle->minion->id;
-    placements.push_back(PlannedPlacement{index, id});
-    remaining.Occupy(id);
+    placements.push_back(PlannedPlacement{index, idle->minion->id});
+    taken.insert(idle->minion->id);
   }
   return placements;
 }
@@ -45,7 +43,7 @@
 std::optional<FoundPlacements> FindIsolatedGang(const PendingStep& pending,
                                                 const PlanCapacity& capacity) {
   const std::vector<PlannedPlacement> isolated = FindIsolatedPlacements(pending, capacity);
-  if (isolated.empty()) {
+  if (isolated.size() < pending.isolated.size()) {
     return std::nullopt;
   }
   const PendingStep rest = WithoutIsolated(pending);
@@ -72,7 +70,10 @@
   for (const MinionCapacity& candidate : capacity.minions()) {
     const bool is_usable = needs.Fits(candidate.free) && IsEligible(pending, *candidate.minion) &&
                            pending.spec.needs.Fits(candidate.minion->capacity);
-    if (is_usable && (best == nullptr || candidate.free.accelerators > best->free.accelerators)) {
+    const auto free_on = [](const MinionCapacity& minion) {
+      return std::pair(minion.free.accelerators, minion.free.cpu_milli);
+    };
+    if (is_usable && (best == nullptr || free_on(candidate) > free_on(*best))) {
       best = &candidate;
     }
   }
@@ -80,11 +81,23 @@
 }
 
 bool HasWaitedForIsolation(const PendingStep& pending, const PlanCapacity& capacity) {
-  return pending.waited >= (capacity.has_spare_capacity()
+  // A guarantee is given back on demand.
+  return pending.waited >= (capacity.has_spare_capacity() || pending.is_guaranteed
                                 ? pending.max_isolation_wait_with_spare_capacity
                                 : pending.max_isolation_wait);
 }
 
+PendingStep WithoutPlaced(const PendingStep& pending,
+                          const std::vector<PlannedPlacement>& placements) {
+  PendingStep rest = pending;
+  for (const PlannedPlacement& placement : placements) {
+    std::erase(rest.task_indexes, placement.index);
+    rest.isolated.erase(placement.index);
+    ++rest.placed_on_minion[placement.minion];
+  }
+  return rest;
+}
+
 PendingStep WithoutIsolated(const PendingStep& pending) {
   PendingStep rest = pending;
   std::erase_if(rest.task_indexes,
--- a/src/libraries/planner/isolation.h
+++ b/src/libraries/planner/isolation.h
@@ -9,7 +9,7 @@
 
 namespace papayalift {
 
-/// A minion of its own for each isolated task of the step; empty if there are not enough.
+/// A minion of its own for each isolated task of the step, as far as there are enough.
 std::vector<PlannedPlacement> FindIsolatedPlacements(const PendingStep& pending,
                                                      const PlanCapacity& capacity);
 
@@ -18,15 +18,17 @@
 std::optional<FoundPlacements> FindIsolatedGang(const PendingStep& pending,
                                                 const PlanCapacity& capacity);
 
-/// The minion with the most free accelerators on which a task of the step may run; empty if none is
-/// left. `needs` is what must be free there.
+/// The minion with the most free accelerators, or else processors, on which a task of the step may
+/// run; empty if none is left. `needs` is what must be free there.
 std::optional<MinionId> FindEmptiestMinion(const PendingStep& pending, const PlanCapacity& capacity,
                                            const Resources& needs);
 
 /// Whether isolated tasks have waited too long for minions without other runs.
 bool HasWaitedForIsolation(const PendingStep& pending, const PlanCapacity& capacity);
 
-/// The step without its isolated tasks.
+/// The step without its isolated tasks, or without those that have a placement.
+PendingStep WithoutPlaced(const PendingStep& pending,
+                          const std::vector<PlannedPlacement>& placements);
 PendingStep WithoutIsolated(const PendingStep& pending);
 
 }  // namespace papayalift
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -67,22 +67,26 @@
   }
 
  private:
-  /// Starts the isolated tasks if there are minions for them. Returns the rest of the step.
+  /// Starts the isolated tasks for which there are minions without runs. Returns the rest of the
+  /// step, which has isolated tasks only if they have waited too long.
   PendingStep PlanIsolatedTasks(const PendingStep& pending) {
-    std::vector<PlannedPlacement> placements = FindIsolatedPlacements(pending, m_capacity);
-    if (placements.empty() && HasWaitedForIsolation(pending, m_capacity)) {
-      placements = PlaceOnEmptiest(pending);
+    const std::vector<PlannedPlacement> placements = FindIsolatedPlacements(pending, m_capacity);
+    if (!placements.empty()) {
+      StartIsolated(pending, FoundPlacements{placements, true});
     }
-    PendingStep rest = WithoutIsolated(pending);
-    if (placements.empty()) {
-      ReserveForIsolation(pending);
+    const PendingStep rest = WithoutPlaced(pending, placements);
+    if (rest.isolated.empty()) {
       return rest;
     }
-    StartIsolated(pending, FoundPlacements{placements, true});
-    for (const PlannedPlacement& placement : placements) {
-      ++rest.placed_on_minion[placement.minion];
+    if (!HasWaitedForIsolation(pending, m_capacity)) {
+      ReserveForIsolation(pending);
+      return WithoutIsolated(rest);
+    }
+    const std::vector<PlannedPlacement> beside = PlaceOnEmptiest(rest);
+    if (!beside.empty()) {
+      StartIsolated(pending, FoundPlacements{beside, true});
     }
-    return rest;
+    return WithoutPlaced(rest, beside);
   }
 
   std::vector<PlannedPlacement> PlaceOnEmptiest(const PendingStep& pending) const {
