Leader: Take minions that left before a term for one outage

Cause: a minion that a new leader finds placements on, but no registration of, has no zone and no time of loss, so other such minions never counted as lost with it. Only starts of this term can be confirmed ones; a run found by a new leader keeps its isolation; a task that is done by now is not accused; a cancelled job no longer waits for the judgement of its suspects.

--- a/src/libraries/leader/crash_attribution.cc
+++ b/src/libraries/leader/crash_attribution.cc
@@ -68,8 +68,9 @@
   }
   Crash& crash = FindOrAdd(minion, run, now);
   crash.was_host_up = crash.was_host_up || (silence.has_value() && silence->was_refused);
-  crash.suspects.push_back(
-      Suspect{run.task, run.attempt, run.orders_sent > 0, run.answered_at.has_value()});
+  const bool is_start_known = run.orders_sent > 0;
+  crash.suspects.push_back(Suspect{run.task, run.attempt, is_start_known,
+                                   is_start_known && run.answered_at.has_value()});
   return true;
 }
 
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -125,6 +125,8 @@
   /// Lets suspects that can be judged wait for another run, or gives up their jobs.
   void JudgeSuspects();
   void RecordCrash(TrackedJob& job, TaskProgress& task, const JudgedRun& run);
+  /// Lets the job's tasks that are placed only until they are judged wait, so that the job can end.
+  void ReleaseSuspects(TrackedJob& job);
   void RecordCheckpoint(TrackedJob& job, const TaskName& task, const std::string& checkpoint);
   void ReturnToWaiting(TrackedJob& job, const TaskName& task);
   void StopStep(TrackedJob& job, int step, const std::string& reason);
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -187,7 +187,8 @@
         m_state.FindRun(run.task, run.attempt) == nullptr) {
       ReturnToWaiting(*job, run.task);
     }
-    if (run.cause != CrashCause::kOutage && !HasEnded(job->progress.state) && !job->is_cancelled) {
+    const bool is_over = HasEnded(job->progress.state) || job->is_cancelled;
+    if (run.cause != CrashCause::kOutage && !is_over && task->phase != TaskPhase::kDone) {
       RecordCrash(*job, *task, run);
     }
     EndJobIfSettled(*job);
@@ -196,6 +197,19 @@
   }
 }
 
+void LeaderSession::ReleaseSuspects(TrackedJob& job) {
+  for (std::size_t step = 0; step < job.progress.steps.size(); ++step) {
+    const std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+      const TaskName name{job.accepted.id, 0, static_cast<int>(step), static_cast<int>(index)};
+      if (tasks[index].phase == TaskPhase::kPlaced &&
+          m_state.FindRun(name, tasks[index].attempt) == nullptr) {
+        ReturnToWaiting(job, name);
+      }
+    }
+  }
+}
+
 void LeaderSession::RecordCrash(TrackedJob& job, TaskProgress& task, const JudgedRun& run) {
   ++task.crashes;
   task.crashes_of_one_job += run.cause == CrashCause::kOneJob ? 1 : 0;
@@ -272,6 +286,7 @@
   }
   LogEvent(LogLevel::kInfo, "leader", "cancelling a job").Job(job.accepted.id).Write();
   StopJob(job, "the job is cancelled");
+  ReleaseSuspects(job);
   EndJobIfSettled(job);
 }
 
--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -234,6 +234,10 @@
       }
       TrackedMinion& minion = m_state.minions[task.minion];
       minion.id = task.minion;
+      if (!minion.entry.has_value()) {
+        // It left the registry at some time before this term.
+        minion.vanished_at = m_state.elected_at;
+      }
       TrackedRun run;
       run.task = TaskName{job.accepted.id, 0, static_cast<int>(step), static_cast<int>(index)};
       run.attempt = task.attempt;
@@ -242,6 +246,7 @@
       run.needs = job.accepted.work.steps[step].needs;
       run.state = TrackedRunState::kOrdered;
       run.decided_at = Now();
+      run.is_isolated = task.crashes > 0;
       m_state.AddRun(minion, std::move(run));
     }
   }
