--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "libraries/leader/minion_usability.h"
+#include "libraries/leader/task_isolation.h"
 #include "libraries/leader/workspace_usage.h"
 
 namespace papayalift {
@@ -23,20 +24,9 @@
 constexpr Milliseconds kUrgentSlack{2'000};
 /// Work that such a step may make others lose, relative to its own.
 constexpr double kMaxLostWorkShare = 0.5;
-/// How long a task that is suspected of crashing minions waits for one without other runs. With
-/// spare capacity the others run on it would not have many, and a task must not be left waiting.
-constexpr Milliseconds kMaxIsolationWait{20'000};
-constexpr Milliseconds kMaxIsolationWaitWithSpareCapacity{2'000};
 /// Older speed measurements are ignored: a minion that was slow may have recovered.
 constexpr Milliseconds kSpeedMaxAge{6'000};
 
-/// Whether the minion runs a task that is suspected of crashing minions and may still do so.
-bool HasRunOnProbation(const TrackedMinion& minion) {
-  return std::any_of(minion.runs.begin(), minion.runs.end(), [](const auto& entry) {
-    return entry.second.is_isolated && !entry.second.has_outlived_start;
-  });
-}
-
 bool IsUsable(const LeaderState& state, const TrackedMinion& minion, Milliseconds max_heartbeat_age,
               Milliseconds now) {
   return RegistryAllowsWork(state, minion, max_heartbeat_age) && minion.has_reported &&
@@ -160,8 +150,6 @@
     pending.is_guaranteed = m_usage.IsGuaranteed(job.accepted);
     pending.waited = now - *job.ready_since[step];
     pending.may_stop_borrowers = pending.is_guaranteed && pending.waited >= kBorrowerGracePeriod;
-    pending.max_isolation_wait = kMaxIsolationWait;
-    pending.max_isolation_wait_with_spare_capacity = kMaxIsolationWaitWithSpareCapacity;
     pending.max_rack_wait = pending.spec.estimate * kRackWaitPerEstimate;
     const Milliseconds objective =
         Milliseconds(static_cast<std::int64_t>(
@@ -171,59 +159,12 @@
     pending.slack =
         job.known_since + objective - now - RemainingCriticalPath(job.accepted, job.progress, step);
     pending.max_lost_work = MaxLostWork(pending);
-    pending.isolated = WaitingSuspects(tasks);
-    if (!is_gang && HasLikelyCause(tasks)) {
-      HoldBackSuspects(pending, HasTaskOnProbation(job, step));
-    }
+    IsolateSuspects(m_state, job, step, pending);
     if (!pending.task_indexes.empty()) {
       m_snapshot.pending_steps.push_back(std::move(pending));
     }
   }
 
-  /// The waiting tasks that are suspected of crashing minions.
-  static std::set<int> WaitingSuspects(const std::vector<TaskProgress>& tasks) {
-    std::set<int> suspects;
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
-      if (tasks[index].phase == TaskPhase::kWaiting && tasks[index].crashes > 0) {
-        suspects.insert(static_cast<int>(index));
-      }
-    }
-    return suspects;
-  }
-
-  /// Whether a task of the step has likely crashed a minion. A single crash may have another cause.
-  static bool HasLikelyCause(const std::vector<TaskProgress>& tasks) {
-    return std::any_of(tasks.begin(), tasks.end(), [](const TaskProgress& task) {
-      return task.crashes > 1 || task.crashes_of_one_job > 0;
-    });
-  }
-
-  bool HasTaskOnProbation(const TrackedJob& job, std::size_t step) const {
-    const std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
-      const TaskName name{job.accepted.id, 0, static_cast<int>(step), static_cast<int>(index)};
-      const TrackedRun* const run =
-          tasks[index].crashes == 0 ? nullptr : m_state.FindRun(name, tasks[index].attempt);
-      if (run != nullptr && run->is_isolated && !run->has_outlived_start) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /// Lets the suspects of a step start one at a time, so that a job whose tasks all crash their
-  /// minions takes down few.
-  static void HoldBackSuspects(PendingStep& pending, bool has_task_on_probation) {
-    std::set<int> held_back = pending.isolated;
-    if (!held_back.empty() && !has_task_on_probation) {
-      held_back.erase(held_back.begin());
-    }
-    for (const int index : held_back) {
-      pending.isolated.erase(index);
-      std::erase(pending.task_indexes, index);
-    }
-  }
-
   static double MaxLostWork(const PendingStep& pending) {
     const bool is_urgent = pending.slack >= Milliseconds(0) && pending.slack < kUrgentSlack;
     if (pending.priority != kGuaranteedPriority || pending.is_guaranteed || !is_urgent) {
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -74,7 +74,7 @@
     if (!placements.empty()) {
       StartIsolated(pending, FoundPlacements{placements, true});
     }
-    const PendingStep rest = WithoutPlaced(pending, placements);
+    PendingStep rest = WithoutPlaced(pending, placements);
     if (rest.isolated.empty()) {
       return rest;
     }
--- /dev/null
+++ b/tests/leader/crash_attribution_test.cc
@@ -0,0 +1,164 @@
+#include "libraries/leader/crash_attribution.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+namespace papayalift {
+
+namespace {
+
+constexpr Milliseconds kOrderedAt{10'000};
+constexpr Milliseconds kCrashedAt{10'020};
+constexpr Milliseconds kJudgedAt{16'000};
+constexpr MinionIncarnation kIncarnation(7);
+
+/// Eight registered minions in one zone that are all heard from after the crash.
+struct AttributionFixture {
+  AttributionFixture() {
+    for (int number = 0; number < 8; ++number) {
+      TrackedMinion minion;
+      minion.id = MinionId("m" + std::to_string(number));
+      minion.zone = ZoneId("a");
+      minion.entry = MinionEntry();
+      minion.entry->incarnation = kIncarnation;
+      minion.incarnation = kIncarnation;
+      minion.entry_heard_at = kJudgedAt;
+      state.minions[minion.id] = minion;
+    }
+  }
+
+  TrackedMinion& Minion(int number) {
+    return state.minions.at(MinionId("m" + std::to_string(number)));
+  }
+
+  /// A start that the minion has confirmed.
+  static TrackedRun RunOf(const std::string& job, int minion) {
+    TrackedRun run;
+    run.task = TaskName{JobId(job), 0, 0, 0};
+    run.attempt = AttemptNumber(1);
+    run.minion = MinionId("m" + std::to_string(minion));
+    run.incarnation = kIncarnation;
+    run.orders_sent = 1;
+    run.ordered_at = kOrderedAt;
+    run.answered_at = kOrderedAt;
+    return run;
+  }
+
+  /// The minion's process ends, and its host refuses connections.
+  void EndProcess(int number, Milliseconds at = kCrashedAt) {
+    Minion(number).silence = MinionSilence{at, true, false};
+    Minion(number).entry_heard_at = at - Milliseconds(500);
+  }
+
+  bool Lose(const TrackedRun& run) {
+    return attribution.RecordLoss(state.minions.at(run.minion), run, kJudgedAt);
+  }
+
+  LeaderState state;
+  CrashAttribution attribution;
+};
+
+}  // namespace
+
+Test(crash_attribution, only_suspect_on_a_crashed_minion_is_judged_once) {
+  AttributionFixture fixture;
+  fixture.EndProcess(0);
+  cr_assert(fixture.Lose(AttributionFixture::RunOf("a", 0)));
+  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  cr_assert_eq(judged.size(), 1);
+  cr_assert(judged[0].cause == CrashCause::kOneJob);
+  cr_assert(fixture.attribution.TakeJudged(fixture.state, kJudgedAt).empty());
+}
+
+Test(crash_attribution, suspects_of_two_jobs_leave_the_cause_uncertain) {
+  AttributionFixture fixture;
+  fixture.EndProcess(0);
+  fixture.Lose(AttributionFixture::RunOf("a", 0));
+  fixture.Lose(AttributionFixture::RunOf("b", 0));
+  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  cr_assert_eq(judged.size(), 2);
+  cr_assert(judged[0].cause == CrashCause::kUncertain && judged[1].cause == CrashCause::kUncertain);
+}
+
+Test(crash_attribution, start_that_was_not_confirmed_leaves_the_cause_uncertain) {
+  AttributionFixture fixture;
+  fixture.EndProcess(0);
+  TrackedRun run = AttributionFixture::RunOf("a", 0);
+  run.answered_at.reset();
+  fixture.Lose(run);
+  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  cr_assert(judged.at(0).cause == CrashCause::kUncertain);
+}
+
+Test(crash_attribution, cut_off_draining_or_outlived_runs_are_no_suspects) {
+  AttributionFixture fixture;
+  fixture.Minion(0).silence = MinionSilence{kCrashedAt};
+  cr_assert_not(fixture.Lose(AttributionFixture::RunOf("a", 0)), "the minion may be cut off");
+  fixture.EndProcess(1);
+  fixture.Minion(1).is_draining = true;
+  cr_assert_not(fixture.Lose(AttributionFixture::RunOf("a", 1)), "the minion was draining");
+  fixture.EndProcess(2);
+  TrackedRun run = AttributionFixture::RunOf("a", 2);
+  run.has_outlived_start = true;
+  cr_assert_not(fixture.Lose(run), "a report has listed the run long after its start");
+  fixture.EndProcess(3, kOrderedAt + kStartProbation);
+  cr_assert_not(fixture.Lose(AttributionFixture::RunOf("a", 3)), "it crashed long after the start");
+}
+
+Test(crash_attribution, most_minions_of_a_zone_lost_without_cause_are_an_outage) {
+  AttributionFixture fixture;
+  for (int number = 0; number < 5; ++number) {
+    fixture.EndProcess(number);
+  }
+  fixture.Lose(AttributionFixture::RunOf("a", 0));
+  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  cr_assert(judged.at(0).cause == CrashCause::kOutage);
+}
+
+Test(crash_attribution, few_minions_of_a_zone_lost_without_cause_are_no_outage) {
+  AttributionFixture fixture;
+  for (int number = 0; number < 3; ++number) {
+    fixture.EndProcess(number);
+  }
+  fixture.Lose(AttributionFixture::RunOf("a", 0));
+  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  cr_assert(judged.at(0).cause == CrashCause::kOneJob);
+}
+
+Test(crash_attribution, crashes_right_after_starts_are_no_outage) {
+  AttributionFixture fixture;
+  for (int number = 0; number < 8; ++number) {
+    fixture.EndProcess(number);
+    fixture.Lose(AttributionFixture::RunOf("job" + std::to_string(number), number));
+  }
+  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  cr_assert_eq(judged.size(), 8);
+  for (const JudgedRun& run : judged) {
+    cr_expect(run.cause == CrashCause::kOneJob);
+  }
+}
+
+Test(crash_attribution, judgement_waits_until_the_zone_was_heard_from_but_not_for_ever) {
+  AttributionFixture fixture;
+  fixture.EndProcess(0);
+  fixture.Minion(1).entry_heard_at = kCrashedAt - Milliseconds(100);
+  fixture.Lose(AttributionFixture::RunOf("a", 0));
+  cr_assert(
+      fixture.attribution.TakeJudged(fixture.state, kCrashedAt + Milliseconds(1'000)).empty());
+  cr_assert_eq(fixture.attribution.TakeJudged(fixture.state, kJudgedAt).size(), 1);
+}
+
+Test(crash_attribution, task_is_given_up_after_two_crashes_of_its_job_or_three_of_any) {
+  TaskProgress task;
+  task.crashes = 2;
+  task.crashes_of_one_job = 1;
+  cr_assert_not(IsCrashLooping(task));
+  task.crashes = 3;
+  cr_assert(IsCrashLooping(task));
+  task.crashes = 2;
+  task.crashes_of_one_job = 2;
+  cr_assert(IsCrashLooping(task));
+}
+
+}  // namespace papayalift
