Planner: Let isolated tasks wait their turn behind guaranteed ones

Cause: isolated tasks were planned before all other steps, so they took the minions that the guaranteed job had cleared by stopping them. Change: they are planned with their step, in the usual order. A minion kept free for them is kept from later steps only.

--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -1,7 +1,6 @@
 #include "libraries/planner/task_planner.h"
 
 #include <algorithm>
-#include <deque>
 #include <utility>
 
 #include "libraries/planner/isolation.h"
@@ -46,17 +45,7 @@
     std::sort(order.begin(), order.end(), [](const PendingStep* left, const PendingStep* right) {
       return PlansBefore(*left, *right);
     });
-    // Isolated tasks come first, since few minions are free for them.
-    std::deque<PendingStep> rests;
-    for (const PendingStep*& pending : order) {
-      if (pending->spec.kind != WorkStepKind::kGang && !pending->isolated.empty()) {
-        pending = &rests.emplace_back(PlanIsolatedTasks(*pending));
-      }
-    }
     for (const PendingStep* const pending : order) {
-      if (pending->task_indexes.empty()) {
-        continue;
-      }
       if (pending->spec.kind == WorkStepKind::kGang) {
         PlanGang(*pending);
       } else {
@@ -164,6 +153,17 @@
   }
 
   void PlanIndependentTasks(const PendingStep& pending) {
+    if (pending.isolated.empty()) {
+      PlanTasksTogether(pending);
+      return;
+    }
+    const PendingStep rest = PlanIsolatedTasks(pending);
+    if (!rest.task_indexes.empty()) {
+      PlanTasksTogether(rest);
+    }
+  }
+
+  void PlanTasksTogether(const PendingStep& pending) {
     const FoundPlacements found = FindTaskPlacements(pending, m_capacity, &MinionCapacity::free);
     if (!found.placements.empty()) {
       Start(pending, found);
