Review: Show a job that is started after its cancellation

The store leaves the write of a job unanswered and carries it out 6 s later. The consumer gets 504, cancels the job at another node and is told 410. Over cancel_ms (3 s) after that a minion starts the job's task, and the job runs to its end.

How it comes about: a cancellation of a job that is not stored yet only reads and leaves no trace, so the late write's condition still holds.

--- a/review/lib/stand_in.cpp
+++ b/review/lib/stand_in.cpp
@@ -309,7 +309,18 @@
   }
 
   Response Handle(const Request& request) {
-    const Lock lock(m_mutex);
+    Lock lock(m_mutex);
+    if (request.path == "/kv-txn") {
+      const Json body = Json::parse(request.body);
+      ++m_writes;
+      if (!m_late_key.empty() && SteadyNow() < m_late_until && Writes(body, m_late_key)) {
+        CarryOutLater(body);
+        // The call stays without an answer: its sender closes the connection in the end.
+        lock.unlock();
+        Sleep(60'000);
+        return Response{503, "{}"};
+      }
+    }
     return Dispatch(request);
   }
 
@@ -404,6 +415,35 @@
     return Response{200, Json{{"revision", m_revision}}.dump()};
   }
 
+  static bool Writes(const Json& body, const std::string& key) {
+    const Json writes = body.value("write", Json::array());
+    return std::any_of(writes.begin(), writes.end(),
+                       [&key](const Json& row) { return row.at("key") == key; });
+  }
+
+  /// "A call that receives no response may [...] be executed seconds later if its condition still
+  /// holds."
+  void CarryOutLater(const Json& body) {
+    ++m_late_writes;
+    Record("store: a write of " + m_late_key + " is not answered, and carried out " +
+           std::to_string(m_late_delay) + " ms later");
+    std::thread([this, body, key = m_late_key, delay = m_late_delay] {
+      Sleep(delay);
+      const Lock lock(m_mutex);
+      Record("store: late write of " + key + " -> " + std::to_string(Transact(body).status));
+    }).detach();
+  }
+
+  /// Writes of `key` are late by `delay` ms from now on, for `for` ms.
+  Response SetLate(const Request& request) {
+    m_late_key = request.query.at("key");
+    m_late_delay = std::stoll(request.query.at("delay"));
+    m_late_until = SteadyNow() + std::stoll(request.query.at("for"));
+    m_writes = 0;
+    m_late_writes = 0;
+    return Response{200, "{}"};
+  }
+
   void EndLease(std::int64_t lease) {
     m_leases.erase(lease);
     std::vector<std::string> keys;
@@ -436,7 +476,6 @@
   }
 
   Response Dispatch(const Request& request) {
-    ++m_calls[request.path.substr(0, request.path.find('/', 1))];
     if (request.path == "/kv-key") {
       const std::string& key = request.query.at("key");
       Json json = ItemJson(key);
@@ -458,6 +497,12 @@
     if (request.path.starts_with("/kv-keep/") || request.path.starts_with("/kv-lease-end/")) {
       return LeaseCall(request);
     }
+    if (request.path == "/late") {
+      return SetLate(request);
+    }
+    if (request.path == "/late-share") {
+      return Response{200, std::to_string(m_late_writes) + " of " + std::to_string(m_writes)};
+    }
     if (request.path == "/operator") {  // Writes of the operator and of the minions.
       ++m_revision;
       if (request.method == "DELETE") {
@@ -529,7 +574,12 @@
   std::map<std::int64_t, Lease> m_leases;
   /// When the registration of a minion that stays silent is removed.
   std::map<std::string, std::int64_t> m_expiry;
-  std::map<std::string, int> m_calls;
+  std::string m_late_key;
+  std::int64_t m_late_delay = 0;
+  std::int64_t m_late_until = 0;
+  /// Writing calls since the last SetLate(), and those of them that were late.
+  int m_writes = 0;
+  int m_late_writes = 0;
 };
 
 int RunStore(const std::string& address) {
