Review: Show done jobs that run again when watches fall silent

Broken: TWICE. Jobs are done, and their ends are acknowledged. While their records are being removed (twice status_s after the end) the store's watches hear nothing for a second, as before it forgets its history. Some of the jobs run again from the beginning.

How it comes about: in one tick the leader first reads the accepted jobs again and then removes those that are long over, which it forgets at once. The answer to the read still holds them, and they are taken for new jobs.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,53 +1,43 @@
 #!/usr/bin/env bash
 # shellcheck disable=SC1091,SC2154
-# A minion's process is killed and starts again under its id; two seconds later the minion is cut off
-# for 5.5 s, and works on. No task may run on two minions at the same time.
+# Jobs are done, and acknowledged as done. Later the store is about to forget its history: watches hear
+# nothing for a second. No task of the jobs may run again.
+#
+# `status_s` is 40 s here, so that the case fits into two minutes; on the sheets it is 120 s (STATUS_S=120
+# plays it so, in four and a half minutes).
 case_directory=$(cd "$(dirname "$0")" && pwd)
+status_s=${STATUS_S:-40}
 . "$case_directory/../lib/deployment.sh"
 
 start_store
 write_manifest
-for minion in 1 2 3 4 5 6; do start_minion "$minion"; done
+# The minions' heartbeats are spread, as those of a fleet are: one each 125 ms.
+for minion in 1 2 3 4 5 6 7 8 9 10 11 12; do
+  start_minion "$minion"
+  sleep 0.12
+done
 for edge in 1 2 3; do start_edge "$edge"; done
 await_edges 1 2 3
-
-# The minion has to be up for more than 10 s, so that its clock shows more than a new process's lease.
-sleep 12
-job=b000000000000001
-submit 2 "$job" 8 12000 || cannot_run "the job was not accepted"
 sleep 2
-holder=$(awk -v task="$job.0.0.0" '$4 == "start" && $5 == task {print $3}' "$record" | tail -n 1)
-victim=${holder#minion-}
-[ -n "$victim" ] || cannot_run "the job was not started"
 
-# TROUBLE=kill and TROUBLE=cut play only one of the two.
-if [ "$trouble" = 1 ] || [ "$trouble" = kill ]; then
-  kill_minion "$victim"
-  sleep 1
-  start_minion "$victim"
-  note "test: minion-$victim started again"
-fi
-sleep 2
-if [ "$trouble" = 1 ] || [ "$trouble" = cut ]; then
-  cut_off_minion "$victim"
-  sleep 5.5
-  reconnect_minion "$victim"
-fi
-for ((tries = 0; tries < 400; ++tries)); do
-  [ "$(state 3 "$job")" = "done" ] && break
-  sleep 0.1
+began_at=$(now)
+for ((number = 1; number <= 30; ++number)); do
+  submit 2 "$(printf 'b%015x' "$number")" 1 200 >/dev/null || cannot_run "a job was not accepted"
+  sleep 0.09
 done
-note "consumer: state of $job: $(state 3 "$job")"
+sleep 1
+[ "$(grep -c 'acknowledged b.* done' "$record")" = 30 ] || cannot_run "30 jobs should be done"
+note "test: 30 jobs are done and acknowledged"
+
+# The records of a job are removed when it has been over for twice `status_s`.
+while [ "$(now)" -lt $((began_at + 2 * status_s * 1000 + 1500)) ]; do sleep 0.1; done
+[ "$trouble" != 0 ] && "$stand_in" call POST "http://$store/compact?for=1000" >/dev/null
+sleep 6
 
-# A run lasts from its start until its end, or until its minion's process is killed.
-overlap=$(awk -v task="$job.0.0.0" '
-  $4 == "start" && $5 == task { if (running != "" && running != $3) { print $1 ": " $3 " starts " task " while " running " runs it" } running = $3 }
-  $4 == "end" && $5 == task && $3 == running { running = "" }
-  $4 == "killed" && $3 == running { running = "" }' "$record")
-ends=$(grep -c "end $job.0.0.0 [0-9]* done" "$record")
-[ "$ends" -ge 1 ] || cannot_run "the job was not done"
-if [ -n "$overlap" ]; then
-  note "TWICE: $overlap"
+again=$(awk '$4 == "acknowledged" && $7 == "done" { over[$5] = 1 }
+             $4 == "start" && over[$5] { print $1 ": " $3 " starts " $5 " attempt " $6 " again" }' "$record")
+if [ -n "$again" ]; then
+  while read -r line; do note "TWICE: $line"; done <<<"$again"
   exit 1
 fi
 note "held"
--- a/review/lib/deployment.sh
+++ b/review/lib/deployment.sh
@@ -129,7 +129,7 @@
 cancel_ms = 3000
 visible_ms = 3000
 finish_s = 14
-status_s = 120
+status_s = ${status_s:-120}
 fencing = false
 leaseMs = 3000
 [platform]
--- a/review/lib/stand_in.cpp
+++ b/review/lib/stand_in.cpp
@@ -339,6 +339,13 @@
         }
       }
       const std::int64_t left = until - SteadyNow();
+      if (SteadyNow() < m_muted_until) {
+        m_changed.wait_for(lock, std::chrono::milliseconds(m_muted_until - SteadyNow()));
+        continue;
+      }
+      if (after < m_forgotten) {
+        return Response{410, "{}"};
+      }
       if (!events.empty() || left <= 0) {
         return Response{200, Json{{"events", events}, {"at", m_revision}}.dump()};
       }
@@ -434,6 +441,22 @@
     }).detach();
   }
 
+  /// Watches hear nothing for `for` ms while changes are made; then the history is dropped.
+  Response Compact(const Request& request) {
+    const std::int64_t length = std::stoll(request.query.at("for"));
+    m_muted_until = SteadyNow() + length;
+    Record("store: watches hear nothing for " + std::to_string(length) + " ms");
+    std::thread([this, length] {
+      Sleep(length);
+      const Lock lock(m_mutex);
+      m_forgotten = m_revision;
+      m_history.clear();
+      Record("store: history dropped");
+      m_changed.notify_all();
+    }).detach();
+    return Response{200, "{}"};
+  }
+
   /// Writes of `key` are late by `delay` ms from now on, for `for` ms.
   Response SetLate(const Request& request) {
     m_late_key = request.query.at("key");
@@ -497,6 +520,9 @@
     if (request.path.starts_with("/kv-keep/") || request.path.starts_with("/kv-lease-end/")) {
       return LeaseCall(request);
     }
+    if (request.path == "/compact") {
+      return Compact(request);
+    }
     if (request.path == "/late") {
       return SetLate(request);
     }
@@ -574,6 +600,9 @@
   std::map<std::int64_t, Lease> m_leases;
   /// When the registration of a minion that stays silent is removed.
   std::map<std::string, std::int64_t> m_expiry;
+  std::int64_t m_muted_until = 0;
+  /// Changes up to this revision are no longer in the history.
+  std::int64_t m_forgotten = 0;
   std::string m_late_key;
   std::int64_t m_late_delay = 0;
   std::int64_t m_late_until = 0;
