Review: Show a job given up after planned work

Broken: LOST. Three times the minion that runs a job's task is drained and taken away, and the leader is stopped by SIGTERM and started again. The job is shown as failed, though no run of it failed and no minion crashed.

How it comes about: the next leader finds a placement on a minion that is not registered, does not know that it drained, and counts a crash at the start. Three of them end the job.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,54 +1,64 @@
 #!/usr/bin/env bash
 # shellcheck disable=SC1091,SC2154
-# One of ten minions goes down and up by turns (period 1.4 s, for 6.5 s) while it is the only one with
-# room. A job whose task is started there is not lost: no run of it ends `failed`, so it has to be done
-# in the end, and must never be shown as `failed`.
+# Planned work only: three times the minion that runs a job's task is drained and taken away, and the node
+# that leads is stopped by SIGTERM and started again. No minion crashes and no run fails, so the job must
+# not be shown as failed.
 case_directory=$(cd "$(dirname "$0")" && pwd)
 . "$case_directory/../lib/deployment.sh"
 
+# leader: prints the number of the node that leads.
+leader() {
+  "$stand_in" call GET "http://$store/kv-key?key=papayalift/term" | sed 's/.*"value":"\([^"]*\)".*/\1/' |
+    base64 -d | sed 's/^edge-a-\([0-9]*\) .*/\1/'
+}
+# roll EDGE: SIGTERM, and the same node again once it has exited.
+roll() {
+  note "test: SIGTERM to edge $1"
+  kill -TERM "${edge_pid[$1]}"
+  while kill -0 "${edge_pid[$1]}" 2>/dev/null; do sleep 0.1; done
+  start_edge "$1" false
+  note "test: edge $1 started again"
+}
+
 start_store
 write_manifest
-for minion in 1 2 3 4 5 6 7 8 9 10; do start_minion "$minion"; done
+for minion in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16; do
+  start_minion "$minion"
+  sleep 0.09
+done
 for edge in 1 2 3; do start_edge "$edge"; done
 await_edges 1 2 3
-
-# Long jobs fill nine of the ten minions. The tenth is the one that goes down and up.
-for number in 1 2 3 4 5 6 7 8 9; do
-  submit 1 "$(printf 'a%015x' "$number")" 8 40000 || cannot_run "a job was not accepted"
-done
 sleep 2
-flapping=
-for minion in 1 2 3 4 5 6 7 8 9 10; do
-  grep -q "minion minion-$minion start" "$record" || flapping=$minion
-done
-[ "$(grep -c ' start a' "$record")" = 9 ] || cannot_run "nine minions should be busy"
-
-jobs=(b000000000000001 b000000000000002)
-for job in "${jobs[@]}"; do submit 2 "$job" 8 3000 || cannot_run "a job was not accepted"; done
 
-if [ "$trouble" != 0 ]; then
-  end=$(($(now) + 6500))
-  while [ "$(now)" -lt "$end" ]; do
-    sleep 0.7
-    kill_minion "$flapping"
-    sleep 0.7
-    start_minion "$flapping"
-    note "test: minion-$flapping started"
-  done
-fi
-
-broken=0
-for job in "${jobs[@]}"; do
-  last=
-  for ((tries = 0; tries < 300; ++tries)); do
-    last=$(state 3 "$job")
-    [ "$last" = "done" ] || [ "$last" = failed ] && break
+job=b000000000000001
+submit 2 "$job" 8 20000 || cannot_run "the job was not accepted"
+for round in 1 2 3; do
+  holder=
+  for ((tries = 0; tries < 250; ++tries)); do
+    holder=$(awk -v task="$job.0.0.0" '$4 == "start" && $5 == task {at = $3} $4 == "has" && $3 == at {at = ""} END {print at}' "$record")
+    [ -n "$holder" ] && break
     sleep 0.1
   done
-  failures=$(grep -c "end $job.0.0.0 [0-9]* failed" "$record")
-  note "consumer: state of $job: $last; runs of it that ended failed: $failures"
-  [ "$last" = failed ] && [ "$failures" -lt 3 ] && broken=1
-  [ "$last" = "done" ] || [ "$last" = failed ] || broken=1
+  [ -n "$holder" ] || break
+  sleep 2
+  [ "$trouble" = 0 ] && break
+  note "test: round $round, $holder is to leave"
+  minion=${holder#minion-}
+  kill -TERM "${minion_pid[$minion]}"
+  wait "${minion_pid[$minion]}"
+  sleep 0.5
+  roll "$(leader)"
 done
-if [ "$broken" = 1 ]; then note "LOST: a job is shown as failed without cause"; else note "held"; fi
-exit "$broken"
+for ((tries = 0; tries < 350; ++tries)); do
+  last=$(state 3 "$job")
+  [ "$last" = "done" ] || [ "$last" = failed ] && break
+  sleep 0.1
+done
+failures=$(grep -c "end $job.0.0.0 [0-9]* failed" "$record")
+note "consumer: state of $job: $last; runs of it that ended failed: $failures"
+if [ "$last" = failed ] && [ "$failures" -lt 3 ]; then
+  note "LOST: the job is shown as failed without cause"
+  exit 1
+fi
+[ "$last" = "done" ] || cannot_run "the job is neither done nor failed"
+note "held"
