--- a/review/lib/stand_in.cpp
+++ b/review/lib/stand_in.cpp
@@ -789,17 +789,20 @@
   }
 
   void SendHeartbeat(std::int64_t sequence, bool drains) const {
-    const Json entry{{"service", "pool"},
-                     {"address", m_address},
-                     {"zone", m_zone},
-                     {"version", "1"},
-                     {"slots", 8},
-                     {"state", drains ? "draining" : "ready"},
-                     {"coldLeftMs", 0},
-                     {"sequence", sequence},
-                     {"born", m_born},
-                     {"capacity", m_capacity},
-                     {"labels", {"a", m_rack}}};
+    Json entry{{"service", "pool"},
+               {"address", m_address},
+               {"zone", m_zone},
+               {"version", "1"},
+               {"slots", 8},
+               {"state", drains ? "draining" : "ready"},
+               {"coldLeftMs", 0},
+               {"sequence", sequence},
+               {"born", m_born},
+               {"capacity", m_capacity},
+               {"labels", {"a", m_rack}}};
+    if (drains) {
+      entry["remainingMs"] = kDrain;
+    }
     if (!is_cut_off) {
       Call("PUT", Registration() + "&ttl=" + std::to_string(3 * kHeartbeat), entry.dump(), {},
            1'000);
