Review: Time the kill of case 2 by what was started

The kill of the leader now comes 2.2 s after the first start that follows the silence of the watches.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # shellcheck disable=SC1091,SC2154
-# The store is about to forget its history (watches hear nothing for a second). Two seconds later the
+# The store is about to forget its history (watches hear nothing for a second). Some seconds later the
 # process that leads is killed, once. Jobs that are accepted after that must be started: twelve empty
 # minions have room for each of them a hundred times.
 #
@@ -52,8 +52,15 @@
 while [ "$(now)" -lt $((began_at + 2 * status_s * 1000 + 3800)) ]; do sleep 0.1; done
 
 if [ "$trouble" != 0 ]; then
+  silent_at=$(now)
   "$stand_in" call POST "http://$store/compact?for=1000" >/dev/null
-  sleep 2.9
+  # The kill comes 2.2 s after the first start that follows, or after 6 s if there is none.
+  for ((tries = 0; tries < 60; ++tries)); do
+    started_at=$(awk -v from="$silent_at" '$4 == "start" && $1 >= from { print $1; exit }' "$record")
+    [ -n "$started_at" ] && break
+    sleep 0.1
+  done
+  while [ "$(now)" -lt $((${started_at:-0} + 2200)) ]; do sleep 0.05; done
   leader=$("$stand_in" call GET "http://$store/kv-key?key=papayalift/term" | sed 's/.*"value":"\([^"]*\)".*/\1/' | base64 -d | sed 's/^edge-a-\([0-9]*\) .*/\1/')
   kill -KILL "$(cat "$directory/$leader.pid")"
 fi
