--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,6 +7,8 @@
 # plays it so, in four and a half minutes).
 case_directory=$(cd "$(dirname "$0")" && pwd)
 status_s=${STATUS_S:-40}
+# TROUBLE=0 does the same without the disruption.
+trouble=${TROUBLE:-1}
 . "$case_directory/../lib/deployment.sh"
 
 start_store
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,6 +7,8 @@
 # `status_s` is 30 s here, so that the case fits into two minutes; on the sheets it is 120 s.
 case_directory=$(cd "$(dirname "$0")" && pwd)
 status_s=${STATUS_S:-30}
+# TROUBLE=0 does the same without the disruption.
+trouble=${TROUBLE:-1}
 . "$case_directory/../lib/deployment.sh"
 
 # supervise EDGE: starts the process again half a second after it has ended, as the platform does, until
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,6 +3,8 @@
 # A minion's process is killed and starts again under its id; 1.6 s later the minion is cut off
 # for 5.5 s, and works on. No task may run on two minions at the same time.
 case_directory=$(cd "$(dirname "$0")" && pwd)
+# TROUBLE=0 does the same without the disruption.
+trouble=${TROUBLE:-1}
 . "$case_directory/../lib/deployment.sh"
 
 start_store
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,6 +4,8 @@
 # that leads is stopped by SIGTERM and started again. No minion crashes and no run fails, so the job must
 # not be shown as failed.
 case_directory=$(cd "$(dirname "$0")" && pwd)
+# TROUBLE=0 does the same without the disruption.
+trouble=${TROUBLE:-1}
 . "$case_directory/../lib/deployment.sh"
 
 # leader: prints the number of the node that leads.
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -7,6 +7,8 @@
 # VARIANT=freeze: in place of that the node that gets the job stands still for 5 s (`node_freeze`), and the
 # consumer leaves after 0.9 s (`give_up`).
 case_directory=$(cd "$(dirname "$0")" && pwd)
+# TROUBLE=0 does the same without the disruption.
+trouble=${TROUBLE:-1}
 . "$case_directory/../lib/deployment.sh"
 variant=${VARIANT:-late}
 job=b000000000000001
--- a/review/lib/deployment.sh
+++ b/review/lib/deployment.sh
@@ -1,13 +1,12 @@
 # shellcheck shell=bash disable=SC2154,SC2034
 # A small deployment on loopback addresses: the platform's store, minions and three edge nodes, each a
-# process of its own. Sourced by the run.sh of a case, which sets `case_directory` before.
+# process of its own. Sourced by the run.sh of a case, which sets `case_directory` and `trouble` before.
 #
 # Exit codes of a case: 1 the rule was broken, 0 it held, 2 the case couldn't run.
 set -uo pipefail
 review=$(cd "$case_directory/.." && pwd)
 root=$(cd "$review/.." && pwd)
 stand_in=$review/build/stand_in
-trouble=${TROUBLE:-1}
 record=$case_directory/record.txt
 net=127.$((100 + RANDOM % 100)).$((RANDOM % 250))
 store=$net.1:8524
