Leader: Run nothing of a job whose accepted record is gone

Cause: the leader forgot a job as it sent the removal. The read of all accepted jobs that it had sent just before, since watches were silent, was carried out first and answered later, so it listed the job as a new one. The placement's write compared the progress record with "absent", which was true by then, and not the accepted record.

Ruled out: the watch's own read after a 410 alone; it meets a removal in the same way, and is covered by the same two mends.

--- a/src/libraries/leader/job_journal.cc
+++ b/src/libraries/leader/job_journal.cc
@@ -62,7 +62,7 @@
   m_is_flush_scheduled = false;
   for (const JobId& id : std::exchange(m_dirty_jobs, {})) {
     TrackedJob* const job = m_state.FindJob(id);
-    if (job != nullptr && job->is_dirty && !job->write.has_value()) {
+    if (job != nullptr && job->is_dirty && job->is_writable()) {
       StartWrite(*job);
     }
   }
@@ -83,6 +83,7 @@
   write.value = EncodeJobProgress(job.progress);
   write.ends = std::exchange(job.unsaved_ends, {});
   write.transaction.Expect(kTermKey, m_state.term.revision)
+      .Expect(AcceptedKey(id), job.accepted_revision)
       .Expect(ProgressKey(id), job.progress_revision)
       .Put(ProgressKey(id), write.value);
   AddPlacementConditions(job, write);
@@ -212,7 +213,9 @@
     m_callbacks.on_superseded("a write found another term in the store");
     return;
   }
-  if (record_revision != job.progress_revision) {
+  const StoreItem* const accepted = FindItem(answer.items, AcceptedKey(job.accepted.id));
+  const bool is_accepted = accepted != nullptr && accepted->revision == job.accepted_revision;
+  if (is_accepted && record_revision != job.progress_revision) {
     m_callbacks.on_superseded("a progress record was written by another leader");
     return;
   }
@@ -220,6 +223,9 @@
   const ProgressWrite write = *std::exchange(job.write, std::nullopt);
   job.unsaved_ends.insert(job.unsaved_ends.begin(), write.ends.begin(), write.ends.end());
   m_callbacks.on_conflict(job, write, answer.items);
+  if (job.is_record_gone) {
+    return;
+  }
   // The job may have become dirty during the write without a flush being scheduled for it. Clearing
   // the flag makes MarkDirty() schedule one.
   job.is_dirty = false;
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -190,37 +190,4 @@
   });
 }
 
-void LeaderSession::RemoveExpiredJobs() {
-  for (auto entry = m_state.jobs.begin(); entry != m_state.jobs.end();) {
-    TrackedJob& job = entry->second;
-    const bool is_expired =
-        job.ended_since.has_value() && Now() - *job.ended_since > m_settings.retention;
-    if (is_expired && !job.is_dirty && !job.write.has_value() &&
-        !AnyTaskInPhase(job.progress, TaskPhase::kPlaced)) {
-      RemoveJob(entry->first, job);
-      entry = m_state.jobs.erase(entry);
-    } else {
-      ++entry;
-    }
-  }
-}
-
-void LeaderSession::RemoveJob(const JobId& id, const TrackedJob& job) {
-  Transaction removal;
-  removal.Expect(kTermKey, m_state.term.revision)
-      .Expect(ProgressKey(id), job.progress_revision)
-      .Delete(ProgressKey(id))
-      .Delete(AcceptedKey(id))
-      .Delete(CancelKey(id));
-  m_context.store.Commit(removal, [id](const CommitAnswer& answer) {
-    if (answer.result != TransactionResult::kApplied) {
-      LogEvent(LogLevel::kWarning, "leader",
-               "an expired job could not be removed; a later leader removes it")
-          .Job(id)
-          .Reason(answer.error)
-          .Write();
-    }
-  });
-}
-
 }  // namespace papayalift
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -147,8 +147,20 @@
   void ApplyStart(const PlannedStart& start);
   void ApplyStop(const PlannedStop& stop);
   void Tick();
+
+  // Removal of jobs that ended long ago.
   void RemoveExpiredJobs();
-  void RemoveJob(const JobId& id, const TrackedJob& job);
+  bool IsRemovable(const TrackedJob& job) const;
+  void RemoveJob(const JobId& id, TrackedJob& job);
+  void OnRemovalAnswered(const JobId& id, const CommitAnswer& answer);
+  void OnRemovalConflict(const JobId& id, TrackedJob& job, const CommitAnswer& answer);
+  /// The store has no records of the job any more, as of the revision.
+  void ForgetJob(const JobId& id, Revision removed_at);
+  /// The accepted record was removed, or replaced by `current` if that has a revision.
+  void MarkRecordGone(TrackedJob& job, const StoreItem& current);
+  /// Whether the item is a remnant of a job that this leader has removed: a read that was sent
+  /// before the removal may be answered after it.
+  bool IsOfRemovedJob(const JobId& id, const StoreItem& item) const;
 
   Milliseconds Now() const { return m_context.timers.clock().Now(); }
 
--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -42,7 +42,7 @@
 
 void LeaderSession::ApplyAcceptedItem(const StoreItem& item) {
   const std::optional<ParsedAcceptedKey> name = ParseAcceptedKey(item.key);
-  if (!name.has_value()) {
+  if (!name.has_value() || IsOfRemovedJob(name->job, item)) {
     return;
   }
   if (name->kind == AcceptedKeyKind::kCancel) {
@@ -65,9 +65,13 @@
   }
   TrackedJob& job = m_state.jobs[name->job];
   if (!job.accepted.id.empty()) {
+    if (item.revision > job.accepted_revision) {
+      job.resubmission = item;
+    }
     return;
   }
   job.accepted = *std::move(accepted);
+  job.accepted_revision = item.revision;
   job.known_since = Now();
   if (job.progress_revision.value() == 0) {
     job.progress = InitialProgress(job.accepted);
--- a/src/libraries/leader/leader_session_journal.cc
+++ b/src/libraries/leader/leader_session_journal.cc
@@ -97,7 +97,10 @@
                                const std::vector<StoreItem>& items) {
   std::string reason;
   for (const StoreItem& item : items) {
-    if (item.key == CancelKey(job.accepted.id) && item.revision.value() != 0) {
+    if (item.key == AcceptedKey(job.accepted.id) && item.revision != job.accepted_revision) {
+      reason = "the job's record is gone";
+      MarkRecordGone(job, item);
+    } else if (item.key == CancelKey(job.accepted.id) && item.revision.value() != 0) {
       reason = "the job is cancelled";
       job.is_cancelled = true;
     } else if (item.key == m_context.schema.ManifestKey() &&
--- a/src/libraries/leader/leader_state.cc
+++ b/src/libraries/leader/leader_state.cc
@@ -9,6 +9,14 @@
   return unsaved_ends.empty() ? last_end : *unsaved_ends.begin() - EndNumber(1);
 }
 
+bool TrackedJob::has_runs() const {
+  return std::any_of(runs_by_step.begin(), runs_by_step.end(), [](int runs) { return runs > 0; });
+}
+
+bool TrackedJob::is_writable() const {
+  return !write.has_value() && !is_removal_in_flight && !is_record_gone;
+}
+
 TrackedJob* LeaderState::FindJob(const JobId& id) {
   const auto found = jobs.find(id);
   return found == jobs.end() ? nullptr : &found->second;
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -87,6 +87,15 @@
 
 struct TrackedJob {
   AcceptedJob accepted;
+  /// Revision of the accepted record. Every write of the job is conditional on it, so that nothing
+  /// of a job runs once its record is gone.
+  Revision accepted_revision;
+  /// A write found the accepted record gone or replaced. Nothing of the job is started any more.
+  bool is_record_gone = false;
+  /// A record that was accepted under the same id after this one. It is applied once this one is
+  /// removed.
+  std::optional<StoreItem> resubmission;
+  bool is_removal_in_flight = false;
   bool is_cancelled = false;
   JobProgress progress;
   /// Revision of the progress record; 0 while there is none.
@@ -107,6 +116,17 @@
   /// Number of tracked runs for each step.
   std::vector<int> runs_by_step;
   std::set<MinionId> failed_on;
+
+  bool has_runs() const;
+  /// Whether its progress may be written now.
+  bool is_writable() const;
+};
+
+/// A job whose records this leader has removed from the store.
+struct RemovedJob {
+  /// The records were removed at this revision. Items that are not newer are of the removed job.
+  Revision revision;
+  Milliseconds removed_at{0};
 };
 
 struct MinionHealth {
@@ -188,6 +208,8 @@
   Term term;
   Milliseconds elected_at{0};
   std::map<JobId, TrackedJob> jobs;
+  /// Reads that were sent before a removal may still list the job.
+  std::map<JobId, RemovedJob> removed_jobs;
   std::map<MinionId, TrackedMinion> minions;
   std::set<ZoneId> evacuated_zones;
   /// When the registry's watch, or a read of all of it, last showed an entry written since. Entries
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -93,7 +93,7 @@
 
   PlanSnapshot Build() {
     for (auto& [id, job] : m_state.jobs) {
-      if (!HasEnded(job.progress.state) && !job.is_cancelled) {
+      if (!HasEnded(job.progress.state) && !job.is_cancelled && !job.is_record_gone) {
         AddJob(job);
       }
     }
--- a/tests/leader/fake_store_port.cc
+++ b/tests/leader/fake_store_port.cc
@@ -1,6 +1,7 @@
 #include "leader/fake_store_port.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace papayalift {
@@ -90,14 +91,19 @@
 }
 
 void FakeStorePort::ReadAll(const std::string& prefix, std::function<void(ReadAnswer)> callback) {
-  RunRead([this, prefix, callback](bool is_answered) {
-    ReadAnswer answer;
+  // The answer holds what the store held half way, so later changes may overtake it.
+  const std::shared_ptr<ReadAnswer> answer = std::make_shared<ReadAnswer>();
+  RunLater(m_network_delay, [this, prefix, answer] {
+    answer->items = m_store.ItemsBelow(prefix);
+    answer->revision = m_store.revision();
+  });
+  RunRead([answer, callback](bool is_answered) {
+    ReadAnswer delivered;
     if (is_answered) {
-      answer.result = ReadResult::kOk;
-      answer.items = m_store.ItemsBelow(prefix);
-      answer.revision = m_store.revision();
+      delivered = *answer;
+      delivered.result = ReadResult::kOk;
     }
-    callback(answer);
+    callback(delivered);
   });
 }
 
