Leader: Survive progress whose accepted record is gone

Cause: a progress record without an accepted record, as the fault before this one left them, has no specification. OnEnded looked its step up in an empty list. The end could never be acknowledged, so the minion listed it to each leader to come.

Change: a task is found only if the accepted record has its step; a leader that begins removes progress without an accepted record; progress older than the acceptance is not taken for the job's own. On related paths: the table of runs by step is no longer sized by a step number that a minion reports.

--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -104,6 +104,9 @@
   bool IsLoaded() const;
   void StartIfLoaded();
   void RestoreRuns(TrackedJob& job);
+  /// Drops a progress record that is not of the accepted job: there is none, or it was accepted
+  /// later, under the id of a former one.
+  void DropProgressWithoutJob(const JobId& id, TrackedJob& job);
 
   /// Why the run must not be started, by the registration of its minion as known now; nullopt if it
   /// may. Checked before each order, so that no start depends on older knowledge than its order. If
--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -61,10 +61,11 @@
         .Job(name->job)
         .Reason(std::string(accepted.status().message()))
         .Write();
+    m_state.jobs[name->job].accepted_revision = item.revision;
     return;
   }
   TrackedJob& job = m_state.jobs[name->job];
-  if (!job.accepted.id.empty()) {
+  if (!job.accepted.id.empty() || job.is_record_gone) {
     if (item.revision > job.accepted_revision) {
       job.resubmission = item;
     }
--- a/src/libraries/leader/leader_session_removal.cc
+++ b/src/libraries/leader/leader_session_removal.cc
@@ -54,7 +54,10 @@
   removal.Expect(kTermKey, m_state.term.revision)
       .Expect(ProgressKey(id), job.progress_revision)
       .Delete(ProgressKey(id));
-  if (!job.is_record_gone) {
+  if (job.is_record_gone) {
+    removal.Expect(AcceptedKey(id),
+                   job.resubmission.has_value() ? job.resubmission->revision : Revision(0));
+  } else {
     removal.Expect(AcceptedKey(id), job.accepted_revision)
         .Delete(AcceptedKey(id))
         .Delete(CancelKey(id));
@@ -100,6 +103,11 @@
     m_context.election.StepDown("a removal found another term in the store");
     return;
   }
+  const bool has_progress = RevisionOf(answer.items, ProgressKey(id)) == job.progress_revision;
+  if (job.is_record_gone && has_progress) {
+    // It was accepted again, which the watch will show before the next try.
+    return;
+  }
   const bool is_accepted =
       !job.is_record_gone && RevisionOf(answer.items, AcceptedKey(id)) == job.accepted_revision;
   if (is_accepted) {
@@ -136,6 +144,34 @@
   StopJob(job, "the job's record is gone");
 }
 
+void LeaderSession::DropProgressWithoutJob(const JobId& id, TrackedJob& job) {
+  const bool is_accepted = job.accepted_revision.value() != 0;
+  if (is_accepted && job.accepted.id.empty()) {
+    // NOTE: its record can't be decoded, perhaps by this version only. Its progress is kept.
+    return;
+  }
+  const bool has_its_shape = job.progress.steps.size() == job.accepted.work.steps.size();
+  if (job.progress_revision.value() == 0 ||
+      (is_accepted && job.progress_revision > job.accepted_revision && has_its_shape)) {
+    return;
+  }
+  LogEvent(LogLevel::kWarning, "leader", "a progress record is not of an accepted job")
+      .Job(id)
+      .Field("progress_revision", job.progress_revision.value())
+      .Field("accepted_revision", job.accepted_revision.value())
+      .Field("steps", static_cast<std::int64_t>(job.progress.steps.size()))
+      .Write();
+  job.is_end_stored = false;
+  if (is_accepted) {
+    // Its first write replaces the record.
+    job.progress = InitialProgress(job.accepted);
+  } else {
+    // Minions may still have its runs; these are stopped, and their ends acknowledged.
+    job.progress = JobProgress{};
+    job.is_record_gone = true;
+  }
+}
+
 bool LeaderSession::IsOfRemovedJob(const JobId& id, const StoreItem& item) const {
   const auto removed = m_state.removed_jobs.find(id);
   return removed != m_state.removed_jobs.end() && item.revision <= removed->second.revision;
--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -195,6 +195,7 @@
   m_has_started = true;
   std::int64_t unended = 0;
   for (auto& [id, job] : m_state.jobs) {
+    DropProgressWithoutJob(id, job);
     if (job.accepted.id.empty()) {
       continue;
     }
--- a/src/libraries/leader/leader_state.cc
+++ b/src/libraries/leader/leader_state.cc
@@ -29,7 +29,10 @@
 
 TaskProgress* LeaderState::FindTask(const TaskName& name) {
   TrackedJob* const job = FindJob(name.job);
-  if (job == nullptr || static_cast<std::size_t>(name.step) >= job->progress.steps.size()) {
+  const std::size_t step = static_cast<std::size_t>(name.step);
+  // A job whose accepted record is not known has no steps, whatever its progress says.
+  if (job == nullptr || step >= job->progress.steps.size() ||
+      step >= job->accepted.work.steps.size()) {
     return nullptr;
   }
   std::vector<TaskProgress>& tasks = job->progress.steps[static_cast<std::size_t>(name.step)].tasks;
@@ -53,9 +56,11 @@
 
 void LeaderState::AddRun(TrackedMinion& minion, TrackedRun run) {
   minion.allocated += run.needs;
-  if (TrackedJob* const job = FindJob(run.task.job); job != nullptr) {
-    const std::size_t step = static_cast<std::size_t>(run.task.step);
-    job->runs_by_step.resize(std::max(job->runs_by_step.size(), step + 1));
+  // A minion may report runs of jobs or steps that are not known.
+  TrackedJob* const job = FindJob(run.task.job);
+  const std::size_t step = static_cast<std::size_t>(run.task.step);
+  if (job != nullptr && step < job->progress.steps.size()) {
+    job->runs_by_step.resize(job->progress.steps.size());
     ++job->runs_by_step[step];
   }
   const TaskName name = run.task;
@@ -72,8 +77,11 @@
     return;
   }
   minion->allocated -= found->second.needs;
-  if (TrackedJob* const job = FindJob(name.job); job != nullptr) {
-    --job->runs_by_step[static_cast<std::size_t>(name.step)];
+  TrackedJob* const job = FindJob(name.job);
+  const std::size_t step = static_cast<std::size_t>(name.step);
+  // The job may have become known after the run.
+  if (job != nullptr && step < job->runs_by_step.size() && job->runs_by_step[step] > 0) {
+    --job->runs_by_step[step];
   }
   minion->runs.erase(found);
 }
