Leader: Wait for a lease that a restarted minion may hold

Cause: orders name the end of a lease on the minion's own clock. A refused hold was sent again with the time named last, which was on the clock of the process that was gone, so the new one granted the longest lease. With its first report the leader forgot that, counted with the 6 s of its own later orders, and started the task elsewhere while the minion held it for longer.

Evidence: restarted_minion_test.

Change: a hold after an unanswered call names no lease; what a process held before its first report to this leader counts as up to the longest lease from then, and so does a start that was meant for a former process. No order names that assumed lease.

--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -174,6 +174,9 @@
   Milliseconds clock_read_at{0};
   /// The latest lease end that an order of this term has named.
   std::optional<MinionTime> lease_until;
+  /// The latest lease end that its process may have been granted by orders meant for a former
+  /// process, whose clock was ahead, or sent by a former leader. No order names it.
+  std::optional<MinionTime> foreign_lease_until;
   std::map<TaskName, TrackedRun> runs;
   Resources allocated;
   /// Highest end number in the reports of this incarnation.
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -102,9 +102,11 @@
   ++run.orders_sent;
   const StartOrder order{task, attempt, payload, *lease, m_state.term.token, checkpoint};
   m_minions.Start(minion.destination(), order,
-                  [weak = weak_from_this(), order, minion_id](const OrderAnswer& answer) {
+                  [weak = weak_from_this(), order, minion_id,
+                   incarnation = minion.incarnation](const OrderAnswer& answer) {
                     const Self self = weak.lock();
                     if (self != nullptr && !self->m_is_closed) {
+                      self->CheckLeaseOfStart(minion_id, incarnation, answer);
                       self->OnStartAnswer(order, minion_id, answer);
                     }
                   });
@@ -282,8 +284,30 @@
   if (Now() < previous_leases_expired_at) {
     return false;
   }
-  return !minion.lease_until.has_value() ||
-         MinMinionClock(minion).value() > minion.lease_until->value() + kLeaseMargin.count();
+  const std::int64_t clock = MinMinionClock(minion).value() - kLeaseMargin.count();
+  const auto is_over = [clock](const std::optional<MinionTime>& lease) {
+    return !lease.has_value() || clock > lease->value();
+  };
+  return is_over(minion.lease_until) && is_over(minion.foreign_lease_until);
+}
+
+void RunSupervisor::AssumeForeignLease(TrackedMinion& minion, MinionTime clock) const {
+  const MinionTime longest(clock.value() + m_settings.longest_lease.count());
+  minion.foreign_lease_until = std::max(minion.foreign_lease_until.value_or(longest), longest);
+}
+
+void RunSupervisor::CheckLeaseOfStart(const MinionId& id, MinionIncarnation incarnation,
+                                      const OrderAnswer& answer) {
+  TrackedMinion* const minion = m_state.FindMinion(id);
+  const bool is_not_received = answer.result == OrderResult::kNotSent ||
+                               answer.result == OrderResult::kNoListener ||
+                               answer.result == OrderResult::kOtherMinion;
+  if (minion == nullptr || minion->incarnation == incarnation || is_not_received) {
+    return;
+  }
+  // NOTE: clocks of minions are never fast, so this one shows no more than this by now.
+  const Milliseconds elapsed = Now() - minion->clock_read_at;
+  AssumeForeignLease(*minion, MinionTime(minion->clock.value() + elapsed.count()));
 }
 
 void RunSupervisor::ExpireLeases() {
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -105,6 +105,12 @@
   void ResolveMissingRuns(TrackedMinion& minion, Milliseconds sent_at, const HoldReport& report);
   void LoseRun(const MinionId& minion, const TaskName& task, RunLoss loss,
                const std::string& reason);
+  /// Notes that orders that this leader did not mean for the minion's process may have been carried
+  /// out by it until `clock`.
+  void AssumeForeignLease(TrackedMinion& minion, MinionTime clock) const;
+  /// A start whose lease was named for `incarnation` was answered, or may have been carried out.
+  void CheckLeaseOfStart(const MinionId& id, MinionIncarnation incarnation,
+                         const OrderAnswer& answer);
   bool IsLeaseExpired(const TrackedMinion& minion) const;
   bool NeedsHold(const TrackedMinion& minion) const;
   std::optional<MinionTime> NextLeaseEnd(const TrackedMinion& minion,
--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -79,10 +79,11 @@
 
 void RunSupervisor::SendHold(TrackedMinion& minion) {
   // NOTE: the lease of a minion that does not answer must not be extended, or it would never
-  // expire.
+  // expire. A lease that was named before must not be named again: its process may be a new one,
+  // for which a time on the former one's clock is far ahead.
   const std::optional<MinionTime> lease = minion.unanswered_calls == 0
                                               ? NextLeaseEnd(minion, m_settings.usual_lease)
-                                              : minion.lease_until;
+                                              : std::optional<MinionTime>();
   // NOTE: a new incarnation restarts its end numbers, so an acknowledgement meant for the previous
   // one would delete ends that were never reported. Ends are therefore only acknowledged if no
   // earlier call is unanswered. The minion applies the acknowledgement when the call arrives, so
--- a/src/libraries/leader/run_supervisor_reports.cc
+++ b/src/libraries/leader/run_supervisor_reports.cc
@@ -29,6 +29,9 @@
   minion.has_reported = true;
   minion.clock = report.clock;
   minion.clock_read_at = Now();
+  if (is_first_report) {
+    AssumeForeignLease(minion, report.clock);
+  }
   ProcessEndedRuns(id, report);
   if (m_is_closed) {
     return;
@@ -56,7 +59,9 @@
     minion.last_end = EndNumber(0);
     minion.last_acknowledgement_sent = EndNumber(0);
     minion.unsaved_ends.clear();
+    // Times on the former process's clock.
     minion.lease_until.reset();
+    minion.foreign_lease_until.reset();
     minion.vanished_at =
         minion.previous_silence.has_value() ? minion.previous_silence->since : Now();
   }
--- /dev/null
+++ b/tests/leader/restarted_minion_test.cc
@@ -0,0 +1,86 @@
+#include <criterion/criterion.h>
+
+#include "leader/test_cluster.h"
+
+namespace papayalift {
+
+namespace {
+
+/// One node and six minions, up for longer than the longest lease: a time on a minion's clock is
+/// far ahead for a process that starts now. One job that fills a minion.
+struct RestartCluster : TestCluster {
+  RestartCluster() : TestCluster(1, 6) { Run(Milliseconds(12'000)); }
+
+  void SubmitJob() {
+    RegisteredJob job;
+    job.work.steps = {MakeStep(1, 8)};
+    job.duration = Milliseconds(20'000);
+    Submit(id, job);
+  }
+  MinionId Holder() {
+    cr_assert_eq(minions.RunningOn(id).size(), 1);
+    return minions.RunningOn(id).front();
+  }
+  void CutOff(const MinionId& minion, Milliseconds time) {
+    minions.SetReachable(minion, false);
+    Run(time);
+    minions.SetReachable(minion, true);
+  }
+  void ExpectDoneWithoutViolations() {
+    Run(Milliseconds(30'000));
+    cr_expect(StateOf(id) == WorkState::kDone);
+    for (const std::string& violation : minions.violations()) {
+      cr_expect(false, "%s", violation.c_str());
+    }
+  }
+
+  const JobId id = MakeJobId(1);
+};
+
+}  // namespace
+
+// A hold named a lease by the clock of the process that was gone (review/3).
+Test(restarted_minion, cut_off_after_its_restart_runs_no_task_that_is_started_elsewhere) {
+  for (const std::int64_t cut_after : {1'600, 2'000, 2'600, 3'300}) {
+    RestartCluster cluster;
+    cluster.SubmitJob();
+    cluster.Run(Milliseconds(2'000));
+    const MinionId holder = cluster.Holder();
+    cluster.minions.Crash(holder, MinionOutage{Milliseconds(1'000)});
+    cluster.Run(Milliseconds(1'000 + cut_after));
+    cluster.CutOff(cluster.Holder(), Milliseconds(9'500));
+    cluster.ExpectDoneWithoutViolations();
+  }
+}
+
+// A start named a lease by the clock of a process that had ended while it had no work.
+Test(restarted_minion, that_gets_a_start_meant_for_its_former_process_runs_no_task_twice) {
+  RestartCluster cluster;
+  for (int number = 0; number < 6; ++number) {
+    const MinionId minion("m" + std::to_string(number));
+    cluster.minions.SetCutOffFromStore(minion, true);
+    cluster.minions.Restart(minion);
+  }
+  cluster.SubmitJob();
+  cluster.Run(Milliseconds(500));
+  cluster.CutOff(cluster.Holder(), Milliseconds(9'000));
+  cluster.ExpectDoneWithoutViolations();
+}
+
+// What a minion that answers only holds for the lease that was named to it must not wait longer.
+Test(restarted_minion, that_is_gone_for_good_gives_its_task_up_within_the_longest_lease) {
+  RestartCluster cluster;
+  cluster.SubmitJob();
+  cluster.Run(Milliseconds(2'000));
+  const MinionId holder = cluster.Holder();
+  cluster.minions.Crash(holder, MinionOutage{Milliseconds(1'000)});
+  cluster.Run(Milliseconds(2'600));
+  MinionOutage for_good;
+  for_good.duration = Milliseconds(600'000);
+  cluster.minions.Crash(cluster.Holder(), for_good);
+  cluster.Run(Milliseconds(10'800));
+  cr_assert_eq(cluster.minions.RunningOn(cluster.id).size(), 1);
+  cluster.ExpectDoneWithoutViolations();
+}
+
+}  // namespace papayalift
