Leader: Count a vanished minion as crashed only if it is back

Cause: a new leader took a placement on a minion that was not registered for a crash at the start. That the minion had drained was known to the former leader alone, or to none. Three such losses end a job.

Ruled out: not counting such losses at all.

Change: the address of a placement is stored with it. In the stand-in each machine has its own address now.

--- a/src/libraries/journal/job_progress.h
+++ b/src/libraries/journal/job_progress.h
@@ -29,6 +29,9 @@
   /// Minion and incarnation that the attempt is placed on; only set while the phase is kPlaced.
   MinionId minion;
   MinionIncarnation incarnation;
+  /// The minion's address when the attempt was placed. A minion that comes back after a crash may
+  /// have another id, but has the same address.
+  std::string address;
   /// Minions that crashed when they started the task.
   int crashes = 0;
   /// Those of them that only this job can have crashed.
--- a/src/libraries/journal/job_progress_codec.cc
+++ b/src/libraries/journal/job_progress_codec.cc
@@ -27,9 +27,11 @@
   kCheckpointField,
   kMinionField,
   kIncarnationField,
-  // Only present if the task has crashed a minion.
+  // Only present if the task is placed or has crashed a minion.
   kCrashesField,
   kCrashesOfOneJobField,
+  // Only present if the task is placed.
+  kAddressField,
 };
 
 Json EncodeTask(const TaskProgress& task) {
@@ -41,14 +43,16 @@
   }
   Json json = Json::array({task.phase == TaskPhase::kPlaced, task.attempt.value(), task.failures,
                            task.last_failed.value(), task.checkpoint});
-  if (task.phase == TaskPhase::kPlaced || task.crashes > 0) {
+  const bool is_placed = task.phase == TaskPhase::kPlaced;
+  if (is_placed || task.crashes > 0) {
     json.push_back(task.minion.text());
     json.push_back(task.incarnation.value());
-  }
-  if (task.crashes > 0) {
     json.push_back(task.crashes);
     json.push_back(task.crashes_of_one_job);
   }
+  if (is_placed) {
+    json.push_back(task.address);
+  }
   return json;
 }
 
@@ -71,6 +75,9 @@
     task.crashes = json.at(kCrashesField).get<int>();
     task.crashes_of_one_job = json.at(kCrashesOfOneJobField).get<int>();
   }
+  if (json.size() > kAddressField) {
+    task.address = json.at(kAddressField).get<std::string>();
+  }
   return task;
 }
 
--- a/src/libraries/leader/crash_attribution.cc
+++ b/src/libraries/leader/crash_attribution.cc
@@ -34,15 +34,16 @@
   return !run.has_outlived_start && !outlived_start;
 }
 
-/// Whether the process that the run was placed on has certainly ended. A minion that only does not
-/// answer may be cut off.
-bool IsProcessGone(const TrackedMinion& minion, const TrackedRun& run,
-                   const std::optional<MinionSilence>& silence) {
+/// Whether this leader knows the minion only from placements of a former one.
+bool HasLeftBefore(const TrackedMinion& minion) {
+  return !minion.entry.has_value() && minion.incarnation.value() == 0;
+}
+
+/// Whether this leader has seen that the process that the run was placed on has ended. A minion
+/// that only does not answer may be cut off.
+bool WasProcessSeenGone(const TrackedMinion& minion, const TrackedRun& run,
+                        const std::optional<MinionSilence>& silence) {
   const bool has_answered = minion.incarnation.value() != 0;
-  if (!minion.entry.has_value() && !has_answered) {
-    // It was not registered any more when this leader began.
-    return true;
-  }
   return (has_answered && minion.incarnation != run.incarnation) ||
          (minion.entry.has_value() && minion.entry->incarnation != run.incarnation) ||
          (silence.has_value() && (silence->was_refused || silence->was_replaced));
@@ -62,11 +63,13 @@
                                   Milliseconds now) {
   const std::optional<MinionSilence>& silence =
       minion.silence.has_value() ? minion.silence : minion.previous_silence;
-  if (minion.is_draining || !IsProcessGone(minion, run, silence) ||
+  const bool was_seen = WasProcessSeenGone(minion, run, silence);
+  if (minion.is_draining || (!was_seen && !HasLeftBefore(minion)) ||
       !MayHaveCrashedIt(run, silence)) {
     return false;
   }
   Crash& crash = FindOrAdd(minion, run, now);
+  crash.was_seen = crash.was_seen || was_seen;
   crash.was_host_up = crash.was_host_up || (silence.has_value() && silence->was_refused);
   const bool is_start_known = run.orders_sent > 0;
   crash.suspects.push_back(Suspect{run.task, run.attempt, is_start_known,
@@ -82,6 +85,7 @@
     crash.minion = minion.id;
     crash.incarnation = run.incarnation;
     crash.zone = minion.zone;
+    crash.address = minion.address;
     crash.at = VanishedAt(minion).value_or(now);
   }
   return crash;
@@ -97,7 +101,7 @@
     const ZoneHealth health = HealthAround(fates.at(crash.zone), crash);
     const bool is_complete = health.unknown == 0 && !HasUnresolvedRuns(state, crash);
     if (is_complete || now - crash.at >= kMaxJudgementDelay) {
-      AppendSuspects(crash, IsOutage(crash, health), judged);
+      AppendSuspects(crash, CauseBesideStarts(state, crash, health), judged);
       crash.judged_suspects = crash.suspects.size();
     }
   }
@@ -118,7 +122,26 @@
                      });
 }
 
-void CrashAttribution::AppendSuspects(const Crash& crash, bool is_outage,
+bool CrashAttribution::IsBack(const LeaderState& state, const Crash& crash) {
+  return std::any_of(state.minions.begin(), state.minions.end(), [&crash](const auto& entry) {
+    const TrackedMinion& minion = entry.second;
+    return minion.entry.has_value() && minion.address == crash.address &&
+           minion.entry->incarnation > crash.incarnation;
+  });
+}
+
+std::optional<CrashCause> CrashAttribution::CauseBesideStarts(const LeaderState& state,
+                                                              const Crash& crash,
+                                                              const ZoneHealth& health) {
+  if (IsOutage(crash, health)) {
+    return CrashCause::kOutage;
+  }
+  return crash.was_seen || IsBack(state, crash) ? std::optional<CrashCause>()
+                                                : std::optional<CrashCause>(CrashCause::kUnproven);
+}
+
+void CrashAttribution::AppendSuspects(const Crash& crash,
+                                      std::optional<CrashCause> cause_beside_starts,
                                       std::vector<JudgedRun>& judged) {
   const JobId& first = crash.suspects.front().task.job;
   const bool is_one_job =
@@ -126,9 +149,9 @@
                   [&first](const Suspect& suspect) { return suspect.task.job == first; });
   for (std::size_t index = crash.judged_suspects; index < crash.suspects.size(); ++index) {
     const Suspect& suspect = crash.suspects[index];
-    const CrashCause cause = is_outage                            ? CrashCause::kOutage
-                             : is_one_job && suspect.is_confirmed ? CrashCause::kOneJob
-                                                                  : CrashCause::kUncertain;
+    const CrashCause start_cause =
+        is_one_job && suspect.is_confirmed ? CrashCause::kOneJob : CrashCause::kUncertain;
+    const CrashCause cause = cause_beside_starts.value_or(start_cause);
     judged.push_back(JudgedRun{suspect.task, suspect.attempt, crash.minion, cause});
   }
 }
--- a/src/libraries/leader/crash_attribution.h
+++ b/src/libraries/leader/crash_attribution.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -20,6 +21,9 @@
   kUncertain,
   /// Other minions of the zone were lost at the same time.
   kOutage,
+  /// Nothing shows that the process crashed. The minion had left the registry before this leader
+  /// began, perhaps as planned, and is not back.
+  kUnproven,
 };
 
 /// The judgement of one run that was lost when its minion's process ended right after its start.
@@ -54,7 +58,10 @@
     MinionId minion;
     MinionIncarnation incarnation;
     ZoneId zone;
+    std::string address;
     Milliseconds at{0};
+    /// This leader has seen that the process is gone, and that it had not announced its leave.
+    bool was_seen = false;
     /// The minion's host refused connections while its process was gone; a host without power would
     /// not have answered.
     bool was_host_up = false;
@@ -99,7 +106,15 @@
   /// Whether runs of the crashed process are still tracked, and may become suspects.
   static bool HasUnresolvedRuns(const LeaderState& state, const Crash& crash);
   static bool IsOutage(const Crash& crash, const ZoneHealth& health);
-  static void AppendSuspects(const Crash& crash, bool is_outage, std::vector<JudgedRun>& judged);
+  /// Whether a minion that started after the crashed process is registered at its address. What
+  /// crashes comes back there, and what leaves as planned does not.
+  static bool IsBack(const LeaderState& state, const Crash& crash);
+  /// What ended the process, as far as it does not depend on the suspect; nullopt if a start may
+  /// have.
+  static std::optional<CrashCause> CauseBesideStarts(const LeaderState& state, const Crash& crash,
+                                                     const ZoneHealth& health);
+  static void AppendSuspects(const Crash& crash, std::optional<CrashCause> cause_beside_starts,
+                             std::vector<JudgedRun>& judged);
 
   std::map<std::pair<MinionId, MinionIncarnation>, Crash> m_crashes;
 };
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -134,6 +134,7 @@
     task.attempt = is_gang ? attempt.Next() : task.attempt.Next();
     task.minion = placement.minion;
     task.incarnation = minion.incarnation;
+    task.address = minion.address;
     TrackedRun run;
     run.task = TaskName{start.job, 0, start.step, placement.index};
     run.attempt = task.attempt;
--- a/src/libraries/leader/leader_session_crashes.cc
+++ b/src/libraries/leader/leader_session_crashes.cc
@@ -16,7 +16,9 @@
       ReturnToWaiting(*job, run.task);
     }
     const bool is_over = HasEnded(job->progress.state) || job->is_cancelled;
-    if (run.cause != CrashCause::kOutage && !is_over && task->phase != TaskPhase::kDone) {
+    const bool is_by_start =
+        run.cause == CrashCause::kOneJob || run.cause == CrashCause::kUncertain;
+    if (is_by_start && !is_over && task->phase != TaskPhase::kDone) {
       RecordCrash(*job, *task, run);
     }
     EndJobIfSettled(*job);
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -136,6 +136,7 @@
   task.phase = TaskPhase::kWaiting;
   task.minion = MinionId();
   task.incarnation = MinionIncarnation();
+  task.address.clear();
   job.ready_since.resize(job.progress.steps.size());
   job.ready_since[static_cast<std::size_t>(name.step)].reset();
 }
--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -238,6 +238,7 @@
       if (!minion.entry.has_value()) {
         // It left the registry at some time before this term.
         minion.vanished_at = m_state.elected_at;
+        minion.address = task.address;
       }
       TrackedRun run;
       run.task = TaskName{job.accepted.id, 0, static_cast<int>(step), static_cast<int>(index)};
--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -18,6 +18,11 @@
 /// Clock rate of every second minion, relative to real time.
 constexpr double kSlowClockRate = 0.98;
 
+std::string AddressOfMachine(std::size_t number) {
+  constexpr std::size_t kHostsPerNetwork = 250;
+  return fmt::format("10.0.{}.{}:80", number / kHostsPerNetwork, number % kHostsPerNetwork + 1);
+}
+
 }  // namespace
 
 void FleetMinions::Add(const MinionId& id, const RackId& rack, const Resources& capacity,
@@ -26,7 +31,7 @@
   minion.id = id;
   minion.rack = rack;
   minion.zone = zone;
-  minion.address = m_address;
+  minion.address = m_address.empty() ? AddressOfMachine(m_minions.size()) : m_address;
   minion.capacity = capacity;
   minion.started_at = m_timers.clock().Now();
   m_minions[id] = minion;
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -247,7 +247,8 @@
   void AddViolation(const std::string& rule, const TaskName& task);
 
   bool m_accepts_unknown_jobs = false;
-  std::string m_address = "10.0.0.1:80";
+  /// If empty, each machine has an address of its own.
+  std::string m_address;
   Timers& m_timers;
   FleetStore& m_store;
   std::map<MinionId, Minion> m_minions;
--- a/tests/journal/journal_codec_test.cc
+++ b/tests/journal/journal_codec_test.cc
@@ -12,12 +12,12 @@
   progress.state = WorkState::kRunning;
   progress.steps.resize(1);
   progress.steps[0].tasks.resize(4);
-  progress.steps[0].tasks[1] =
-      TaskProgress{TaskPhase::kPlaced, AttemptNumber(3),        1, AttemptNumber(2), "0bb8",
-                   MinionId("m"),      MinionIncarnation(1'700)};
+  progress.steps[0].tasks[1] = TaskProgress{
+      TaskPhase::kPlaced,       AttemptNumber(3), 1, AttemptNumber(2), "0bb8", MinionId("m"),
+      MinionIncarnation(1'700), "10.0.0.7:80"};
   progress.steps[0].tasks[2] =
-      TaskProgress{TaskPhase::kWaiting, AttemptNumber(2),   2, AttemptNumber(2), "c",
-                   MinionId(),          MinionIncarnation()};
+      TaskProgress{TaskPhase::kWaiting, AttemptNumber(2),    2, AttemptNumber(2), "c",
+                   MinionId(),          MinionIncarnation(), ""};
   progress.steps[0].tasks[3].phase = TaskPhase::kDone;
   cr_assert(DecodeJobProgress(EncodeJobProgress(progress)).value() == progress);
   cr_assert(DecodeWorkState(EncodeJobProgress(progress)).value() == WorkState::kRunning);
--- a/tests/leader/crash_attribution_test.cc
+++ b/tests/leader/crash_attribution_test.cc
@@ -149,6 +149,28 @@
   cr_assert_eq(fixture.attribution.TakeJudged(fixture.state, kJudgedAt).size(), 1);
 }
 
+// Where nothing shows a crash, a minion may have left as planned (review/4).
+Test(crash_attribution, minion_that_left_before_the_term_has_crashed_only_if_it_is_back) {
+  for (const std::int64_t successor_incarnation : {0, 6, 8}) {
+    AttributionFixture fixture;
+    TrackedMinion& gone = fixture.Minion(0);
+    gone.entry.reset();
+    gone.incarnation = MinionIncarnation(0);
+    gone.vanished_at = kCrashedAt;
+    gone.address = "10.0.0.1:80";
+    if (successor_incarnation != 0) {
+      fixture.Minion(1).address = gone.address;
+      fixture.Minion(1).entry->incarnation = MinionIncarnation(successor_incarnation);
+    }
+    TrackedRun run = AttributionFixture::RunOf("a", 0);
+    run.orders_sent = 0;
+    cr_assert(fixture.Lose(run));
+    const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+    const bool is_back = MinionIncarnation(successor_incarnation) > kIncarnation;
+    cr_expect(judged.at(0).cause == (is_back ? CrashCause::kUncertain : CrashCause::kUnproven));
+  }
+}
+
 Test(crash_attribution, task_is_given_up_after_two_crashes_of_its_job_or_three_of_any) {
   TaskProgress task;
   task.crashes = 2;
