Platform: Refuse entries and reports of odd depth or numbers

Beside it was found that a minion's answer nested 200,000 deep ends the process that reads it: copies of the document recurse until the stack is used up.

Cause: numbers were converted before their range was checked, and the depth of a document had no bound.

Ruled out: the read of the list as a whole; values are base64 there, and one that can't be decoded leaves the others alone.

Change: documents nested more than 64 deep are refused before they are parsed, numbers of entries and reports must be whole and in range, a port is not 0.

--- a/src/libraries/model/json_document.h
+++ b/src/libraries/model/json_document.h
@@ -20,7 +20,8 @@
 
 using Json = nlohmann::json;
 
-/// Returns kInvalidArgument if `text` is not a JSON object.
+/// Returns kInvalidArgument if `text` is not a JSON object, or nests values more than 64 deep:
+/// copies of a document recurse.
 absl::StatusOr<Json> ParseJsonObject(std::string_view text);
 
 /// Runs `decode` on the object in `text`; exceptions of the JSON library become kInvalidArgument.
@@ -42,6 +43,14 @@
   return Id(json.value(key, std::string()));
 }
 
+/// The whole number in `json`. Throws Json::out_of_range if it is not one from `minimum` to
+/// `maximum`.
+std::int64_t IntegerOf(const Json& json, std::int64_t minimum, std::int64_t maximum);
+
+/// The same for the field `key`; 0 if there is none.
+std::int64_t IntegerAt(const Json& json, const char* key, std::int64_t minimum,
+                       std::int64_t maximum);
+
 inline Milliseconds MillisecondsAt(const Json& json, const char* key) {
   return Milliseconds(json.value(key, std::int64_t{0}));
 }
--- a/tests/platform/malformed_answer_test.cc
+++ b/tests/platform/malformed_answer_test.cc
@@ -120,4 +120,35 @@
   }
 }
 
+// Copies of a deeply nested document recursed until the stack was used up.
+Test(platform_clients, deeply_nested_minion_answer_is_never_a_report) {
+  constexpr int kDepth = 200'000;
+  const std::string body =
+      R"({"clockMs":1,"active":)" + std::string(kDepth, '[') + std::string(kDepth, ']') + "}";
+  AnswerFixture fixture(HttpStatus::kOk, body);
+  const MinionAddress minion{MinionId("m"), fixture.address};
+  fixture.minions.Hold(minion, HoldOrder{}, [&fixture](const HoldAnswer& answer) {
+    cr_expect(answer.result == OrderResult::kUnclear);
+    fixture.Called();
+  });
+  fixture.Await(1);
+}
+
+// A number out of range was converted without a check, which is undefined.
+Test(platform_clients, minion_answer_with_a_number_out_of_range_is_never_a_report) {
+  for (const char* const body :
+       {R"({"clockMs":1e300})", R"({"clockMs":-1})", R"({"clockMs":18446744073709551615})",
+        R"({"clockMs":1,"born":1e300})",
+        R"({"clockMs":1,"ended":[[9223372036854775808,"a.0.0.0",1,"done",""]]})",
+        R"({"clockMs":1,"active":[["a.0.0.0",4294967297,"",1]]})"}) {
+    AnswerFixture fixture(HttpStatus::kOk, body);
+    const MinionAddress minion{MinionId("m"), fixture.address};
+    fixture.minions.Hold(minion, HoldOrder{}, [&fixture, body](const HoldAnswer& answer) {
+      cr_expect(answer.result == OrderResult::kUnclear, "%s", body);
+      fixture.Called();
+    });
+    fixture.Await(1);
+  }
+}
+
 }  // namespace papayalift::platform
--- a/tests/platform/platform_schema_test.cc
+++ b/tests/platform/platform_schema_test.cc
@@ -50,6 +50,30 @@
   }
 }
 
+// Another writer's entry named a minion that was called again and again.
+Test(platform_schema, minion_entry_with_a_value_out_of_range_or_too_deep_is_refused) {
+  const PlatformSchema schema;
+  const std::string good = kMinionEntry;
+  const auto with = [&good](const std::string& from, const std::string& to) {
+    std::string odd = good;
+    return odd.replace(odd.find(from), from.size(), to);
+  };
+  constexpr int kDepth = 100'000;
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  for (const std::string& odd :
+       {deep, with("\"v1\"", deep), with("[\"a\",\"r1-3\"]", deep), with(":8080", ":0"),
+        with(":8080", ":65536"), with(":8080", ":99999999999999999999"), with(":8080", ":-1"),
+        with("1700000000123", "1e300"), with("1700000000123", "1e999"),
+        with("1700000000123", "18446744073709551615"), with("1700000000123", "1700000000123.5"),
+        with("1700000000123", "-1"), with("\"coldLeftMs\":40", "\"coldLeftMs\":1e300"),
+        with("\"coldLeftMs\":40", "\"coldLeftMs\":9223372036854775807"),
+        with("\"gpu\":2", "\"gpu\":1e30"), with("\"gpu\":2", "\"gpu\":-2"),
+        with("\"cpu\":16000", "\"cpu\":99999999999999999999")}) {
+    cr_expect_not(schema.DecodeMinion(MinionId("i"), odd).ok(), "%.200s", odd.c_str());
+  }
+  cr_expect(schema.DecodeMinion(MinionId("i"), with("\"v1\"", R"("[[{\"\\")")).ok());
+}
+
 Test(platform_schema, manifest_is_decoded_with_queues_and_workspaces) {
   const PlatformSchema schema;
   const FleetManifest manifest =
