Job requests: Let a cancellation hold against a late submission

Cause: a cancellation of a job that is not stored only read, so a submission still under way found its condition unchanged and was stored.

Change: such a cancellation is stored, and a submission compares it; what comes later is refused as not run. The leader removes it as it removes ended jobs. Store calls of a cancel of a known job: as before.

--- a/src/libraries/job_requests/job_request.h
+++ b/src/libraries/job_requests/job_request.h
@@ -35,6 +35,9 @@
   kCancelled,
   kNoSuchQueue,
   kNoSuchJob,
+  /// A cancellation of the job came before its submission. Nothing was stored, and this request has
+  /// no later effect.
+  kWithdrawn,
   kBadKey,
   kMalformed,
   /// The job or its queue needs a feature that is not supported; the job was not run.
--- a/src/libraries/job_requests/job_request_handler.cc
+++ b/src/libraries/job_requests/job_request_handler.cc
@@ -26,13 +26,14 @@
 constexpr Milliseconds kFirstReadRetryDelay{100};
 constexpr std::size_t kJobIdLength = 16;
 
-constexpr std::array<EnumName<JobReplyKind>, 11> kReplyNames{
+constexpr std::array<EnumName<JobReplyKind>, 12> kReplyNames{
     {{JobReplyKind::kAccepted, "accepted"},
      {JobReplyKind::kState, "state"},
      {JobReplyKind::kPending, "pending"},
      {JobReplyKind::kCancelled, "cancelled"},
      {JobReplyKind::kNoSuchQueue, "no such queue"},
      {JobReplyKind::kNoSuchJob, "no such job"},
+     {JobReplyKind::kWithdrawn, "withdrawn"},
      {JobReplyKind::kBadKey, "bad key"},
      {JobReplyKind::kMalformed, "malformed"},
      {JobReplyKind::kUnsupported, "unsupported"},
@@ -168,6 +169,7 @@
   job.work = *work;
   Transaction transaction;
   transaction.Expect(AcceptedKey(job.id), Revision(0))
+      .Expect(CancelKey(job.id), Revision(0))
       .Expect(m_schema.ManifestKey(), m_view.revision())
       .Put(AcceptedKey(job.id), EncodeAcceptedJob(job))
       .Put(WaitingKey(job.queue, job.id), "");
@@ -204,6 +206,10 @@
     Finish(context, JobReply{success, context->job});
     return;
   }
+  if (FindItem(result.items, CancelKey(context->job)) != nullptr) {
+    Refuse(context, JobReplyKind::kWithdrawn, "the job was cancelled before it was stored");
+    return;
+  }
   if (const StoreItem* const manifest = FindItem(result.items, m_schema.ManifestKey())) {
     m_view.Adopt(*manifest);
   }
@@ -289,9 +295,12 @@
   m_store.ReadAll(
       AcceptedKey(context->job), WhenRead(context, [this, context](const ReadAnswer& accepted) {
         const StoreItem* const job = FindItem(accepted.items, AcceptedKey(context->job));
-        if (job == nullptr) {
+        const bool is_stored = FindItem(accepted.items, CancelKey(context->job)) != nullptr;
+        if (job == nullptr && is_stored) {
           Refuse(context, JobReplyKind::kNoSuchJob, "no such job");
-        } else if (FindItem(accepted.items, CancelKey(context->job)) != nullptr) {
+        } else if (job == nullptr) {
+          CommitWithdrawal(context);
+        } else if (is_stored) {
           Finish(context, JobReply{JobReplyKind::kCancelled, context->job});
         } else {
           CommitCancellation(context, *job);
@@ -312,6 +321,15 @@
   Commit(context, transaction, CancelKey(context->job), JobReplyKind::kCancelled);
 }
 
+void JobRequestHandler::CommitWithdrawal(const RequestContextPointer& context) {
+  Transaction transaction;
+  transaction.Expect(AcceptedKey(context->job), Revision(0))
+      .Expect(CancelKey(context->job), Revision(0))
+      .Expect(m_schema.ManifestKey(), m_view.revision())
+      .Put(CancelKey(context->job), "");
+  Commit(context, transaction, CancelKey(context->job), JobReplyKind::kNoSuchJob);
+}
+
 // --- replies ---
 
 void JobRequestHandler::Refuse(const RequestContextPointer& context, JobReplyKind kind,
--- a/src/libraries/job_requests/job_request_handler.h
+++ b/src/libraries/job_requests/job_request_handler.h
@@ -61,6 +61,10 @@
   void Cancel(const RequestContextPointer& context);
   void ReplyWithState(const RequestContextPointer& context, const ReadAnswer& accepted);
   void CommitCancellation(const RequestContextPointer& context, const StoreItem& accepted);
+  /// Stores the cancellation of a job that is not stored. A submission of it may still be under
+  /// way, in a late write or a paused node, and must not be stored after the cancellation is
+  /// answered.
+  void CommitWithdrawal(const RequestContextPointer& context);
   void Finish(const RequestContextPointer& context, JobReply reply);
   void Refuse(const RequestContextPointer& context, JobReplyKind kind, const std::string& detail);
 
--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -49,6 +49,7 @@
     TrackedJob& job = m_state.jobs[name->job];
     if (!job.is_cancelled) {
       job.is_cancelled = true;
+      job.cancelled_since = Now();
       if (m_has_started) {
         Cancel(job);
       }
@@ -77,6 +78,9 @@
   if (job.progress_revision.value() == 0) {
     job.progress = InitialProgress(job.accepted);
   }
+  if (job.is_cancelled && m_has_started) {
+    Cancel(job);
+  }
   SchedulePlan();
 }
 
--- a/src/libraries/leader/leader_session_removal.cc
+++ b/src/libraries/leader/leader_session_removal.cc
@@ -45,6 +45,9 @@
   if (job.is_removal_in_flight || job.write.has_value() || job.has_runs()) {
     return false;
   }
+  if (job.is_withdrawn()) {
+    return Now() - job.cancelled_since > m_settings.retention;
+  }
   return job.is_record_gone ||
          (is_expired && !job.is_dirty && !AnyTaskInPhase(job.progress, TaskPhase::kPlaced));
 }
@@ -108,6 +111,10 @@
     // It was accepted again, which the watch will show before the next try.
     return;
   }
+  if (job.progress_revision.value() == 0) {
+    // A withdrawn job was accepted by a node that does not compare the cancellation.
+    return;
+  }
   const bool is_accepted =
       !job.is_record_gone && RevisionOf(answer.items, AcceptedKey(id)) == job.accepted_revision;
   if (is_accepted) {
--- a/src/libraries/leader/leader_state.cc
+++ b/src/libraries/leader/leader_state.cc
@@ -13,6 +13,10 @@
   return std::any_of(runs_by_step.begin(), runs_by_step.end(), [](int runs) { return runs > 0; });
 }
 
+bool TrackedJob::is_withdrawn() const {
+  return is_cancelled && accepted_revision.value() == 0 && progress_revision.value() == 0;
+}
+
 bool TrackedJob::is_writable() const {
   return !write.has_value() && !is_removal_in_flight && !is_record_gone;
 }
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -97,6 +97,8 @@
   std::optional<StoreItem> resubmission;
   bool is_removal_in_flight = false;
   bool is_cancelled = false;
+  /// When this process first read the cancellation.
+  Milliseconds cancelled_since{0};
   JobProgress progress;
   /// Revision of the progress record; 0 while there is none.
   Revision progress_revision;
@@ -118,6 +120,9 @@
   std::set<MinionId> failed_on;
 
   bool has_runs() const;
+  /// It was cancelled, and is not stored. A submission of it may be under way, and is refused as
+  /// long as the cancellation is kept.
+  bool is_withdrawn() const;
   /// Whether its progress may be written now.
   bool is_writable() const;
 };
