Leader: Plan a job in time by its steps and dependencies

Cause: the critical path was computed anew for each ready step, with the fourth power of the steps in one pass, which outlasted the term's lease.

Change: one walk over steps and dependencies finds all paths, the total is found once a job, whether a step is done is told once a pass.

--- a/src/libraries/journal/job_progress.cc
+++ b/src/libraries/journal/job_progress.cc
@@ -30,11 +30,4 @@
       });
 }
 
-bool IsStepReady(const AcceptedJob& job, const JobProgress& progress, std::size_t step) {
-  const std::vector<int>& after = job.work.steps[step].after;
-  return std::all_of(after.begin(), after.end(), [&progress](int earlier) {
-    return AllTasksInPhase(progress.steps[static_cast<std::size_t>(earlier)], TaskPhase::kDone);
-  });
-}
-
 }  // namespace papayalift
--- a/src/libraries/journal/job_progress.h
+++ b/src/libraries/journal/job_progress.h
@@ -64,7 +64,5 @@
 bool HasEnded(WorkState state);
 bool AllTasksInPhase(const StepProgress& step, TaskPhase phase);
 bool AnyTaskInPhase(const JobProgress& progress, TaskPhase phase);
-/// Whether all steps that `step` depends on are done.
-bool IsStepReady(const AcceptedJob& job, const JobProgress& progress, std::size_t step);
 
 }  // namespace papayalift
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -112,6 +112,8 @@
   bool has_started = false;
   /// When this process first read the job.
   Milliseconds known_since{0};
+  /// Of all its steps; set when it is first planned.
+  std::optional<Milliseconds> critical_path;
   /// For each step, since when it has been ready with waiting tasks.
   std::vector<std::optional<Milliseconds>> ready_since;
   std::optional<Milliseconds> ended_since;
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <utility>
 
+#include "libraries/leader/critical_path.h"
 #include "libraries/leader/minion_usability.h"
 #include "libraries/leader/task_isolation.h"
 #include "libraries/leader/workspace_usage.h"
@@ -53,35 +54,6 @@
   return planned;
 }
 
-Milliseconds RemainingCriticalPath(const AcceptedJob& job, const JobProgress& progress,
-                                   std::size_t from_step) {
-  // Steps depend only on earlier steps, so one pass in reverse order finds the longest path from
-  // each step to the end.
-  std::vector<Milliseconds> path_length(job.work.steps.size(), Milliseconds(0));
-  for (std::size_t step = job.work.steps.size(); step-- > 0;) {
-    Milliseconds successor_path{0};
-    for (std::size_t later = step + 1; later < job.work.steps.size(); ++later) {
-      const std::vector<int>& after = job.work.steps[later].after;
-      if (std::find(after.begin(), after.end(), static_cast<int>(step)) != after.end()) {
-        successor_path = std::max(successor_path, path_length[later]);
-      }
-    }
-    const bool is_done = AllTasksInPhase(progress.steps[step], TaskPhase::kDone);
-    path_length[step] =
-        successor_path + (is_done ? Milliseconds(0) : job.work.steps[step].estimate);
-  }
-  return path_length.empty() ? Milliseconds(0) : path_length[from_step];
-}
-
-Milliseconds TotalCriticalPath(const AcceptedJob& job) {
-  const JobProgress initial_progress = InitialProgress(job);
-  Milliseconds longest{0};
-  for (std::size_t step = 0; step < job.work.steps.size(); ++step) {
-    longest = std::max(longest, RemainingCriticalPath(job, initial_progress, step));
-  }
-  return longest;
-}
-
 class PlanSnapshotBuilder {
  public:
   PlanSnapshotBuilder(LeaderState& state, const FleetManifest& manifest,
@@ -114,15 +86,27 @@
   }
 
   void AddJob(TrackedJob& job) {
-    job.ready_since.resize(job.accepted.work.steps.size());
-    for (std::size_t step = 0; step < job.accepted.work.steps.size(); ++step) {
-      if (IsStepReady(job.accepted, job.progress, step)) {
-        AddPendingStep(job, step);
+    const std::vector<StepSpec>& steps = job.accepted.work.steps;
+    job.ready_since.resize(steps.size());
+    if (!job.critical_path.has_value()) {
+      job.critical_path = TotalCriticalPath(steps);
+    }
+    std::vector<bool> is_done(steps.size());
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+      is_done[step] = AllTasksInPhase(job.progress.steps[step], TaskPhase::kDone);
+    }
+    const std::vector<Milliseconds> paths = RemainingPaths(steps, is_done);
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+      const bool is_ready = std::all_of(
+          steps[step].after.begin(), steps[step].after.end(),
+          [&is_done](int earlier) { return is_done[static_cast<std::size_t>(earlier)]; });
+      if (!is_done[step] && is_ready) {
+        AddPendingStep(job, step, paths[step]);
       }
     }
   }
 
-  void AddPendingStep(TrackedJob& job, std::size_t step) {
+  void AddPendingStep(TrackedJob& job, std::size_t step, Milliseconds remaining_path) {
     const std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
     PendingStep pending;
     pending.job = job.accepted.id;
@@ -152,12 +136,10 @@
     pending.may_stop_borrowers = pending.is_guaranteed && pending.waited >= kBorrowerGracePeriod;
     pending.max_rack_wait = pending.spec.estimate * kRackWaitPerEstimate;
     const Milliseconds objective =
-        Milliseconds(static_cast<std::int64_t>(
-            job.accepted.slack_factor *
-            static_cast<double>(TotalCriticalPath(job.accepted).count()))) +
+        Milliseconds(static_cast<std::int64_t>(job.accepted.slack_factor *
+                                               static_cast<double>(job.critical_path->count()))) +
         job.accepted.latency_target;
-    pending.slack =
-        job.known_since + objective - now - RemainingCriticalPath(job.accepted, job.progress, step);
+    pending.slack = job.known_since + objective - now - remaining_path;
     pending.max_lost_work = MaxLostWork(pending);
     IsolateSuspects(m_state, job, step, pending);
     if (!pending.task_indexes.empty()) {
