Leader: Base a start on a clock that does not age

Cause: a start's deadline was counted from the least that the minion's clock can show, 0.975 of the time since it was read, which after 140 s is as far behind as a start's lease is long. The refusal tells the clock and was not read, so the same order was sent again.

Change: what the clock may be ahead is added to the lease, within what the term allows, and a refusal as late is taken as a reading of the clock.

--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -63,7 +63,10 @@
   // the last confirmation of this one.
   const Milliseconds allowed = m_term_confirmed_at() + m_settings.longest_lease - Now();
   const bool is_confirmed = Now() - m_term_confirmed_at() < kMaxConfirmationAge;
-  const Milliseconds left = is_confirmed ? std::min(usual_lease, allowed) : allowed;
+  // The clock may be ahead of what it shows at least, the more the longer ago it was read.
+  const double elapsed = static_cast<double>((Now() - minion.clock_read_at).count());
+  const Milliseconds uncertainty(static_cast<std::int64_t>(elapsed * (1 - kMinClockRate)));
+  const Milliseconds left = is_confirmed ? std::min(usual_lease + uncertainty, allowed) : allowed;
   return MinionTime(MinMinionClock(minion).value() + std::max(Milliseconds(0), left).count());
 }
 
@@ -146,6 +149,12 @@
     return;
   }
   TrackedMinion& minion = *m_state.FindMinion(minion_id);
+  if (answer.result == OrderResult::kLeaseExpired && answer.clock.has_value() &&
+      *answer.clock > MinMinionClock(minion)) {
+    // The next start is to be based on what the minion has just said.
+    minion.clock = *answer.clock;
+    minion.clock_read_at = Now();
+  }
   if (answer.result == OrderResult::kDone) {
     RecordAnswer(minion);
     run->answered_at = Now();
