Leader: Drop a read that is older than what a watch has brought

An answer that was on its way as the watch spoke again was applied whole. A zone taken back meanwhile stayed evacuated for the rest of the term, and a minion registered meanwhile was taken for gone until its next heartbeat.

Evidence: older_read_test, ten lengths of the silence; with the mend taken out two of them (900 and 1,300 ms) leave a job undone 4 s after its submission, with all minions empty. With it all pass.

Failed try: the first form of the test submitted the job before the silence; it was placed before the old answer came and passed without the mend.

Change: each prefix keeps the revision up to which its changes are known, and an older answer of such a read is dropped with a log line.

--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -66,6 +66,8 @@
     /// Time between changes and the next watch call, so that one call brings the changes of many.
     Milliseconds pause_after_changes{0};
     bool is_loaded = false;
+    /// The changes up to here are known, by a read of all items or by a watch that brought changes.
+    Revision known_revision{0};
   };
 
   LeaderSession(const LeaderContext& context, const LeaderSettings& settings, Term term);
@@ -77,7 +79,10 @@
   void OnPrefixChanged(std::size_t index, Revision after, Milliseconds sent_at,
                        const WatchAnswer& answer);
   /// Records that the prefix is known as the store held it at `sent_at`.
-  void RecordKnown(const WatchedPrefix& watched, Milliseconds sent_at);
+  void RecordKnown(WatchedPrefix& watched, Revision revision, Milliseconds sent_at);
+  /// Reads the prefix once more beside its watch. An answer that is older than what the watch has
+  /// brought meanwhile is dropped: what it lacks, or still has, is no news.
+  void RereadPrefix(std::size_t index, std::function<void(LeaderSession&)> on_answered);
   /// Reads the registry anew if a start was held back because it is not known lately.
   void RereadRegistry();
   void RetryLater(std::function<void(LeaderSession&)> action);
--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -43,7 +43,7 @@
     return;
   }
   (this->*watched.apply_items)(answer);
-  RecordKnown(watched, sent_at);
+  RecordKnown(watched, answer.revision, sent_at);
   watched.is_loaded = true;
   WatchPrefix(index, answer.revision);
   StartIfLoaded();
@@ -63,7 +63,7 @@
 
 void LeaderSession::OnPrefixChanged(std::size_t index, Revision after, Milliseconds sent_at,
                                     const WatchAnswer& answer) {
-  const WatchedPrefix& watched = m_watched_prefixes[index];
+  WatchedPrefix& watched = m_watched_prefixes[index];
   if (answer.result == WatchResult::kCompacted) {
     LogEvent(LogLevel::kWarning, "leader", "the store has forgotten changes; reading anew")
         .Field("prefix", watched.prefix)
@@ -81,7 +81,7 @@
   }
   if (!answer.changes.empty()) {
     // NOTE: a watch without changes shows nothing: the store may be about to forget its history.
-    RecordKnown(watched, sent_at);
+    RecordKnown(watched, answer.revision, sent_at);
     StartIfLoaded();
   }
   const Revision next = std::max(after, answer.revision);
@@ -106,35 +106,55 @@
   });
 }
 
-void LeaderSession::RecordKnown(const WatchedPrefix& watched, Milliseconds sent_at) {
+void LeaderSession::RecordKnown(WatchedPrefix& watched, Revision revision, Milliseconds sent_at) {
+  watched.known_revision = std::max(watched.known_revision, revision);
   if (watched.prefix == m_context.schema.MinionPrefix()) {
     m_state.registry_known_at = std::max(m_state.registry_known_at, sent_at);
   }
 }
 
-void LeaderSession::RereadRegistry() {
-  if (m_is_registry_read_in_flight) {
-    return;
-  }
-  m_is_registry_read_in_flight = true;
-  m_context.store.ReadAll(m_context.schema.MinionPrefix(),
-                          [weak = weak_from_this(), sent_at = Now()](const ReadAnswer& answer) {
+void LeaderSession::RereadPrefix(std::size_t index,
+                                 std::function<void(LeaderSession&)> on_answered) {
+  m_context.store.ReadAll(m_watched_prefixes[index].prefix,
+                          [weak = weak_from_this(), index, on_answered = std::move(on_answered),
+                           sent_at = Now()](const ReadAnswer& answer) {
                             const Self self = weak.lock();
                             if (self == nullptr || self->m_is_closed) {
                               return;
                             }
-                            self->m_is_registry_read_in_flight = false;
+                            on_answered(*self);
+                            WatchedPrefix& watched = self->m_watched_prefixes[index];
                             if (answer.result != ReadResult::kOk) {
-                              LogReadFailure(self->m_context.schema.MinionPrefix(), answer.error);
+                              LogReadFailure(watched.prefix, answer.error);
+                              return;
+                            }
+                            if (answer.revision < watched.known_revision) {
+                              LogEvent(LogLevel::kInfo, "leader",
+                                       "a read is older than what is known; dropped")
+                                  .Field("prefix", watched.prefix)
+                                  .Field("revision", answer.revision.value())
+                                  .Field("known_revision", watched.known_revision.value())
+                                  .Write();
                               return;
                             }
-                            self->ApplyMinionItems(answer);
-                            self->m_state.registry_known_at =
-                                std::max(self->m_state.registry_known_at, sent_at);
+                            (self.get()->*watched.apply_items)(answer);
+                            self->RecordKnown(watched, answer.revision, sent_at);
                             self->SchedulePlan();
                           });
 }
 
+void LeaderSession::RereadRegistry() {
+  if (m_is_registry_read_in_flight) {
+    return;
+  }
+  m_is_registry_read_in_flight = true;
+  for (std::size_t index = 0; index < m_watched_prefixes.size(); ++index) {
+    if (m_watched_prefixes[index].prefix == m_context.schema.MinionPrefix()) {
+      RereadPrefix(index, [](LeaderSession& self) { self.m_is_registry_read_in_flight = false; });
+    }
+  }
+}
+
 void LeaderSession::RereadIfWatchesAreSilent() {
   if (!m_state.has_heartbeats || Now() - m_state.registry_heard_at < kMaxWatchSilence ||
       m_context.election.contact_age() >= kMaxWatchSilence) {
@@ -144,24 +164,10 @@
       .Field("silent_ms", (Now() - m_state.registry_heard_at).count())
       .Field("store_contact_age_ms", m_context.election.contact_age().count())
       .Write();
-  for (const WatchedPrefix& watched : m_watched_prefixes) {
-    if (watched.prefix == m_context.schema.MinionPrefix()) {
-      continue;
+  for (std::size_t index = 0; index < m_watched_prefixes.size(); ++index) {
+    if (m_watched_prefixes[index].prefix != m_context.schema.MinionPrefix()) {
+      RereadPrefix(index, [](LeaderSession&) {});
     }
-    m_context.store.ReadAll(watched.prefix,
-                            [weak = weak_from_this(), prefix = watched.prefix,
-                             apply = watched.apply_items](const ReadAnswer& answer) {
-                              const Self self = weak.lock();
-                              if (self == nullptr || self->m_is_closed) {
-                                return;
-                              }
-                              if (answer.result == ReadResult::kOk) {
-                                (self.get()->*apply)(answer);
-                                self->SchedulePlan();
-                              } else {
-                                LogReadFailure(prefix, answer.error);
-                              }
-                            });
   }
 }
 
