Leader: Give up the runs of a minion that another has replaced

Cause: a new leader gave up what it found on a minion that is not registered only once all leases of former leaders were surely over, 10.4 s into its term, and never asked the minion. What crashes comes back at the same address some 3 s later, so the case can be told. In the leader's own term the wait was 6 s.

Change: every minion with runs is asked for a report, registered or not; where another answers at its address, and one that started later is registered there, the runs are given up. A minion that is only cut off from the store answers and keeps its runs. That a minion that had left before the term refuses connections is no proof of a crash: one that drained does so too.

Ruled out: two live processes at one address; none can listen there, and the order names the minion that it is meant for.

--- a/src/libraries/leader/crash_attribution.cc
+++ b/src/libraries/leader/crash_attribution.cc
@@ -17,13 +17,18 @@
 constexpr int kMaxCrashesOfOneJob = 2;
 constexpr int kMaxCrashes = 3;
 
+/// Whether this leader knows the minion only from placements of a former one.
+bool HasLeftBefore(const TrackedMinion& minion) {
+  return !minion.entry.has_value() && minion.incarnation.value() == 0;
+}
+
 /// When the minion was lost, if it did not announce that it would leave.
 std::optional<Milliseconds> VanishedAt(const TrackedMinion& minion) {
   if (minion.is_draining) {
     return std::nullopt;
   }
-  return minion.silence.has_value() ? std::optional<Milliseconds>(minion.silence->since)
-                                    : minion.vanished_at;
+  const bool is_since_silence = minion.silence.has_value() && !HasLeftBefore(minion);
+  return is_since_silence ? std::optional<Milliseconds>(minion.silence->since) : minion.vanished_at;
 }
 
 /// Whether the minion may have crashed at the run's start; this is not known of a run that a
@@ -34,15 +39,14 @@
   return !run.has_outlived_start && !outlived_start;
 }
 
-/// Whether this leader knows the minion only from placements of a former one.
-bool HasLeftBefore(const TrackedMinion& minion) {
-  return !minion.entry.has_value() && minion.incarnation.value() == 0;
-}
-
 /// Whether this leader has seen that the process that the run was placed on has ended. A minion
-/// that only does not answer may be cut off.
+/// that only does not answer may be cut off, and one that had left before this term may have left
+/// as planned.
 bool WasProcessSeenGone(const TrackedMinion& minion, const TrackedRun& run,
                         const std::optional<MinionSilence>& silence) {
+  if (HasLeftBefore(minion)) {
+    return false;
+  }
   const bool has_answered = minion.incarnation.value() != 0;
   return (has_answered && minion.incarnation != run.incarnation) ||
          (minion.entry.has_value() && minion.entry->incarnation != run.incarnation) ||
@@ -70,7 +74,8 @@
   }
   Crash& crash = FindOrAdd(minion, run, now);
   crash.was_seen = crash.was_seen || was_seen;
-  crash.was_host_up = crash.was_host_up || (silence.has_value() && silence->was_refused);
+  crash.was_host_up =
+      crash.was_host_up || (was_seen && silence.has_value() && silence->was_refused);
   const bool is_start_known = run.orders_sent > 0;
   crash.suspects.push_back(Suspect{run.task, run.attempt, is_start_known,
                                    is_start_known && run.answered_at.has_value()});
@@ -122,22 +127,17 @@
                      });
 }
 
-bool CrashAttribution::IsBack(const LeaderState& state, const Crash& crash) {
-  return std::any_of(state.minions.begin(), state.minions.end(), [&crash](const auto& entry) {
-    const TrackedMinion& minion = entry.second;
-    return minion.entry.has_value() && minion.address == crash.address &&
-           minion.entry->incarnation > crash.incarnation;
-  });
-}
-
 std::optional<CrashCause> CrashAttribution::CauseBesideStarts(const LeaderState& state,
                                                               const Crash& crash,
                                                               const ZoneHealth& health) {
   if (IsOutage(crash, health)) {
     return CrashCause::kOutage;
   }
-  return crash.was_seen || IsBack(state, crash) ? std::optional<CrashCause>()
-                                                : std::optional<CrashCause>(CrashCause::kUnproven);
+  // What crashes comes back at its address, and what leaves as planned does not.
+  const bool has_crashed =
+      crash.was_seen || state.HasLaterMinionAt(crash.address, crash.incarnation);
+  return has_crashed ? std::optional<CrashCause>()
+                     : std::optional<CrashCause>(CrashCause::kUnproven);
 }
 
 void CrashAttribution::AppendSuspects(const Crash& crash,
--- a/src/libraries/leader/crash_attribution.h
+++ b/src/libraries/leader/crash_attribution.h
@@ -106,9 +106,6 @@
   /// Whether runs of the crashed process are still tracked, and may become suspects.
   static bool HasUnresolvedRuns(const LeaderState& state, const Crash& crash);
   static bool IsOutage(const Crash& crash, const ZoneHealth& health);
-  /// Whether a minion that started after the crashed process is registered at its address. What
-  /// crashes comes back there, and what leaves as planned does not.
-  static bool IsBack(const LeaderState& state, const Crash& crash);
   /// What ended the process, as far as it does not depend on the suspect; nullopt if a start may
   /// have.
   static std::optional<CrashCause> CauseBesideStarts(const LeaderState& state, const Crash& crash,
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -179,7 +179,7 @@
   if (m_is_closed) {
     return;
   }
-  m_supervisor->ExpireLeases();
+  m_supervisor->GiveUpLostRuns();
   JudgeSuspects();
   RereadIfWatchesAreSilent();
   RemoveExpiredJobs();
--- a/src/libraries/leader/leader_state.cc
+++ b/src/libraries/leader/leader_state.cc
@@ -58,6 +58,15 @@
   return found == minion->runs.end() || found->second.attempt != attempt ? nullptr : &found->second;
 }
 
+bool LeaderState::HasLaterMinionAt(const std::string& address,
+                                   MinionIncarnation incarnation) const {
+  return std::any_of(minions.begin(), minions.end(), [&](const auto& entry) {
+    const TrackedMinion& minion = entry.second;
+    return minion.entry.has_value() && minion.address == address &&
+           minion.entry->incarnation > incarnation;
+  });
+}
+
 void LeaderState::AddRun(TrackedMinion& minion, TrackedRun run) {
   minion.allocated += run.needs;
   // A minion may report runs of jobs or steps that are not known.
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -237,6 +237,8 @@
   TrackedMinion* FindMinion(const MinionId& id);
   TaskProgress* FindTask(const TaskName& name);
   TrackedRun* FindRun(const TaskName& name, AttemptNumber attempt);
+  /// Whether a minion that started after `incarnation` is registered at the address.
+  bool HasLaterMinionAt(const std::string& address, MinionIncarnation incarnation) const;
 
   void AddRun(TrackedMinion& minion, TrackedRun run);
   /// Removes the run and releases its resources on the minion.
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -319,19 +319,32 @@
   AssumeForeignLease(*minion, MinionTime(minion->clock.value() + elapsed.count()));
 }
 
-void RunSupervisor::ExpireLeases() {
+bool RunSupervisor::IsProcessReplaced(const TrackedMinion& minion, const TrackedRun& run) const {
+  return minion.silence.has_value() && minion.silence->was_replaced &&
+         m_state.HasLaterMinionAt(minion.address, run.incarnation);
+}
+
+const char* RunSupervisor::ReasonToGiveUp(const TrackedMinion& minion,
+                                          const TrackedRun& run) const {
+  if (run.state == TrackedRunState::kDecided) {
+    return nullptr;
+  }
+  if (IsLeaseExpired(minion)) {
+    return "the minion's lease has expired";
+  }
+  return IsProcessReplaced(minion, run) ? "another minion is at its minion's address" : nullptr;
+}
+
+void RunSupervisor::GiveUpLostRuns() {
   for (auto& [id, minion] : m_state.minions) {
-    if (minion.runs.empty() || !IsLeaseExpired(minion)) {
-      continue;
-    }
-    std::vector<TaskName> lost;
+    std::vector<std::pair<TaskName, const char*>> lost;
     for (const auto& [task, run] : minion.runs) {
-      if (run.state != TrackedRunState::kDecided) {
-        lost.push_back(task);
+      if (const char* const reason = ReasonToGiveUp(minion, run); reason != nullptr) {
+        lost.emplace_back(task, reason);
       }
     }
-    for (const TaskName& task : lost) {
-      LoseRun(id, task, RunLoss::kRunLost, "the minion's lease has expired");
+    for (const auto& [task, reason] : lost) {
+      LoseRun(id, task, RunLoss::kRunLost, reason);
     }
   }
 }
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -70,12 +70,13 @@
   /// nothing if one is in flight.
   void RequestHold(TrackedMinion& minion);
 
-  /// Requests the first report of this term from every registered minion, a bounded number at a
-  /// time: those with runs first, since their leases expire.
+  /// Requests the first report of this term from every minion that is registered or has runs, a
+  /// bounded number at a time: those with runs first, since their leases expire.
   void RequestFirstReports();
 
-  /// Gives up the runs of minions whose lease has certainly expired.
-  void ExpireLeases();
+  /// Gives up the runs of minions whose lease has certainly expired, or whose process has certainly
+  /// ended.
+  void GiveUpLostRuns();
 
   void Close() { m_is_closed = true; }
 
@@ -112,6 +113,12 @@
   void CheckLeaseOfStart(const MinionId& id, MinionIncarnation incarnation,
                          const OrderAnswer& answer);
   bool IsLeaseExpired(const TrackedMinion& minion) const;
+  /// Whether the process that the run was placed on has ended: another minion answers at its
+  /// address, and one that started later is registered there.
+  bool IsProcessReplaced(const TrackedMinion& minion, const TrackedRun& run) const;
+  /// Why the run can't be active any more although its minion has not reported its end; nullptr if
+  /// it may be.
+  const char* ReasonToGiveUp(const TrackedMinion& minion, const TrackedRun& run) const;
   bool NeedsHold(const TrackedMinion& minion) const;
   std::optional<MinionTime> NextLeaseEnd(const TrackedMinion& minion,
                                          Milliseconds usual_lease) const;
--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -40,8 +40,12 @@
 void RunSupervisor::RequestFirstReports() {
   std::deque<MinionId> idle;
   for (const auto& [id, minion] : m_state.minions) {
-    if (minion.entry.has_value()) {
-      (minion.runs.empty() ? idle : m_first_report_queue).push_back(id);
+    // NOTE: a minion with runs is asked even if it is not registered. It may only be cut off from
+    // the store, and if another one answers at its address, its process has ended.
+    if (!minion.runs.empty() && !minion.address.empty()) {
+      m_first_report_queue.push_back(id);
+    } else if (minion.entry.has_value()) {
+      idle.push_back(id);
     }
   }
   m_first_report_queue.insert(m_first_report_queue.end(), idle.begin(), idle.end());
--- a/src/libraries/leader/run_supervisor_reports.cc
+++ b/src/libraries/leader/run_supervisor_reports.cc
@@ -64,6 +64,9 @@
     minion.foreign_lease_until.reset();
     minion.vanished_at =
         minion.previous_silence.has_value() ? minion.previous_silence->since : Now();
+  } else if (!minion.entry.has_value()) {
+    // It was taken to have left before this term, but is only not registered.
+    minion.vanished_at.reset();
   }
   // NOTE: runs of the previous incarnation are not given up here but in ResolveMissingRuns(), like
   // all runs that a report does not list. A start in flight may have reached the new incarnation.
