--- a/tests/leader/fake_minion_port.cc
+++ b/tests/leader/fake_minion_port.cc
@@ -28,6 +28,9 @@
 void FakeMinionPort::Hold(const MinionAddress& minion, const HoldOrder& order,
                           std::function<void(HoldAnswer)> callback) {
   ++m_holds;
+  const bool acknowledges = order.acknowledged.value() > 0;
+  m_acknowledging_holds += acknowledges ? 1 : 0;
+  m_waiting_acknowledgements += acknowledges && order.wait.count() > 0 ? 1 : 0;
   m_max_holds_in_flight = std::max(m_max_holds_in_flight, ++m_holds_in_flight);
   const auto counted = [this, callback = std::move(callback)](const HoldAnswer& answer) {
     --m_holds_in_flight;
--- a/tests/leader/fake_minion_port.h
+++ b/tests/leader/fake_minion_port.h
@@ -25,6 +25,9 @@
 
   int holds() const { return m_holds; }
   int max_holds_in_flight() const { return m_max_holds_in_flight; }
+  /// Holds that acknowledged ends, and those of them that were to wait for another.
+  int acknowledging_holds() const { return m_acknowledging_holds; }
+  int waiting_acknowledgements() const { return m_waiting_acknowledgements; }
   int starts() const { return m_starts; }
 
   /// Simulates the end of the process: no answer is delivered any more.
@@ -47,6 +50,8 @@
   int m_holds = 0;
   int m_holds_in_flight = 0;
   int m_max_holds_in_flight = 0;
+  int m_acknowledging_holds = 0;
+  int m_waiting_acknowledgements = 0;
 };
 
 }  // namespace papayalift
