Leader: Tell a machine that fails from a task that crashes it

Cause: ends of processes were counted wherever they were, and the task was started on the same machine again.

Change: a suspect task starts on other machines than the one that it crashed first; while all crashes are at one address, four are needed to give the job up. The first address lies in the progress record; records without it count as before.

--- a/src/libraries/journal/job_progress.h
+++ b/src/libraries/journal/job_progress.h
@@ -36,6 +36,10 @@
   int crashes = 0;
   /// Those of them that only this job can have crashed.
   int crashes_of_one_job = 0;
+  /// Address of the minion that crashed first, and how many crashes were there. A minion that comes
+  /// back has the same address.
+  std::string first_crash_address{};
+  int crashes_at_first_address = 0;
 
   bool operator==(const TaskProgress&) const = default;
 };
--- a/src/libraries/journal/job_progress_codec.cc
+++ b/src/libraries/journal/job_progress_codec.cc
@@ -30,8 +30,11 @@
   // Only present if the task is placed or has crashed a minion.
   kCrashesField,
   kCrashesOfOneJobField,
-  // Only present if the task is placed.
+  // Only present if the task is placed or has crashed a minion; empty unless it is placed.
   kAddressField,
+  // Only present if the task has crashed a minion.
+  kFirstCrashAddressField,
+  kCrashesAtFirstAddressField,
 };
 
 Json EncodeTask(const TaskProgress& task) {
@@ -49,10 +52,12 @@
     json.push_back(task.incarnation.value());
     json.push_back(task.crashes);
     json.push_back(task.crashes_of_one_job);
-  }
-  if (is_placed) {
     json.push_back(task.address);
   }
+  if (task.crashes > 0) {
+    json.push_back(task.first_crash_address);
+    json.push_back(task.crashes_at_first_address);
+  }
   return json;
 }
 
@@ -78,6 +83,10 @@
   if (json.size() > kAddressField) {
     task.address = json.at(kAddressField).get<std::string>();
   }
+  if (json.size() > kCrashesAtFirstAddressField) {
+    task.first_crash_address = json.at(kFirstCrashAddressField).get<std::string>();
+    task.crashes_at_first_address = json.at(kCrashesAtFirstAddressField).get<int>();
+  }
   return task;
 }
 
--- a/src/libraries/leader/crash_attribution.cc
+++ b/src/libraries/leader/crash_attribution.cc
@@ -16,6 +16,7 @@
 constexpr int kMinOthersInOutage = 2;
 constexpr int kMaxCrashesOfOneJob = 2;
 constexpr int kMaxCrashes = 3;
+constexpr int kMaxCrashesAtOneAddress = 4;
 
 /// Whether this leader knows the minion only from placements of a former one.
 bool HasLeftBefore(const TrackedMinion& minion) {
@@ -60,6 +61,9 @@
 }  // namespace
 
 bool IsCrashLooping(const TaskProgress& task) {
+  if (task.crashes == task.crashes_at_first_address) {
+    return task.crashes >= kMaxCrashesAtOneAddress;
+  }
   return task.crashes_of_one_job >= kMaxCrashesOfOneJob || task.crashes >= kMaxCrashes;
 }
 
@@ -152,7 +156,7 @@
     const CrashCause start_cause =
         is_one_job && suspect.is_confirmed ? CrashCause::kOneJob : CrashCause::kUncertain;
     const CrashCause cause = cause_beside_starts.value_or(start_cause);
-    judged.push_back(JudgedRun{suspect.task, suspect.attempt, crash.minion, cause});
+    judged.push_back(JudgedRun{suspect.task, suspect.attempt, crash.minion, crash.address, cause});
   }
 }
 
--- a/src/libraries/leader/crash_attribution.h
+++ b/src/libraries/leader/crash_attribution.h
@@ -31,6 +31,8 @@
   TaskName task;
   AttemptNumber attempt;
   MinionId minion;
+  /// The minion's address, which the one that comes back has as well.
+  std::string address;
   CrashCause cause = CrashCause::kOneJob;
 };
 
@@ -117,7 +119,8 @@
 };
 
 /// Whether a task with these crashes is to be given up: twice no other job's task can have been the
-/// cause, or it was among the suspects too often.
+/// cause, or it was among the suspects too often. If all crashes were at one address, it may be
+/// that machine's fault, and more are needed.
 bool IsCrashLooping(const TaskProgress& task);
 
 }  // namespace papayalift
--- a/src/libraries/leader/leader_session_crashes.cc
+++ b/src/libraries/leader/leader_session_crashes.cc
@@ -41,7 +41,12 @@
 }
 
 void LeaderSession::RecordCrash(TrackedJob& job, TaskProgress& task, const JudgedRun& run) {
+  if (task.crashes == 0) {
+    task.first_crash_address = run.address;
+  }
   ++task.crashes;
+  const bool is_same_machine = !run.address.empty() && run.address == task.first_crash_address;
+  task.crashes_at_first_address += is_same_machine ? 1 : 0;
   task.crashes_of_one_job += run.cause == CrashCause::kOneJob ? 1 : 0;
   LogEvent(LogLevel::kWarning, "runs", "a minion crashed when it started a task")
       .Job(run.task.job)
@@ -50,6 +55,8 @@
       .Field("minion", run.minion.text())
       .Field("crashes", task.crashes)
       .Field("crashes_of_one_job", task.crashes_of_one_job)
+      .Field("address", run.address)
+      .Field("crashes_at_first_address", task.crashes_at_first_address)
       .Write();
   m_context.metrics.Increment("papayalift_task_crashes_total");
   if (IsCrashLooping(task)) {
--- a/src/libraries/leader/task_isolation.cc
+++ b/src/libraries/leader/task_isolation.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace papayalift {
@@ -22,6 +23,23 @@
   return suspects;
 }
 
+/// The minions at the addresses at which one of the tasks first crashed a minion.
+std::set<MinionId> MinionsOnCrashedMachines(const LeaderState& state,
+                                            const std::vector<TaskProgress>& tasks,
+                                            const std::set<int>& suspects) {
+  std::set<std::string> addresses;
+  for (const int index : suspects) {
+    addresses.insert(tasks[static_cast<std::size_t>(index)].first_crash_address);
+  }
+  std::set<MinionId> minions;
+  for (const auto& [id, minion] : state.minions) {
+    if (addresses.contains(minion.address)) {
+      minions.insert(id);
+    }
+  }
+  return minions;
+}
+
 /// Whether a task of the step has likely crashed a minion. A single crash may have another cause.
 bool HasLikelyCause(const std::vector<TaskProgress>& tasks) {
   return std::any_of(tasks.begin(), tasks.end(), [](const TaskProgress& task) {
@@ -67,6 +85,7 @@
                      PendingStep& pending) {
   const std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
   pending.isolated = WaitingSuspects(tasks);
+  pending.crashed = MinionsOnCrashedMachines(state, tasks, pending.isolated);
   pending.max_isolation_wait = kMaxIsolationWait;
   pending.max_isolation_wait_with_spare_capacity = kMaxIsolationWaitWithSpareCapacity;
   if (pending.spec.kind != WorkStepKind::kGang && HasLikelyCause(tasks)) {
--- a/src/libraries/planner/isolation.cc
+++ b/src/libraries/planner/isolation.cc
@@ -15,6 +15,7 @@
   for (const MinionCapacity& candidate : capacity.minions()) {
     const bool fits = candidate.is_idle && pending.spec.needs.Fits(candidate.free) &&
                       !taken.contains(candidate.minion->id) &&
+                      !pending.crashed.contains(candidate.minion->id) &&
                       IsEligible(pending, *candidate.minion);
     if (fits && (best == nullptr || candidate.minion->speed > best->minion->speed)) {
       best = &candidate;
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -41,6 +41,9 @@
   std::vector<int> task_indexes;
   /// Waiting tasks that are suspected of crashing minions and start on minions without other runs.
   std::set<int> isolated;
+  /// Minions on machines where such a task has crashed one. Isolated tasks start on others, which
+  /// shows whether it was the task or the machine.
+  std::set<MinionId> crashed;
   /// Number of the step's tasks already placed on each minion; only filled if the step limits them.
   std::map<MinionId, int> placed_on_minion;
   /// Minions on which tasks of the job have failed.
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -92,6 +92,8 @@
   int starts_after_crashes = 0;
   /// Number of its runs that ended with their minion's process.
   int lost_runs = 0;
+  /// Addresses of the minions with which they ended.
+  std::set<std::string> lost_at;
 };
 
 /// All minions of a test. Records what they observe and collects violations of the rules.
@@ -156,6 +158,9 @@
   int lost_runs(const JobId& job) const;
   /// The same for that task of the job that lost most.
   int max_lost_runs_of_task(const JobId& job) const;
+  /// Whether minions ended under one task of the job on two machines at least. Such a task may be
+  /// given up: it can't be told from one that crashes the minions that start it.
+  bool HasLostTaskOnTwoMachines(const JobId& job) const;
   /// Number of crashes so far, by tasks and by calls of Crash().
   int crashes() const { return m_crashes; }
   std::vector<MinionId> RunningOn(const JobId& job) const;
--- a/src/stand_ins/fleet/fleet_minions_crashes.cc
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -49,6 +49,7 @@
   const std::map<TaskName, Run> lost = std::exchange(minion.runs, {});
   for (const auto& [task, run] : lost) {
     ++m_task_records[task].lost_runs;
+    m_task_records[task].lost_at.insert(minion.address);
     BreakGangOf(run);
   }
 }
@@ -188,6 +189,12 @@
   return most;
 }
 
+bool FleetMinions::HasLostTaskOnTwoMachines(const JobId& job) const {
+  return std::any_of(m_task_records.begin(), m_task_records.end(), [&job](const auto& entry) {
+    return entry.first.job == job && entry.second.lost_at.size() > 1;
+  });
+}
+
 int FleetMinions::lost_runs(const JobId& job) const {
   int sum = 0;
   for (const auto& [task, record] : m_task_records) {
--- a/tests/journal/journal_codec_test.cc
+++ b/tests/journal/journal_codec_test.cc
@@ -32,6 +32,8 @@
     task.attempt = AttemptNumber(2);
     task.crashes = 2;
     task.crashes_of_one_job = 1;
+    task.first_crash_address = "10.0.0.7:80";
+    task.crashes_at_first_address = 1;
   }
   progress.steps[0].tasks[1].phase = TaskPhase::kPlaced;
   progress.steps[0].tasks[1].minion = MinionId("m");
--- a/tests/leader/crash_attribution_test.cc
+++ b/tests/leader/crash_attribution_test.cc
@@ -183,4 +183,17 @@
   cr_assert(IsCrashLooping(task));
 }
 
+// Two ends of one minion that went down and up gave the jobs on it up.
+Test(crash_attribution, task_is_given_up_later_if_all_crashes_were_on_one_machine) {
+  TaskProgress task;
+  task.crashes = 3;
+  task.crashes_of_one_job = 3;
+  task.crashes_at_first_address = 3;
+  cr_assert_not(IsCrashLooping(task));
+  task.crashes = 4;
+  cr_assert(IsCrashLooping(task), "the fourth was on another machine");
+  task.crashes_at_first_address = 4;
+  cr_assert(IsCrashLooping(task), "the fourth was on the same one");
+}
+
 }  // namespace papayalift
