Job requests: Bound what cancellations of unknown jobs cost

Change: it has a key of its own, for the job and the workspace, which only submissions compare and no watch carries. WithdrawalLimiter refuses what goes beyond the limits, as not done, with 429 and the time at which there will be room. A node that stood still beyond a request's budget does not store its job.

The check that a repeated cancellation is not written again is replaced: the first record may end before the second promise is over, so it is written again and kept as long.

--- a/src/libraries/job_requests/job_request.h
+++ b/src/libraries/job_requests/job_request.h
@@ -11,6 +11,9 @@
 
 namespace papayalift {
 
+/// Longest time that a request may take, whatever its consumer asks for.
+constexpr Milliseconds kMaxRequestBudget{60'000};
+
 enum class JobRequestKind { kSubmit, kQuery, kCancel };
 
 struct JobRequest {
@@ -38,6 +41,8 @@
   /// A cancellation of the job came before its submission. Nothing was stored, and this request has
   /// no later effect.
   kWithdrawn,
+  /// The cancellation was not stored, because too many jobs that are not stored were cancelled.
+  kTooManyCancellations,
   kBadKey,
   kMalformed,
   /// The job or its queue needs a feature that is not supported; the job was not run.
@@ -55,6 +60,8 @@
   std::int64_t pending = 0;
   /// Reason of a refusal, for the consumer.
   std::string detail{};
+  /// When there will be room; only set with kTooManyCancellations.
+  Milliseconds retry_after{0};
 };
 
 using JobReplyCallback = std::function<void(JobReply)>;
--- a/src/libraries/job_requests/job_request_handler.cc
+++ b/src/libraries/job_requests/job_request_handler.cc
@@ -26,7 +26,7 @@
 constexpr Milliseconds kFirstReadRetryDelay{100};
 constexpr std::size_t kJobIdLength = 16;
 
-constexpr std::array<EnumName<JobReplyKind>, 12> kReplyNames{
+constexpr std::array<EnumName<JobReplyKind>, 13> kReplyNames{
     {{JobReplyKind::kAccepted, "accepted"},
      {JobReplyKind::kState, "state"},
      {JobReplyKind::kPending, "pending"},
@@ -34,6 +34,7 @@
      {JobReplyKind::kNoSuchQueue, "no such queue"},
      {JobReplyKind::kNoSuchJob, "no such job"},
      {JobReplyKind::kWithdrawn, "withdrawn"},
+     {JobReplyKind::kTooManyCancellations, "too many cancellations"},
      {JobReplyKind::kBadKey, "bad key"},
      {JobReplyKind::kMalformed, "malformed"},
      {JobReplyKind::kUnsupported, "unsupported"},
@@ -60,8 +61,15 @@
 }  // namespace
 
 JobRequestHandler::JobRequestHandler(Timers& timers, StorePort& store, const FleetSchema& schema,
-                                     ManifestView& view, Metrics& metrics)
-    : m_timers(timers), m_store(store), m_schema(schema), m_view(view), m_metrics(metrics) {}
+                                     ManifestView& view, Metrics& metrics,
+                                     const WithdrawalLimits& withdrawal_limits)
+    : m_timers(timers),
+      m_store(store),
+      m_schema(schema),
+      m_view(view),
+      m_metrics(metrics),
+      m_withdrawal_limiter(withdrawal_limits),
+      m_withdrawal_lease(timers, store, metrics) {}
 
 void JobRequestHandler::Handle(JobRequest request, JobReplyCallback reply) {
   const RequestContextPointer context = std::make_shared<RequestContext>();
@@ -143,6 +151,11 @@
 // --- submit ---
 
 void JobRequestHandler::Submit(const RequestContextPointer& context) {
+  if (m_timers.clock().Now() >= context->deadline) {
+    // The node stood still. The consumer has left, and may have cancelled the job.
+    Refuse(context, JobReplyKind::kUnavailable, "the request's time is over");
+    return;
+  }
   const absl::StatusOr<WorkSpec> work = m_schema.DecodeWork(context->request.body);
   if (!work.ok()) {
     Refuse(context,
@@ -170,6 +183,7 @@
   Transaction transaction;
   transaction.Expect(AcceptedKey(job.id), Revision(0))
       .Expect(CancelKey(job.id), Revision(0))
+      .Expect(WithdrawalKey(job.id, job.workspace), Revision(0))
       .Expect(m_schema.ManifestKey(), m_view.revision())
       .Put(AcceptedKey(job.id), EncodeAcceptedJob(job))
       .Put(WaitingKey(job.queue, job.id), "");
@@ -201,12 +215,14 @@
     case WriteOutcome::kConflict:
       break;
   }
-  if (FindItem(result.items, written_key) != nullptr) {
+  const StoreItem* const written = FindItem(result.items, written_key);
+  if (written != nullptr) {
     // Another request, or an earlier send of this write, has created the key.
     Finish(context, JobReply{success, context->job});
     return;
   }
-  if (FindItem(result.items, CancelKey(context->job)) != nullptr) {
+  if (FindItem(result.items, CancelKey(context->job)) != nullptr ||
+      FindItem(result.items, WithdrawalKey(context->job, context->workspace)) != nullptr) {
     Refuse(context, JobReplyKind::kWithdrawn, "the job was cancelled before it was stored");
     return;
   }
@@ -257,14 +273,15 @@
 }
 
 void JobRequestHandler::QueryState(const RequestContextPointer& context) {
-  m_store.ReadAll(AcceptedKey(context->job),
-                  WhenRead(context, [this, context](const ReadAnswer& accepted) {
-                    if (FindItem(accepted.items, AcceptedKey(context->job)) == nullptr) {
-                      Refuse(context, JobReplyKind::kNoSuchJob, "no such job");
-                      return;
-                    }
-                    ReplyWithState(context, accepted);
-                  }));
+  m_store.ReadAll(
+      AcceptedKey(context->job), WhenRead(context, [this, context](const ReadAnswer& accepted) {
+        const StoreItem* const job = FindItem(accepted.items, AcceptedKey(context->job));
+        if (job == nullptr) {
+          Refuse(context, JobReplyKind::kNoSuchJob, "no such job");
+          return;
+        }
+        ReplyWithState(context, accepted);
+      }));
 }
 
 void JobRequestHandler::ReplyWithState(const RequestContextPointer& context,
@@ -295,12 +312,9 @@
   m_store.ReadAll(
       AcceptedKey(context->job), WhenRead(context, [this, context](const ReadAnswer& accepted) {
         const StoreItem* const job = FindItem(accepted.items, AcceptedKey(context->job));
-        const bool is_stored = FindItem(accepted.items, CancelKey(context->job)) != nullptr;
-        if (job == nullptr && is_stored) {
-          Refuse(context, JobReplyKind::kNoSuchJob, "no such job");
-        } else if (job == nullptr) {
-          CommitWithdrawal(context);
-        } else if (is_stored) {
+        if (job == nullptr) {
+          Withdraw(context, Revision(0));
+        } else if (FindItem(accepted.items, CancelKey(context->job)) != nullptr) {
           Finish(context, JobReply{JobReplyKind::kCancelled, context->job});
         } else {
           CommitCancellation(context, *job);
@@ -321,13 +335,49 @@
   Commit(context, transaction, CancelKey(context->job), JobReplyKind::kCancelled);
 }
 
-void JobRequestHandler::CommitWithdrawal(const RequestContextPointer& context) {
+void JobRequestHandler::Withdraw(const RequestContextPointer& context, Revision accepted) {
+  if (!context->is_withdrawal_admitted) {
+    const std::optional<Milliseconds> wait =
+        m_withdrawal_limiter.Admit(context->workspace, m_timers.clock().Now());
+    if (wait.has_value()) {
+      m_metrics.Increment("papayalift_withdrawals_refused_total");
+      JobReply reply{JobReplyKind::kTooManyCancellations, context->job};
+      reply.detail = "too many jobs that are not stored were cancelled";
+      reply.retry_after = *wait;
+      Finish(context, std::move(reply));
+      return;
+    }
+    context->is_withdrawal_admitted = true;
+  }
+  m_withdrawal_lease.Acquire([this, context, accepted](std::optional<StoreLease> lease) {
+    if (context->is_answered) {
+      return;
+    }
+    if (!lease.has_value()) {
+      Refuse(context, JobReplyKind::kUnavailable, "the store grants no lease");
+      return;
+    }
+    CommitWithdrawal(context, accepted, *lease);
+  });
+}
+
+// NOTE: an earlier withdrawal is written again: it would end sooner than this one has to be kept.
+void JobRequestHandler::CommitWithdrawal(const RequestContextPointer& context, Revision accepted,
+                                         StoreLease lease) {
   Transaction transaction;
-  transaction.Expect(AcceptedKey(context->job), Revision(0))
-      .Expect(CancelKey(context->job), Revision(0))
+  transaction.Expect(AcceptedKey(context->job), accepted)
       .Expect(m_schema.ManifestKey(), m_view.revision())
-      .Put(CancelKey(context->job), "");
-  Commit(context, transaction, CancelKey(context->job), JobReplyKind::kNoSuchJob);
+      .PutUnderLease(WithdrawalKey(context->job, context->workspace), "", lease);
+  m_timers.Cancel(context->deadline_timer);
+  CommitWithRetries(m_timers, m_store, transaction, context->deadline,
+                    [this, context](const WriteResult& result) {
+                      if (result.outcome == WriteOutcome::kNotSent) {
+                        m_withdrawal_lease.Drop();
+                      } else if (result.outcome != WriteOutcome::kConflict) {
+                        m_withdrawal_lease.RecordHeld();
+                      }
+                      OnWriteFinished(context, result, "", JobReplyKind::kNoSuchJob);
+                    });
 }
 
 // --- replies ---
--- a/src/libraries/job_requests/job_request_handler.h
+++ b/src/libraries/job_requests/job_request_handler.h
@@ -5,6 +5,8 @@
 
 #include "libraries/job_requests/commit_with_retries.h"
 #include "libraries/job_requests/job_request.h"
+#include "libraries/job_requests/withdrawal_lease.h"
+#include "libraries/job_requests/withdrawal_limiter.h"
 #include "libraries/leader/manifest_view.h"
 #include "libraries/loop/timers.h"
 #include "libraries/metrics/metrics.h"
@@ -16,7 +18,7 @@
 class JobRequestHandler {
  public:
   JobRequestHandler(Timers& timers, StorePort& store, const FleetSchema& schema, ManifestView& view,
-                    Metrics& metrics);
+                    Metrics& metrics, const WithdrawalLimits& withdrawal_limits = {});
 
   /// Calls `reply` exactly once, before the request's budget is spent.
   void Handle(JobRequest request, JobReplyCallback reply);
@@ -32,6 +34,7 @@
     WorkspaceId workspace;
     JobId job;
     int dispatches = 0;
+    bool is_withdrawal_admitted = false;
     TimerId deadline_timer = 0;
     bool is_answered = false;
   };
@@ -45,8 +48,8 @@
               const std::string& written_key, JobReplyKind success);
   bool Authorize(const RequestContextPointer& context, const FleetManifest& manifest);
   void Submit(const RequestContextPointer& context);
-  /// Replies to a write that creates `written_key`, or dispatches the request again if the manifest
-  /// has changed. Replies with `success` also if `written_key` existed before.
+  /// Replies to a write that creates `written_key`, or dispatches the request again if what it
+  /// compared has changed. Replies with `success` also if `written_key` existed before.
   void OnWriteFinished(const RequestContextPointer& context, const WriteResult& result,
                        const std::string& written_key, JobReplyKind success);
   /// The callback of a read: retries the request if the read has failed, and has no effect if the
@@ -61,10 +64,12 @@
   void Cancel(const RequestContextPointer& context);
   void ReplyWithState(const RequestContextPointer& context, const ReadAnswer& accepted);
   void CommitCancellation(const RequestContextPointer& context, const StoreItem& accepted);
-  /// Stores the cancellation of a job that is not stored. A submission of it may still be under
-  /// way, in a late write or a paused node, and must not be stored after the cancellation is
-  /// answered.
-  void CommitWithdrawal(const RequestContextPointer& context);
+  /// Stores the cancellation of a job that is not stored, or not one of the consumer's. A
+  /// submission of it may still be under way, in a late write or a paused node, and must not be
+  /// stored after the cancellation is answered. `accepted` is the revision of the accepted record,
+  /// 0 for none.
+  void Withdraw(const RequestContextPointer& context, Revision accepted);
+  void CommitWithdrawal(const RequestContextPointer& context, Revision accepted, StoreLease lease);
   void Finish(const RequestContextPointer& context, JobReply reply);
   void Refuse(const RequestContextPointer& context, JobReplyKind kind, const std::string& detail);
 
@@ -73,6 +78,8 @@
   const FleetSchema& m_schema;
   ManifestView& m_view;
   Metrics& m_metrics;
+  WithdrawalLimiter m_withdrawal_limiter;
+  WithdrawalLease m_withdrawal_lease;
 };
 
 }  // namespace papayalift
--- a/src/libraries/journal/journal_keys.h
+++ b/src/libraries/journal/journal_keys.h
@@ -15,6 +15,9 @@
 
 std::string AcceptedKey(const JobId& job);
 std::string CancelKey(const JobId& job);
+/// The cancellation of a job of the workspace that is not stored. A submission of it may be under
+/// way, and is refused while this is kept.
+std::string WithdrawalKey(const JobId& job, const WorkspaceId& workspace);
 std::string ProgressKey(const JobId& job);
 /// Prefix of the waiting keys, one for each job of the queue of which no task has started.
 std::string WaitingPrefix(const QueueId& queue);
--- a/src/services/edge_process.cc
+++ b/src/services/edge_process.cc
@@ -68,7 +68,8 @@
         m_election(*m_loop, m_store, ElectionOf(settings),
                    ElectionCallbacks{[this](Term term) { BecomeLeader(term); },
                                      [this](const std::string&) { BecomeFollower(); }}),
-        m_request_handler(*m_loop, m_store, m_schema, m_view, m_metrics) {}
+        m_request_handler(*m_loop, m_store, m_schema, m_view, m_metrics,
+                          WithdrawalLimits::ForStore(settings.store_writes_per_second)) {}
 
   absl::Status Run() {
     m_consumer_server = TRY(Listen(
--- a/tests/leader/virtual_timers.h
+++ b/tests/leader/virtual_timers.h
@@ -15,6 +15,9 @@
   /// Advances the clock by `time` and runs all timers that fall due, in order.
   void Run(Milliseconds time);
 
+  /// Lets the process stand still: the clock advances, and what falls due runs later.
+  void Pause(Milliseconds time) { m_clock.Advance(time); }
+
  private:
   ManualClock m_clock;
   TimerQueue m_timers;
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -27,6 +27,7 @@
 [platform]
 address = "10.200.1.7:8524"
 ttlMinMs = 1500
+writesPerS = 350
 )";
 
 std::string Without(const std::string& line) {
@@ -44,6 +45,7 @@
   cr_assert_eq(settings.longest_lease.count(), 9'000);
   cr_assert_eq(settings.retention.count(), 100'000);
   cr_assert_eq(settings.shortest_store_lease.count(), 1'500);
+  cr_assert_eq(settings.store_writes_per_second, 350);
   cr_assert_eq(settings.drain_bound.count(), 4'000);
   cr_assert_eq(settings.heartbeat_interval.count(), 1'200);
   cr_assert_eq(settings.max_descriptors, 8'192);
--- a/tests/platform/job_request_codec_test.cc
+++ b/tests/platform/job_request_codec_test.cc
@@ -30,6 +30,7 @@
   };
   cr_assert_eq(status_of(JobReplyKind::kUnavailable), 503);
   cr_assert_eq(status_of(JobReplyKind::kUnsupported), 503);
+  cr_assert_eq(status_of(JobReplyKind::kWithdrawn), 503);
   cr_assert_eq(status_of(JobReplyKind::kUnclear), 504);
   cr_assert_eq(status_of(JobReplyKind::kNoSuchJob), 410);
   cr_assert_eq(status_of(JobReplyKind::kNoSuchQueue), 404);
@@ -41,6 +42,14 @@
   cr_assert_eq(response.headers.at("Retry-After"), "1");
 }
 
+Test(job_request_codec, cancellation_beyond_the_limit_is_told_when_to_come_back) {
+  JobReply reply{JobReplyKind::kTooManyCancellations, JobId()};
+  reply.retry_after = Milliseconds(3'100);
+  const HttpResponse response = EncodeJobReply(reply);
+  cr_assert_eq(static_cast<int>(response.status), 429);
+  cr_assert_eq(response.headers.at("Retry-After"), "4");
+}
+
 Test(job_request_codec, state_and_pending_count_are_in_the_body) {
   JobReply state{JobReplyKind::kState, JobId()};
   state.state = WorkState::kRunning;
