Job requests: Give a workspace access to its own jobs alone

Cause: the check was that the key belongs to some workspace. PROTOCOL.md: "A call carries a key of the job's tenant (`X-Key`: the key alone), unless the call's route is `public`."

Change: MayAccess decides by the job's workspace and queue. Others are told what they would be told of no job, and a submission under an id in use is refused as not run.

--- a/src/libraries/job_requests/job_request.h
+++ b/src/libraries/job_requests/job_request.h
@@ -41,6 +41,8 @@
   /// A cancellation of the job came before its submission. Nothing was stored, and this request has
   /// no later effect.
   kWithdrawn,
+  /// The id is in use by a job that the consumer may not access. Nothing was stored.
+  kIdTaken,
   /// The cancellation was not stored, because too many jobs that are not stored were cancelled.
   kTooManyCancellations,
   kBadKey,
--- a/src/libraries/job_requests/job_request_handler.cc
+++ b/src/libraries/job_requests/job_request_handler.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "libraries/base/enum_names.h"
+#include "libraries/job_requests/job_access.h"
 #include "libraries/journal/accepted_job_codec.h"
 #include "libraries/journal/job_progress_codec.h"
 #include "libraries/journal/journal_keys.h"
@@ -26,7 +27,7 @@
 constexpr Milliseconds kFirstReadRetryDelay{100};
 constexpr std::size_t kJobIdLength = 16;
 
-constexpr std::array<EnumName<JobReplyKind>, 13> kReplyNames{
+constexpr std::array<EnumName<JobReplyKind>, 14> kReplyNames{
     {{JobReplyKind::kAccepted, "accepted"},
      {JobReplyKind::kState, "state"},
      {JobReplyKind::kPending, "pending"},
@@ -34,6 +35,7 @@
      {JobReplyKind::kNoSuchQueue, "no such queue"},
      {JobReplyKind::kNoSuchJob, "no such job"},
      {JobReplyKind::kWithdrawn, "withdrawn"},
+     {JobReplyKind::kIdTaken, "id taken"},
      {JobReplyKind::kTooManyCancellations, "too many cancellations"},
      {JobReplyKind::kBadKey, "bad key"},
      {JobReplyKind::kMalformed, "malformed"},
@@ -216,6 +218,11 @@
       break;
   }
   const StoreItem* const written = FindItem(result.items, written_key);
+  if (written != nullptr && success == JobReplyKind::kAccepted &&
+      !MayAccessRecord(*context, *written)) {
+    Refuse(context, JobReplyKind::kIdTaken, "the id is in use");
+    return;
+  }
   if (written != nullptr) {
     // Another request, or an earlier send of this write, has created the key.
     Finish(context, JobReply{success, context->job});
@@ -276,7 +283,7 @@
   m_store.ReadAll(
       AcceptedKey(context->job), WhenRead(context, [this, context](const ReadAnswer& accepted) {
         const StoreItem* const job = FindItem(accepted.items, AcceptedKey(context->job));
-        if (job == nullptr) {
+        if (job == nullptr || !MayAccessRecord(*context, *job)) {
           Refuse(context, JobReplyKind::kNoSuchJob, "no such job");
           return;
         }
@@ -308,12 +315,17 @@
 
 // --- cancel ---
 
+bool JobRequestHandler::MayAccessRecord(const RequestContext& context, const StoreItem& accepted) {
+  const absl::StatusOr<AcceptedJob> job = DecodeAcceptedJob(accepted.value);
+  return !job.ok() || MayAccess(*job, context.workspace, context.queue);
+}
+
 void JobRequestHandler::Cancel(const RequestContextPointer& context) {
   m_store.ReadAll(
       AcceptedKey(context->job), WhenRead(context, [this, context](const ReadAnswer& accepted) {
         const StoreItem* const job = FindItem(accepted.items, AcceptedKey(context->job));
-        if (job == nullptr) {
-          Withdraw(context, Revision(0));
+        if (job == nullptr || !MayAccessRecord(*context, *job)) {
+          Withdraw(context, job == nullptr ? Revision(0) : job->revision);
         } else if (FindItem(accepted.items, CancelKey(context->job)) != nullptr) {
           Finish(context, JobReply{JobReplyKind::kCancelled, context->job});
         } else {
--- a/src/libraries/job_requests/job_request_handler.h
+++ b/src/libraries/job_requests/job_request_handler.h
@@ -63,6 +63,9 @@
   void QueryPendingCount(const RequestContextPointer& context);
   void Cancel(const RequestContextPointer& context);
   void ReplyWithState(const RequestContextPointer& context, const ReadAnswer& accepted);
+  /// Whether the consumer may access the job of the accepted record. One that can't be decoded is
+  /// not refused.
+  static bool MayAccessRecord(const RequestContext& context, const StoreItem& accepted);
   void CommitCancellation(const RequestContextPointer& context, const StoreItem& accepted);
   /// Stores the cancellation of a job that is not stored, or not one of the consumer's. A
   /// submission of it may still be under way, in a late write or a paused node, and must not be
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -124,8 +124,7 @@
   std::map<TaskName, int> stalls;
 
   bool has_runs() const;
-  /// It was cancelled, and is not stored: a node of a former version has stored the withdrawal
-  /// here.
+  /// It was cancelled, and is not stored: a node of a former version has stored the withdrawal here.
   bool is_withdrawn() const;
   /// Whether its progress may be written now.
   bool is_writable() const;
--- a/tests/platform/job_request_codec_test.cc
+++ b/tests/platform/job_request_codec_test.cc
@@ -31,6 +31,7 @@
   cr_assert_eq(status_of(JobReplyKind::kUnavailable), 503);
   cr_assert_eq(status_of(JobReplyKind::kUnsupported), 503);
   cr_assert_eq(status_of(JobReplyKind::kWithdrawn), 503);
+  cr_assert_eq(status_of(JobReplyKind::kIdTaken), 503);
   cr_assert_eq(status_of(JobReplyKind::kUnclear), 504);
   cr_assert_eq(status_of(JobReplyKind::kNoSuchJob), 410);
   cr_assert_eq(status_of(JobReplyKind::kNoSuchQueue), 404);
