Leader: Bound the waits of a gang for a rack together

Cause: the wait for one free rack, up to twice the estimate, began anew after each stop.

Change: the waits before a gang's starts add up.

Evidence: rack_wait_test failed before (still waiting 4 s after the stop) and holds.

--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -145,6 +145,10 @@
     run.is_isolated = task.crashes > 0;
     m_state.AddRun(minion, std::move(run));
   }
+  if (is_gang) {
+    const std::size_t index = static_cast<std::size_t>(start.step);
+    job.waited_before[index] += Now() - job.ready_since[index].value_or(Now());
+  }
   if (job.progress.state == WorkState::kQueued) {
     job.progress.state = WorkState::kRunning;
   }
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -116,6 +116,8 @@
   std::optional<Milliseconds> critical_path;
   /// For each step, since when it has been ready with waiting tasks.
   std::vector<std::optional<Milliseconds>> ready_since;
+  /// For each step that is a gang, how long it has waited before its earlier starts.
+  std::vector<Milliseconds> waited_before;
   std::optional<Milliseconds> ended_since;
   /// Number of tracked runs for each step.
   std::vector<int> runs_by_step;
@@ -124,7 +126,8 @@
   std::map<TaskName, int> stalls;
 
   bool has_runs() const;
-  /// It was cancelled, and is not stored: a node of a former version has stored the withdrawal here.
+  /// It was cancelled, and is not stored: a node of a former version has stored the withdrawal
+  /// here.
   bool is_withdrawn() const;
   /// Whether its progress may be written now.
   bool is_writable() const;
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -88,6 +88,7 @@
   void AddJob(TrackedJob& job) {
     const std::vector<StepSpec>& steps = job.accepted.work.steps;
     job.ready_since.resize(steps.size());
+    job.waited_before.resize(steps.size());
     if (!job.critical_path.has_value()) {
       job.critical_path = TotalCriticalPath(steps);
     }
@@ -134,7 +135,8 @@
     pending.is_guaranteed = m_usage.IsGuaranteed(job.accepted);
     pending.waited = now - *job.ready_since[step];
     pending.may_stop_borrowers = pending.is_guaranteed && pending.waited >= kBorrowerGracePeriod;
-    pending.max_rack_wait = pending.spec.estimate * kRackWaitPerEstimate;
+    // A gang that is stopped again and again must not wait anew each time.
+    pending.max_rack_wait = pending.spec.estimate * kRackWaitPerEstimate - job.waited_before[step];
     const Milliseconds objective =
         Milliseconds(static_cast<std::int64_t>(job.accepted.slack_factor *
                                                static_cast<double>(job.critical_path->count()))) +
--- /dev/null
+++ b/tests/leader/rack_wait_test.cc
@@ -0,0 +1,72 @@
+#include <criterion/criterion.h>
+
+#include "leader/test_cluster.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr Milliseconds kEstimate{3'000};
+constexpr Milliseconds kLong{120'000};
+/// Work on another rack is worth waiting for the preferred one for so long.
+constexpr Milliseconds kMaxRackWait = 2 * kEstimate;
+
+const JobId kGang = MakeJobId(9);
+
+RegisteredJob MakeTask(Milliseconds duration) {
+  RegisteredJob job;
+  job.work.steps = {MakeStep(1, 8)};
+  job.work.steps[0].estimate = duration;
+  job.duration = duration;
+  return job;
+}
+
+/// Two racks of two minions. A long job holds one minion of each, so that a gang of two that
+/// prefers one rack finds none.
+struct HalfFullRacks : TestCluster {
+  HalfFullRacks() : TestCluster(1, 0) {
+    for (int number = 0; number < 4; ++number) {
+      minions.Add(MinionId("m" + std::to_string(number)), RackId(number < 2 ? "r0" : "r1"),
+                  Resources{8'000, 8'000, 8});
+    }
+    Run(Milliseconds(1'000));
+    for (const char* const id : {"m1", "m3"}) {
+      minions.SetCapacity(MinionId(id), Resources{0, 0, 0}, Publication::kAtOnce);
+    }
+    Run(Milliseconds(6'000));
+    Submit(MakeJobId(1), MakeTask(kLong), Priority(1));
+    Submit(MakeJobId(2), MakeTask(kLong), Priority(1));
+    Run(Milliseconds(500));
+    for (const char* const id : {"m1", "m3"}) {
+      minions.SetCapacity(MinionId(id), Resources{8'000, 8'000, 8}, Publication::kAtOnce);
+    }
+    RegisteredJob gang;
+    gang.work.steps = {MakeStep(2, 8)};
+    gang.work.steps[0].kind = WorkStepKind::kGang;
+    gang.work.steps[0].prefers_one_rack = true;
+    gang.work.steps[0].estimate = kEstimate;
+    gang.duration = kLong;
+    Submit(kGang, gang, Priority(2));
+  }
+
+  std::size_t members() const { return minions.RunningOn(kGang).size(); }
+};
+
+}  // namespace
+
+// After each stop the gang waited anew for a free rack, and was not started by the end of a day.
+Test(rack_wait, gang_that_was_stopped_does_not_wait_for_a_rack_anew) {
+  HalfFullRacks cluster;
+  cluster.Run(kMaxRackWait - Milliseconds(1'000));
+  cr_assert_eq(cluster.members(), 0);
+  cluster.Run(Milliseconds(2'000));
+  cr_assert_eq(cluster.members(), 2);
+  cluster.Submit(MakeJobId(3), MakeTask(Milliseconds(2'000)), Priority(0));
+  cluster.Run(Milliseconds(1'000));
+  cr_assert_eq(cluster.members(), 0);
+  cluster.Run(Milliseconds(3'000));
+  cr_assert_eq(cluster.members(), 2);
+  cr_assert(cluster.minions.violations().empty());
+}
+
+}  // namespace papayalift
