--- a/src/libraries/model/json_document.cc
+++ b/src/libraries/model/json_document.cc
@@ -64,4 +64,20 @@
   return found == json.end() ? 0 : IntegerOf(*found, minimum, maximum);
 }
 
+std::int64_t NumberAt(const Json& json, const char* key, std::int64_t minimum,
+                      std::int64_t maximum) {
+  const auto found = json.find(key);
+  if (found == json.end()) {
+    return 0;
+  }
+  const double value = found->get<double>();
+  // Error 401 of the JSON library: a value is out of range.
+  constexpr int kOutOfRange = 401;
+  if (value < static_cast<double>(minimum) || value > static_cast<double>(maximum)) {
+    throw Json::out_of_range::create(
+        kOutOfRange, fmt::format("{} is not from {} to {}", key, minimum, maximum), nullptr);
+  }
+  return static_cast<std::int64_t>(value);
+}
+
 }  // namespace papayalift
--- a/src/libraries/model/json_document.h
+++ b/src/libraries/model/json_document.h
@@ -51,6 +51,11 @@
 std::int64_t IntegerAt(const Json& json, const char* key, std::int64_t minimum,
                        std::int64_t maximum);
 
+/// The number in the field `key` without its fraction; 0 if there is none. Throws
+/// Json::out_of_range, which names the field, if it is not from `minimum` to `maximum`.
+std::int64_t NumberAt(const Json& json, const char* key, std::int64_t minimum,
+                      std::int64_t maximum);
+
 inline Milliseconds MillisecondsAt(const Json& json, const char* key) {
   return Milliseconds(json.value(key, std::int64_t{0}));
 }
