--- a/tests/platform/decoder_fuzz_test.cc
+++ b/tests/platform/decoder_fuzz_test.cc
@@ -15,19 +15,27 @@
 
 constexpr std::int64_t kMaxAmount = 1'000'000'000;
 
-const std::vector<std::string> kMessages = {
+const char kManifest[] =
     R"({"version":3,"routes":[{"name":"q","host":"h","prefix":"/p/","service":"s","priority":1,)"
     R"("maxAttempts":3,"slackFactor":2.5,"targetLatencyMs":900,"public":true}],)"
-    R"("tenants":[{"name":"shop","apiKeys":["key"],"guaranteed":{"gpu":16}}]})",
+    R"("tenants":[{"name":"shop","apiKeys":["key"],"guaranteed":{"gpu":16}}]})";
+const char kMinionEntry[] =
     R"({"service":"pool","address":"10.128.0.9:8080","zone":"casa","state":"ready","coldLeftMs":40,)"
-    R"("capacity":{"cpu":16000,"memMb":32768,"gpu":2},"labels":["a","r1"],"born":1700000000123})",
+    R"("capacity":{"cpu":16000,"memMb":32768,"gpu":2},"labels":["a","r1"],"born":1700000000123})";
+const char kWork[] =
     R"({"spec":"text","phases":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900,"affinity":"r1"},)"
-    R"({"count":20,"cpu":2000,"gpu":1,"estimateMs":7000,"after":[0],"antiAffinity":2,"gang":true}]})",
-    R"({"state":"running","ended_at_ms":0,"steps":[[[true,3,1,2,"c","m",17,2,1,"a","b",1],0,1]]})",
+    R"({"count":20,"cpu":2000,"gpu":1,"estimateMs":7000,"after":[0],"antiAffinity":2,"gang":true}]})";
+const char kProgress[] =
+    R"({"state":"running","ended_at_ms":0,"steps":[[[true,3,1,2,"c","m",17,2,1,"a","b",1],0,1]]})";
+const char kAcceptedJob[] =
     R"({"id":"0123456789abcdef","queue":"q","service":"s","priority":2,"most_attempts":3,)"
-    R"("slack_factor":1.5,"steps":[{"count":2,"cpu":1,"after":[0],"estimate_ms":5}]})",
+    R"("slack_factor":1.5,"steps":[{"count":2,"cpu":1,"after":[0],"estimate_ms":5}]})";
+const char kSettings[] =
     "nodeName = \"e\"\nzone = \"z\"\nip = \"10.0.0.1\"\n[listen]\nfrontend = \"10.0.0.1:1\"\n"
-    "ready = \"10.0.0.1:2\"\n[platform]\naddress = \"10.0.0.2:3\"\nwritesPerS = 400\n"};
+    "ready = \"10.0.0.1:2\"\n[platform]\naddress = \"10.0.0.2:3\"\nwritesPerS = 400\n";
+
+const std::vector<std::string> kMessages = {kManifest, kMinionEntry, kWork,
+                                            kProgress, kAcceptedJob, kSettings};
 
 /// What a number, a text or a part of it is replaced by.
 const std::vector<std::string> kOddities = {"-1",
