Leader: Tell why a ready step is not started

The planner returns the ready steps of which tasks wait, each with a typed reason. A line is written for each reason that has lasted a second, with the usable and unusable minions and the room of its service; counters and the longest wait by reason are exported; "starting tasks" names the wait before it. No decision changes.

Ruled out: a line for each pass and step (thousands a second on a full fleet). Not done: papayalift platform job ID does not show the reason, which lies in the leader's memory and not in the store.

--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -29,7 +29,7 @@
 
 LeaderSession::LeaderSession(const LeaderContext& context, const LeaderSettings& settings,
                              Term term)
-    : m_context(context), m_settings(settings) {
+    : m_context(context), m_settings(settings), m_wait_monitor(context.metrics) {
   m_state.term = term;
   m_state.elected_at = Now();
   m_watched_prefixes = {
@@ -99,18 +99,22 @@
 
 void LeaderSession::RunPlan() {
   const Milliseconds began_at = Now();
-  const PlanSnapshot snapshot = BuildPlanSnapshot(
+  const PlanContents contents = BuildPlanSnapshot(
       m_state, *m_context.view.manifest(), m_settings.max_heartbeat_age, m_context.timers.clock());
-  if (snapshot.pending_steps.empty()) {
+  if (contents.snapshot.pending_steps.empty()) {
+    m_wait_monitor.Record(contents.waits_for_ends, contents.inputs, Now());
     return;
   }
-  const Plan plan = PlanTasks(snapshot);
+  Plan plan = PlanTasks(contents.snapshot);
   for (const PlannedStart& start : plan.starts) {
     ApplyStart(start);
   }
   for (const PlannedStop& stop : plan.stops) {
     ApplyStop(stop);
   }
+  plan.waits.insert(plan.waits.end(), contents.waits_for_ends.begin(),
+                    contents.waits_for_ends.end());
+  m_wait_monitor.Record(plan.waits, contents.inputs, Now());
   m_last_plan_duration = Now() - began_at;
   m_context.metrics.Observe("papayalift_plan_ms",
                             static_cast<double>(m_last_plan_duration.count()));
@@ -152,6 +156,7 @@
   if (job.progress.state == WorkState::kQueued) {
     job.progress.state = WorkState::kRunning;
   }
+  const StepWait* const wait = m_wait_monitor.Find(start.job, start.step);
   LogEvent(LogLevel::kInfo, "leader", "starting tasks")
       .Job(start.job)
       .Field("step", start.step)
@@ -162,6 +167,8 @@
       .Field("manifest", m_context.view.manifest()->version.value())
       .Field("manifest_age_ms", m_context.view.age().count())
       .Field("known_ms", (Now() - job.known_since).count())
+      .Field("waited_ms", wait == nullptr ? 0 : (Now() - wait->ready_since).count())
+      .Field("waited_for", wait == nullptr ? "" : WaitReasonText(wait->reason))
       .Reason(start.reason)
       .Write();
   m_journal->MarkDirty(job);
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -13,6 +13,7 @@
 #include "libraries/leader/leader_state.h"
 #include "libraries/leader/manifest_view.h"
 #include "libraries/leader/run_supervisor.h"
+#include "libraries/leader/wait_monitor.h"
 #include "libraries/metrics/metrics.h"
 #include "libraries/planner/plan.h"
 #include "libraries/work/minion_port.h"
@@ -183,6 +184,7 @@
   CrashAttribution m_crash_attribution;
   bool m_is_registry_read_in_flight = false;
   Milliseconds m_last_plan_duration{0};
+  WaitMonitor m_wait_monitor;
   std::shared_ptr<JobJournal> m_journal;
   std::shared_ptr<RunSupervisor> m_supervisor;
 };
--- a/src/libraries/leader/minion_usability.cc
+++ b/src/libraries/leader/minion_usability.cc
@@ -1,6 +1,9 @@
 #include "libraries/leader/minion_usability.h"
 
 #include <algorithm>
+#include <array>
+
+#include "libraries/leader/task_isolation.h"
 
 namespace papayalift {
 
@@ -21,6 +24,33 @@
          !state.evacuated_zones.contains(minion.entry->zone);
 }
 
+std::string UnusableCauseText(UnusableCause cause) {
+  static constexpr std::array<const char*, kUnusableCauses> kTexts = {
+      "registry", "no_report", "unanswered_call", "avoided", "probation"};
+  return kTexts[static_cast<std::size_t>(cause)];
+}
+
+std::optional<UnusableCause> FindUnusableCause(const LeaderState& state,
+                                               const TrackedMinion& minion,
+                                               Milliseconds max_heartbeat_age, Milliseconds now) {
+  if (!RegistryAllowsWork(state, minion, max_heartbeat_age)) {
+    return UnusableCause::kRegistry;
+  }
+  if (!minion.has_reported || minion.incarnation != minion.entry->incarnation) {
+    return UnusableCause::kNoReport;
+  }
+  if (minion.unanswered_calls > 0) {
+    return UnusableCause::kUnansweredCall;
+  }
+  if (now < minion.health.avoid_until) {
+    return UnusableCause::kAvoided;
+  }
+  if (HasRunOnProbation(minion)) {
+    return UnusableCause::kProbation;
+  }
+  return std::nullopt;
+}
+
 Milliseconds RegistrationKnownAt(const LeaderState& state, const TrackedMinion& minion) {
   return std::max(state.registry_known_at, minion.entry_confirmed_at);
 }
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -28,13 +28,6 @@
 /// Older speed measurements are ignored: a minion that was slow may have recovered.
 constexpr Milliseconds kSpeedMaxAge{6'000};
 
-bool IsUsable(const LeaderState& state, const TrackedMinion& minion, Milliseconds max_heartbeat_age,
-              Milliseconds now) {
-  return RegistryAllowsWork(state, minion, max_heartbeat_age) && minion.has_reported &&
-         minion.incarnation == minion.entry->incarnation && minion.unanswered_calls == 0 &&
-         now >= minion.health.avoid_until && !HasRunOnProbation(minion);
-}
-
 PlanMinion PlanMinionOf(const TrackedMinion& minion, Milliseconds now) {
   PlanMinion planned;
   planned.id = minion.id;
@@ -63,7 +56,7 @@
         m_max_heartbeat_age(max_heartbeat_age),
         m_clock(clock) {}
 
-  PlanSnapshot Build() {
+  PlanContents Build() {
     for (auto& [id, job] : m_state.jobs) {
       if (!HasEnded(job.progress.state) && !job.is_cancelled && !job.is_record_gone) {
         AddJob(job);
@@ -73,15 +66,25 @@
       AddMinions();
       AddVictims();
     }
-    return std::move(m_snapshot);
+    return std::move(m_contents);
   }
 
  private:
   void AddMinions() {
     for (const auto& [id, minion] : m_state.minions) {
-      if (IsUsable(m_state, minion, m_max_heartbeat_age, m_clock.Now())) {
-        m_snapshot.minions.push_back(PlanMinionOf(minion, m_clock.Now()));
-      }
+      AddMinion(minion);
+    }
+  }
+
+  void AddMinion(const TrackedMinion& minion) {
+    const std::optional<UnusableCause> cause =
+        FindUnusableCause(m_state, minion, m_max_heartbeat_age, m_clock.Now());
+    if (!cause.has_value()) {
+      m_snapshot.minions.push_back(PlanMinionOf(minion, m_clock.Now()));
+      const PlanMinion& planned = m_snapshot.minions.back();
+      m_contents.inputs.AddUsable(planned.service, planned.capacity, planned.free);
+    } else if (minion.entry.has_value()) {
+      m_contents.inputs.AddUnusable(minion.entry->service, *cause);
     }
   }
 
@@ -124,8 +127,13 @@
     }
     const bool has_runs = step < job.runs_by_step.size() && job.runs_by_step[step] > 0;
     const bool is_gang = pending.spec.kind == WorkStepKind::kGang;
-    if (pending.task_indexes.empty() ||
-        (is_gang && (has_runs || pending.task_indexes.size() != tasks.size()))) {
+    if (pending.task_indexes.empty()) {
+      return;
+    }
+    if (is_gang && (has_runs || pending.task_indexes.size() != tasks.size())) {
+      m_contents.waits_for_ends.push_back(PlannedWait{pending.job, pending.step, pending.service,
+                                                      static_cast<int>(pending.task_indexes.size()),
+                                                      WaitReason::kFormerRuns});
       return;
     }
     const Milliseconds now = m_clock.Now();
@@ -225,12 +233,13 @@
   const WorkspaceUsage m_usage;
   const Milliseconds m_max_heartbeat_age;
   const Clock& m_clock;
-  PlanSnapshot m_snapshot;
+  PlanContents m_contents;
+  PlanSnapshot& m_snapshot = m_contents.snapshot;
 };
 
 }  // namespace
 
-PlanSnapshot BuildPlanSnapshot(LeaderState& state, const FleetManifest& manifest,
+PlanContents BuildPlanSnapshot(LeaderState& state, const FleetManifest& manifest,
                                Milliseconds max_heartbeat_age, const Clock& clock) {
   return PlanSnapshotBuilder(state, manifest, max_heartbeat_age, clock).Build();
 }
--- /dev/null
+++ b/src/libraries/leader/wait_monitor.cc
@@ -0,0 +1,86 @@
+#include "libraries/leader/wait_monitor.h"
+
+#include <algorithm>
+
+#include "libraries/log/log_event.h"
+
+namespace papayalift {
+
+namespace {
+
+/// Shorter waits are not logged.
+constexpr Milliseconds kMinLoggedWait{1'000};
+
+}  // namespace
+
+void WaitMonitor::Record(const std::vector<PlannedWait>& waits, const PlanInputs& inputs,
+                         Milliseconds now) {
+  std::map<StepName, StepWait> current;
+  for (const PlannedWait& planned : waits) {
+    const StepName name(planned.job, planned.step);
+    const auto known = m_waits.find(name);
+    StepWait wait = known == m_waits.end() ? StepWait{planned.reason, now, now} : known->second;
+    if (wait.reason != planned.reason) {
+      wait.reason = planned.reason;
+      wait.reason_since = now;
+      wait.is_logged = false;
+    }
+    LogIfLong(planned, wait, inputs, now);
+    current.insert_or_assign(name, wait);
+  }
+  m_waits = std::move(current);
+  ExportGauges(now);
+}
+
+const StepWait* WaitMonitor::Find(const JobId& job, int step) const {
+  const auto found = m_waits.find(StepName(job, step));
+  return found == m_waits.end() ? nullptr : &found->second;
+}
+
+void WaitMonitor::LogIfLong(const PlannedWait& planned, StepWait& wait, const PlanInputs& inputs,
+                            Milliseconds now) {
+  if (wait.is_logged || now - wait.reason_since < kMinLoggedWait) {
+    return;
+  }
+  wait.is_logged = true;
+  m_metrics.Increment("papayalift_step_waits_total{reason=\"" + WaitReasonText(wait.reason) +
+                      "\"}");
+  const ServiceInputs service = inputs.Of(planned.service);
+  LogEvent(LogLevel::kInfo, "leader", "a ready step waits")
+      .Job(planned.job)
+      .Field("step", planned.step)
+      .Field("tasks", planned.tasks)
+      .Field("waited_ms", (now - wait.ready_since).count())
+      .Field("for_reason_ms", (now - wait.reason_since).count())
+      .Field("usable_minions", service.usable_minions)
+      .Field("unusable_minions", service.UnusableText())
+      .Field("free_cpu_milli", service.free.cpu_milli)
+      .Field("free_accelerators", service.free.accelerators)
+      .Field("capacity_cpu_milli", service.capacity.cpu_milli)
+      .Field("capacity_accelerators", service.capacity.accelerators)
+      .Reason(WaitReasonText(wait.reason))
+      .Write();
+}
+
+void WaitMonitor::ExportGauges(Milliseconds now) {
+  std::array<int, kWaitReasons> counts{};
+  std::array<Milliseconds, kWaitReasons> longest{};
+  for (const auto& [name, wait] : m_waits) {
+    const std::size_t reason = static_cast<std::size_t>(wait.reason);
+    ++counts[reason];
+    longest[reason] = std::max(longest[reason], now - wait.reason_since);
+  }
+  for (std::size_t reason = 0; reason < kWaitReasons; ++reason) {
+    if (counts[reason] == 0 && !m_is_exported[reason]) {
+      continue;
+    }
+    m_is_exported[reason] = counts[reason] > 0;
+    const std::string label =
+        "{reason=\"" + WaitReasonText(static_cast<WaitReason>(reason)) + "\"}";
+    m_metrics.SetGauge("papayalift_waiting_steps" + label, counts[reason]);
+    m_metrics.SetGauge("papayalift_longest_step_wait_ms" + label,
+                       static_cast<double>(longest[reason].count()));
+  }
+}
+
+}  // namespace papayalift
--- a/src/libraries/planner/placement_search.cc
+++ b/src/libraries/planner/placement_search.cc
@@ -138,6 +138,12 @@
   return pending.spec.prefers_one_rack || !pending.spec.data_rack.empty();
 }
 
+std::int64_t TasksThatStartTogether(const PendingStep& pending) {
+  return pending.spec.kind == WorkStepKind::kGang
+             ? static_cast<std::int64_t>(pending.task_indexes.size())
+             : 1;
+}
+
 /// Whether that many of the step's tasks fit on the minions if nothing else ran there.
 bool WouldFitWhenEmpty(const PendingStep& pending, const PlanCapacity& capacity,
                        const std::vector<std::size_t>& minions, std::int64_t wanted) {
@@ -163,13 +169,16 @@
              minion.labels.end();
 }
 
+bool FitsAnywhere(const PendingStep& pending, const PlanCapacity& capacity, CapacityMember member) {
+  return TotalTasksOn(pending, capacity, member, capacity.everywhere()) >=
+         TasksThatStartTogether(pending);
+}
+
 bool ShouldWaitForRack(const PendingStep& pending, const PlanCapacity& capacity) {
   if (!HasRackPreference(pending) || pending.waited >= pending.max_rack_wait) {
     return false;
   }
-  const std::int64_t wanted = pending.spec.kind == WorkStepKind::kGang
-                                  ? static_cast<std::int64_t>(pending.task_indexes.size())
-                                  : 1;
+  const std::int64_t wanted = TasksThatStartTogether(pending);
   if (!pending.spec.data_rack.empty()) {
     return WouldFitWhenEmpty(pending, capacity, capacity.OnRack(pending.spec.data_rack), wanted);
   }
@@ -190,8 +199,7 @@
       return std::nullopt;
     }
   }
-  if (TotalTasksOn(pending, capacity, member, capacity.everywhere()) <
-      static_cast<std::int64_t>(pending.task_indexes.size())) {
+  if (!FitsAnywhere(pending, capacity, member)) {
     return std::nullopt;
   }
   return FoundPlacements{
--- a/src/libraries/planner/placement_search.h
+++ b/src/libraries/planner/placement_search.h
@@ -27,6 +27,9 @@
 FoundPlacements FindTaskPlacements(const PendingStep& pending, const PlanCapacity& capacity,
                                    CapacityMember member);
 
+/// Whether a gang, or one independent task, fits into the capacity, on whatever rack.
+bool FitsAnywhere(const PendingStep& pending, const PlanCapacity& capacity, CapacityMember member);
+
 /// Whether the step prefers a rack, has not exceeded its wait for it yet, and would fit on it if
 /// nothing else ran there.
 bool ShouldWaitForRack(const PendingStep& pending, const PlanCapacity& capacity);
--- a/src/libraries/planner/plan.h
+++ b/src/libraries/planner/plan.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "libraries/planner/plan_snapshot.h"
+#include "libraries/planner/wait_reason.h"
 
 namespace papayalift {
 
@@ -26,9 +27,20 @@
   JobId beneficiary;
 };
 
+/// A ready step of which tasks are not started in this pass.
+struct PlannedWait {
+  JobId job;
+  int step = 0;
+  ServiceId service;
+  /// Number of the tasks that wait.
+  int tasks = 0;
+  WaitReason reason = WaitReason::kNoCapacity;
+};
+
 struct Plan {
   std::vector<PlannedStart> starts;
   std::vector<PlannedStop> stops;
+  std::vector<PlannedWait> waits;
 };
 
 }  // namespace papayalift
--- a/src/libraries/planner/plan_capacity.cc
+++ b/src/libraries/planner/plan_capacity.cc
@@ -30,7 +30,7 @@
     m_everywhere.push_back(index);
     const Resources free_after_stops = minion.free + minion.being_freed;
     m_minions.push_back(MinionCapacity{
-        &minion, minion.free, free_after_stops, free_after_stops, {}, minion.is_idle});
+        &minion, minion.free, minion.free, free_after_stops, free_after_stops, {}, minion.is_idle});
     m_free_accelerators += FreeAcceleratorsOf(m_minions.back());
     total += minion.capacity;
     free += minion.free;
@@ -72,6 +72,7 @@
   MinionCapacity& capacity = *Find(id);
   m_free_accelerators -= FreeAcceleratorsOf(capacity);
   capacity.free -= needs;
+  capacity.free_without_reservations -= needs;
   capacity.free_after_stops -= needs;
   capacity.free_after_reclaim -= needs;
   capacity.is_idle = false;
@@ -83,7 +84,15 @@
   Allocate(id, free);
 }
 
+void PlanCapacity::ReserveMinion(const MinionId& id) {
+  const Resources unreserved = Find(id)->free_without_reservations;
+  Occupy(id);
+  Find(id)->free_without_reservations = unreserved;
+  m_has_reservations = true;
+}
+
 void PlanCapacity::Reserve(const MinionId& id, const Resources& needs) {
+  m_has_reservations = true;
   MinionCapacity& capacity = *Find(id);
   capacity.free_after_stops -= needs;
   capacity.free_after_reclaim -= needs;
--- a/src/libraries/planner/plan_capacity.h
+++ b/src/libraries/planner/plan_capacity.h
@@ -12,6 +12,8 @@
   const PlanMinion* minion = nullptr;
   /// Available at once.
   Resources free;
+  /// The same, if nothing were reserved in this pass.
+  Resources free_without_reservations;
   /// Available once all runs that are being stopped have ended.
   Resources free_after_stops;
   /// Available if all victims of lower priority were stopped as well.
@@ -36,6 +38,8 @@
   void Allocate(const MinionId& id, const Resources& needs);
   /// Makes all free capacity of a minion unavailable.
   void Occupy(const MinionId& id);
+  /// Reserves all free capacity of a minion, so that one without runs becomes available.
+  void ReserveMinion(const MinionId& id);
   /// Reserves capacity for a task that starts once others have ended.
   void Reserve(const MinionId& id, const Resources& needs);
   /// Adds the resources of a run that this pass stops.
@@ -53,6 +57,8 @@
   }
   /// Whether less than half of each kind of resource was in use when the pass began.
   bool has_spare_capacity() const { return m_has_spare_capacity; }
+  /// Whether capacity was reserved in this pass.
+  bool has_reservations() const { return m_has_reservations; }
   /// Accelerators available at once, on all minions together.
   std::int64_t free_accelerators() const { return m_free_accelerators; }
 
@@ -64,6 +70,7 @@
   std::vector<std::vector<std::size_t>> m_minions_of_victims;
   std::int64_t m_free_accelerators = 0;
   bool m_has_spare_capacity = false;
+  bool m_has_reservations = false;
 };
 
 }  // namespace papayalift
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -69,6 +69,7 @@
     }
     if (!HasWaitedForIsolation(pending, m_capacity)) {
       ReserveForIsolation(pending);
+      Wait(pending, rest.isolated.size(), WaitReason::kIsolation);
       return WithoutIsolated(rest);
     }
     const std::vector<PlannedPlacement> beside = PlaceOnEmptiest(rest);
@@ -111,7 +112,7 @@
     }
     if (const std::optional<MinionId> minion =
             FindEmptiestMinion(pending, m_capacity, Resources{})) {
-      m_capacity.Occupy(*minion);
+      m_capacity.ReserveMinion(*minion);
       m_has_reserved_minion = true;
     }
   }
@@ -128,6 +129,7 @@
       return false;
     }
     ReserveForIsolation(pending);
+    Wait(pending, pending.task_indexes.size(), WaitReason::kIsolation);
     return true;
   }
 
@@ -143,8 +145,15 @@
             : FindGangPlacements(pending, m_capacity, &MinionCapacity::free);
     if (found.has_value() && (found->meets_rack_preference || !pending.is_guaranteed)) {
       Start(pending, *found);
-    } else if (MayStopOthers(pending)) {
-      PlanWithStops(pending);
+    } else {
+      PlanRest(pending);
+    }
+  }
+
+  /// Plans waiting tasks for which there is no capacity at once.
+  void PlanRest(const PendingStep& rest) {
+    if (!MayStopOthers(rest) || !PlanWithStops(rest)) {
+      Wait(rest, rest.task_indexes.size(), FindWaitReason(rest, m_capacity));
     }
   }
 
@@ -168,7 +177,7 @@
     if (!found.placements.empty()) {
       Start(pending, found);
     }
-    if (MayStopOthers(pending) && found.placements.size() < pending.task_indexes.size()) {
+    if (found.placements.size() < pending.task_indexes.size()) {
       PendingStep rest = pending;
       rest.task_indexes.erase(
           rest.task_indexes.begin(),
@@ -176,21 +185,21 @@
       for (const PlannedPlacement& placement : found.placements) {
         ++rest.placed_on_minion[placement.minion];
       }
-      PlanWithStops(rest);
+      PlanRest(rest);
     }
   }
 
   /// Handles a step that does not fit yet and may stop others: reserves the capacity of runs that
-  /// are being stopped, and stops more if necessary.
-  void PlanWithStops(const PendingStep& pending) {
+  /// are being stopped, and stops more if necessary. Returns false if that does not help.
+  bool PlanWithStops(const PendingStep& pending) {
     const std::optional<FoundReclaim> found =
         FindReclaim(pending, m_capacity, m_snapshot.victims, m_is_stopped);
     if (!found.has_value()) {
-      return;
+      return false;
     }
     if (found->victims.empty() && FitsFreeCapacity(pending, found->placements)) {
       Start(pending, FoundPlacements{found->placements, true});
-      return;
+      return true;
     }
     for (const std::size_t index : found->victims) {
       StopVictim(index, pending.job);
@@ -198,6 +207,8 @@
     for (const PlannedPlacement& placement : found->placements) {
       m_capacity.Reserve(placement.minion, pending.spec.needs);
     }
+    Wait(pending, pending.task_indexes.size(), WaitReason::kStops);
+    return true;
   }
 
   /// Whether placements found in the capacity after stops also fit the capacity available at once.
@@ -221,6 +232,11 @@
     m_plan.stops.push_back(PlannedStop{victim.job, victim.step, victim.placements, beneficiary});
   }
 
+  void Wait(const PendingStep& pending, std::size_t tasks, WaitReason reason) {
+    m_plan.waits.push_back(
+        PlannedWait{pending.job, pending.step, pending.service, static_cast<int>(tasks), reason});
+  }
+
   void Start(const PendingStep& pending, const FoundPlacements& found) {
     for (const PlannedPlacement& placement : found.placements) {
       m_capacity.Allocate(placement.minion, pending.spec.needs);
