--- a/tests/leader/test_cluster.cc
+++ b/tests/leader/test_cluster.cc
@@ -181,6 +181,7 @@
                          {"estimateMs", step.estimate.count()},
                          {"gang", step.kind == WorkStepKind::kGang},
                          {"rackLocal", step.prefers_one_rack},
+                         {"affinity", step.data_rack.text()},
                          {"after", step.after},
                          {"constraints", step.required_label},
                          {"antiAffinity", step.max_tasks_per_worker}};
