Planner: Hold a step for its rack only while that pays

Cause: a gang that prefers one rack, and a task with data on one, waited for it up to twice the estimate, wherever else there was room, without asking whether the rack would become free; the wait began anew in each term, and for single tasks after each refused placement. Class: a wait for a preference that is bounded by a constant of the step and not by what it can bring.

Evidence: busy_rack_test, on a virtual clock, 4 of 4 failed before: twelve minions in four racks, a whole minion of each taken for 90 s; gangs with estimates of 8.5 s and of an hour, a killed leader, tasks with data. That the users' record is this cause is not shown: its lines hold neither steps nor racks.

Change (rack_wait.h): a step that fits elsewhere is held for its rack only if the rack is expected to be free, by the speed and the estimates of what runs there, before the step would have made up for it elsewhere. What a step was held adds up over all its starts, and bounds the sum when estimates are wrong or others take the room. If nothing of its job runs and it fits twice over, 1.5 s are the bound. A step that was ready before the term counts as held that long. Steps within a guarantee that wait for stops on their rack are under the same bound: by reading, a stop that does not end held them for ever.

Two were changed. rack_wait_test kept its racks busy with tasks of 120 s, for which the gang no longer waits: now chains of short tasks keep them busy, so that a rack always seems to be free soon; its assertions and bounds are the same, and the task that stops the gang belongs to another workspace, so that only the gang can be stopped. gang_that_prefers_one_rack_ waits_no_longer_than_its_limit says what runs on the racks and bounds what the gang was held, not how long it has been ready.

--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -99,13 +99,17 @@
 
 void LeaderSession::RunPlan() {
   const Milliseconds began_at = Now();
-  const PlanContents contents = BuildPlanSnapshot(
-      m_state, *m_context.view.manifest(), m_settings.max_heartbeat_age, m_context.timers.clock());
+  const PlanContents contents =
+      BuildPlanSnapshot(m_state, *m_context.view.manifest(),
+                        PlanSettings{m_settings.max_heartbeat_age, m_settings.remote_factor},
+                        m_context.timers.clock());
   if (contents.snapshot.pending_steps.empty()) {
     m_wait_monitor.Record(contents.waits_for_ends, contents.inputs, Now());
+    m_last_pass_at = began_at;
     return;
   }
   Plan plan = PlanTasks(contents.snapshot);
+  RecordRackHolds(plan.waits, began_at);
   for (const PlannedStart& start : plan.starts) {
     ApplyStart(start);
   }
@@ -120,6 +124,20 @@
                             static_cast<double>(m_last_plan_duration.count()));
 }
 
+void LeaderSession::RecordRackHolds(const std::vector<PlannedWait>& waits, Milliseconds now) {
+  for (const PlannedWait& wait : waits) {
+    if (wait.reason != WaitReason::kRack) {
+      continue;
+    }
+    RackHold& hold = m_state.FindJob(wait.job)->rack_holds[static_cast<std::size_t>(wait.step)];
+    if (hold.last_held_at == m_last_pass_at) {
+      hold.total += now - m_last_pass_at;
+    }
+    hold.last_held_at = now;
+  }
+  m_last_pass_at = now;
+}
+
 void LeaderSession::ApplyStart(const PlannedStart& start) {
   TrackedJob& job = *m_state.FindJob(start.job);
   StepProgress& step = job.progress.steps[static_cast<std::size_t>(start.step)];
@@ -149,10 +167,6 @@
     run.is_isolated = task.crashes > 0;
     m_state.AddRun(minion, std::move(run));
   }
-  if (is_gang) {
-    const std::size_t index = static_cast<std::size_t>(start.step);
-    job.waited_before[index] += Now() - job.ready_since[index].value_or(Now());
-  }
   if (job.progress.state == WorkState::kQueued) {
     job.progress.state = WorkState::kRunning;
   }
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -38,6 +38,8 @@
   Milliseconds registration_freshness{1'500};
   /// A minion gets no work if heartbeats of others have arrived since its last one for this long.
   Milliseconds max_heartbeat_age{2'250};
+  /// How many times as long work takes away from its preferred rack.
+  double remote_factor = 3;
   /// How long the records of a job are kept after it has ended.
   Milliseconds retention{120'000};
 };
@@ -110,6 +112,8 @@
   bool IsLoaded() const;
   void StartIfLoaded();
   void RestoreRuns(TrackedJob& job);
+  /// Takes steps that were ready before this term to have been held for their racks already.
+  void RestoreRackHolds(TrackedJob& job);
   /// Drops a progress record that is not of the accepted job: there is none, or it was accepted
   /// later, under the id of a former one.
   void DropProgressWithoutJob(const JobId& id, TrackedJob& job);
@@ -153,6 +157,8 @@
   // Planning.
   void SchedulePlan();
   void RunPlan();
+  /// Adds the time since the last pass to what its steps were held back for their racks.
+  void RecordRackHolds(const std::vector<PlannedWait>& waits, Milliseconds now);
   void ApplyStart(const PlannedStart& start);
   void ApplyStop(const PlannedStop& stop);
   void Tick();
@@ -185,6 +191,7 @@
   bool m_is_registry_read_in_flight = false;
   Milliseconds m_last_plan_duration{0};
   WaitMonitor m_wait_monitor;
+  Milliseconds m_last_pass_at{0};
   std::shared_ptr<JobJournal> m_journal;
   std::shared_ptr<RunSupervisor> m_supervisor;
 };
--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -4,6 +4,7 @@
 #include "libraries/journal/journal_keys.h"
 #include "libraries/leader/leader_session.h"
 #include "libraries/log/log_event.h"
+#include "libraries/planner/rack_wait.h"
 
 namespace papayalift {
 
@@ -206,6 +207,7 @@
       continue;
     }
     RestoreRuns(job);
+    RestoreRackHolds(job);
     unended += HasEnded(job.progress.state) ? 0 : 1;
   }
   LogEvent(LogLevel::kInfo, "leader", "leading")
@@ -226,6 +228,20 @@
   Tick();
 }
 
+void LeaderSession::RestoreRackHolds(TrackedJob& job) {
+  job.rack_holds.resize(job.progress.steps.size());
+  for (std::size_t step = 0; step < job.rack_holds.size(); ++step) {
+    const std::vector<int>& after = job.accepted.work.steps[step].after;
+    const bool is_ready = std::all_of(after.begin(), after.end(), [&job](int earlier) {
+      return AllTasksInPhase(job.progress.steps[static_cast<std::size_t>(earlier)],
+                             TaskPhase::kDone);
+    });
+    if (is_ready) {
+      job.rack_holds[step].total = kMaxRackHoldBesideRoom;
+    }
+  }
+}
+
 void LeaderSession::RestoreRuns(TrackedJob& job) {
   // The key may already be deleted; deleting it again has no effect.
   job.has_waiting_key = !HasEnded(job.progress.state);
--- a/src/libraries/leader/leader_state.cc
+++ b/src/libraries/leader/leader_state.cc
@@ -45,6 +45,14 @@
              : &tasks[static_cast<std::size_t>(name.index)];
 }
 
+const StepSpec* LeaderState::FindStep(const TaskName& task) const {
+  const auto job = jobs.find(task.job);
+  const std::size_t step = static_cast<std::size_t>(task.step);
+  return job == jobs.end() || step >= job->second.accepted.work.steps.size()
+             ? nullptr
+             : &job->second.accepted.work.steps[step];
+}
+
 TrackedRun* LeaderState::FindRun(const TaskName& name, AttemptNumber attempt) {
   const TaskProgress* const task = FindTask(name);
   if (task == nullptr) {
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -85,6 +85,14 @@
   bool stores_end = false;
 };
 
+/// How long a ready step was held back for its preferred rack although it would have fitted
+/// elsewhere. Adds up over all its starts.
+struct RackHold {
+  Milliseconds total{0};
+  /// The last planning pass that held it back.
+  std::optional<Milliseconds> last_held_at;
+};
+
 struct TrackedJob {
   AcceptedJob accepted;
   /// Revision of the accepted record. Every write of the job is conditional on it, so that nothing
@@ -116,8 +124,8 @@
   std::optional<Milliseconds> critical_path;
   /// For each step, since when it has been ready with waiting tasks.
   std::vector<std::optional<Milliseconds>> ready_since;
-  /// For each step that is a gang, how long it has waited before its earlier starts.
-  std::vector<Milliseconds> waited_before;
+  /// For each step, how long it was held back for its preferred rack.
+  std::vector<RackHold> rack_holds;
   std::optional<Milliseconds> ended_since;
   /// Number of tracked runs for each step.
   std::vector<int> runs_by_step;
@@ -238,6 +246,8 @@
   TrackedJob* FindJob(const JobId& id);
   TrackedMinion* FindMinion(const MinionId& id);
   TaskProgress* FindTask(const TaskName& name);
+  /// The step of the task; nullptr if its job is not known or has no such step.
+  const StepSpec* FindStep(const TaskName& task) const;
   TrackedRun* FindRun(const TaskName& name, AttemptNumber attempt);
   /// Whether a minion that started after `incarnation` is registered at the address.
   bool HasLaterMinionAt(const std::string& address, MinionIncarnation incarnation) const;
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -6,16 +6,15 @@
 
 #include "libraries/leader/critical_path.h"
 #include "libraries/leader/minion_usability.h"
+#include "libraries/leader/run_progress.h"
 #include "libraries/leader/task_isolation.h"
 #include "libraries/leader/workspace_usage.h"
+#include "libraries/planner/rack_wait.h"
 
 namespace papayalift {
 
 namespace {
 
-/// Work on another rack takes about three times as long, so waiting for the preferred rack is worth
-/// up to twice the estimate.
-constexpr int kRackWaitPerEstimate = 2;
 /// Borrowed capacity often becomes free by itself within this time. After it, borrowers are stopped
 /// for jobs within their guarantee.
 constexpr Milliseconds kBorrowerGracePeriod{1'200};
@@ -50,11 +49,8 @@
 class PlanSnapshotBuilder {
  public:
   PlanSnapshotBuilder(LeaderState& state, const FleetManifest& manifest,
-                      Milliseconds max_heartbeat_age, const Clock& clock)
-      : m_state(state),
-        m_usage(state, manifest),
-        m_max_heartbeat_age(max_heartbeat_age),
-        m_clock(clock) {}
+                      const PlanSettings& settings, const Clock& clock)
+      : m_state(state), m_usage(state, manifest), m_settings(settings), m_clock(clock) {}
 
   PlanContents Build() {
     for (auto& [id, job] : m_state.jobs) {
@@ -62,6 +58,8 @@
         AddJob(job);
       }
     }
+    m_needs_run_ends = std::any_of(m_snapshot.pending_steps.begin(), m_snapshot.pending_steps.end(),
+                                   HasRackPreference);
     if (!m_snapshot.pending_steps.empty()) {
       AddMinions();
       AddVictims();
@@ -78,9 +76,12 @@
 
   void AddMinion(const TrackedMinion& minion) {
     const std::optional<UnusableCause> cause =
-        FindUnusableCause(m_state, minion, m_max_heartbeat_age, m_clock.Now());
+        FindUnusableCause(m_state, minion, m_settings.max_heartbeat_age, m_clock.Now());
     if (!cause.has_value()) {
       m_snapshot.minions.push_back(PlanMinionOf(minion, m_clock.Now()));
+      if (m_needs_run_ends) {
+        m_snapshot.minions.back().runs = RunsOn(minion);
+      }
       const PlanMinion& planned = m_snapshot.minions.back();
       m_contents.inputs.AddUsable(planned.service, planned.capacity, planned.free);
     } else if (minion.entry.has_value()) {
@@ -88,10 +89,20 @@
     }
   }
 
+  std::vector<PlanRun> RunsOn(const TrackedMinion& minion) const {
+    std::vector<PlanRun> runs;
+    for (const auto& [task, run] : minion.runs) {
+      if (const StepSpec* const step = m_state.FindStep(task); step != nullptr) {
+        runs.push_back(PlanRun{run.needs, EstimateRemaining(run, *step, m_clock.Now())});
+      }
+    }
+    return runs;
+  }
+
   void AddJob(TrackedJob& job) {
     const std::vector<StepSpec>& steps = job.accepted.work.steps;
     job.ready_since.resize(steps.size());
-    job.waited_before.resize(steps.size());
+    job.rack_holds.resize(steps.size());
     if (!job.critical_path.has_value()) {
       job.critical_path = TotalCriticalPath(steps);
     }
@@ -143,8 +154,10 @@
     pending.is_guaranteed = m_usage.IsGuaranteed(job.accepted);
     pending.waited = now - *job.ready_since[step];
     pending.may_stop_borrowers = pending.is_guaranteed && pending.waited >= kBorrowerGracePeriod;
-    // A gang that is stopped again and again must not wait anew each time.
-    pending.max_rack_wait = pending.spec.estimate * kRackWaitPerEstimate - job.waited_before[step];
+    pending.remote_penalty = Milliseconds(static_cast<std::int64_t>(
+        (m_settings.remote_factor - 1) * static_cast<double>(pending.spec.estimate.count())));
+    pending.held_for_rack = job.rack_holds[step].total;
+    pending.job_has_runs = job.has_runs();
     const Milliseconds objective =
         Milliseconds(static_cast<std::int64_t>(job.accepted.slack_factor *
                                                static_cast<double>(job.critical_path->count()))) +
@@ -231,8 +244,10 @@
 
   LeaderState& m_state;
   const WorkspaceUsage m_usage;
-  const Milliseconds m_max_heartbeat_age;
+  const PlanSettings m_settings;
   const Clock& m_clock;
+  /// The expected ends of runs are only filled if a step may wait for them.
+  bool m_needs_run_ends = false;
   PlanContents m_contents;
   PlanSnapshot& m_snapshot = m_contents.snapshot;
 };
@@ -240,8 +255,8 @@
 }  // namespace
 
 PlanContents BuildPlanSnapshot(LeaderState& state, const FleetManifest& manifest,
-                               Milliseconds max_heartbeat_age, const Clock& clock) {
-  return PlanSnapshotBuilder(state, manifest, max_heartbeat_age, clock).Build();
+                               const PlanSettings& settings, const Clock& clock) {
+  return PlanSnapshotBuilder(state, manifest, settings, clock).Build();
 }
 
 }  // namespace papayalift
--- a/src/libraries/leader/plan_snapshot_builder.h
+++ b/src/libraries/leader/plan_snapshot_builder.h
@@ -18,9 +18,16 @@
   std::vector<PlannedWait> waits_for_ends;
 };
 
-/// Minions whose heartbeat is overdue by `max_heartbeat_age` are left out. If no step is pending,
+struct PlanSettings {
+  /// Minions whose heartbeat is older are left out.
+  Milliseconds max_heartbeat_age{0};
+  /// How many times as long work takes away from its preferred rack.
+  double remote_factor = 1;
+};
+
+/// If no step is pending,
 /// the rest of the snapshot is empty too.
 PlanContents BuildPlanSnapshot(LeaderState& state, const FleetManifest& manifest,
-                               Milliseconds max_heartbeat_age, const Clock& clock);
+                               const PlanSettings& settings, const Clock& clock);
 
 }  // namespace papayalift
--- a/src/libraries/leader/run_progress.cc
+++ b/src/libraries/leader/run_progress.cc
@@ -66,6 +66,20 @@
   return expected < kMinObservedShare ? std::optional<double>() : done / expected;
 }
 
+Milliseconds EstimateRemaining(const TrackedRun& run, const StepSpec& step, Milliseconds now) {
+  if (run.stop_wanted) {
+    return Milliseconds(0);
+  }
+  const std::optional<double> speed = MeasureSpeed(run, step, now);
+  if (speed.has_value() && *speed > 0) {
+    const double share_left = static_cast<double>(kFullPercent - run.percent) / kFullPercent;
+    return Milliseconds(static_cast<std::int64_t>(share_left / *speed *
+                                                  static_cast<double>(step.estimate.count())));
+  }
+  const Milliseconds elapsed = now - run.running_since.value_or(now);
+  return elapsed < step.estimate ? step.estimate - elapsed : elapsed - step.estimate;
+}
+
 ProgressStatus CheckProgress(const TrackedRun& run, const StepSpec& step, int former_stalls,
                              Milliseconds now) {
   if (!run.running_since.has_value() || !run.initial_percent.has_value() ||
--- a/src/libraries/planner/placement_search.cc
+++ b/src/libraries/planner/placement_search.cc
@@ -1,6 +1,9 @@
 #include "libraries/planner/placement_search.h"
 
 #include <algorithm>
+#include <limits>
+
+#include "libraries/planner/rack_wait.h"
 
 namespace papayalift {
 
@@ -17,15 +20,9 @@
 
 std::int64_t MaxTasksOn(const PendingStep& pending, const MinionCapacity& capacity,
                         CapacityMember member) {
-  std::int64_t max_tasks = pending.spec.needs.MaxCountIn(
-      capacity.*member, static_cast<std::int64_t>(pending.task_indexes.size()));
-  if (pending.spec.max_tasks_per_worker > 0) {
-    const auto found = pending.placed_on_minion.find(capacity.minion->id);
-    const int already_placed = found == pending.placed_on_minion.end() ? 0 : found->second;
-    max_tasks = std::min<std::int64_t>(
-        max_tasks, std::max(0, pending.spec.max_tasks_per_worker - already_placed));
-  }
-  return max_tasks;
+  const std::int64_t waiting = static_cast<std::int64_t>(pending.task_indexes.size());
+  return pending.spec.needs.MaxCountIn(
+      capacity.*member, std::min(waiting, TaskSlotsOn(pending, capacity.minion->id)));
 }
 
 /// Prefers minions that are neither slow nor have failed a task of this job, then those with the
@@ -134,30 +131,6 @@
                          true};
 }
 
-bool HasRackPreference(const PendingStep& pending) {
-  return pending.spec.prefers_one_rack || !pending.spec.data_rack.empty();
-}
-
-std::int64_t TasksThatStartTogether(const PendingStep& pending) {
-  return pending.spec.kind == WorkStepKind::kGang
-             ? static_cast<std::int64_t>(pending.task_indexes.size())
-             : 1;
-}
-
-/// Whether that many of the step's tasks fit on the minions if nothing else ran there.
-bool WouldFitWhenEmpty(const PendingStep& pending, const PlanCapacity& capacity,
-                       const std::vector<std::size_t>& minions, std::int64_t wanted) {
-  std::int64_t sum = 0;
-  for (const std::size_t index : minions) {
-    const PlanMinion& minion = *capacity.minions()[index].minion;
-    if (IsEligible(pending, minion)) {
-      sum += pending.spec.needs.MaxCountIn(minion.capacity,
-                                           static_cast<std::int64_t>(pending.task_indexes.size()));
-    }
-  }
-  return sum >= wanted;
-}
-
 }  // namespace
 
 bool IsEligible(const PendingStep& pending, const PlanMinion& minion) {
@@ -169,28 +142,26 @@
              minion.labels.end();
 }
 
+std::int64_t TaskSlotsOn(const PendingStep& pending, const MinionId& minion) {
+  if (pending.spec.max_tasks_per_worker == 0) {
+    return std::numeric_limits<std::int64_t>::max();
+  }
+  const auto found = pending.placed_on_minion.find(minion);
+  const int placed = found == pending.placed_on_minion.end() ? 0 : found->second;
+  return std::max(0, pending.spec.max_tasks_per_worker - placed);
+}
+
 bool FitsAnywhere(const PendingStep& pending, const PlanCapacity& capacity, CapacityMember member) {
   return TotalTasksOn(pending, capacity, member, capacity.everywhere()) >=
          TasksThatStartTogether(pending);
 }
 
-bool ShouldWaitForRack(const PendingStep& pending, const PlanCapacity& capacity) {
-  if (!HasRackPreference(pending) || pending.waited >= pending.max_rack_wait) {
-    return false;
-  }
-  const std::int64_t wanted = TasksThatStartTogether(pending);
-  if (!pending.spec.data_rack.empty()) {
-    return WouldFitWhenEmpty(pending, capacity, capacity.OnRack(pending.spec.data_rack), wanted);
-  }
-  return std::any_of(capacity.racks().begin(), capacity.racks().end(),
-                     [&pending, &capacity, wanted](const auto& rack) {
-                       return WouldFitWhenEmpty(pending, capacity, rack.second, wanted);
-                     });
-}
-
 std::optional<FoundPlacements> FindGangPlacements(const PendingStep& pending,
                                                   const PlanCapacity& capacity,
                                                   CapacityMember member) {
+  if (!FitsAnywhere(pending, capacity, member)) {
+    return std::nullopt;
+  }
   if (HasRackPreference(pending)) {
     if (std::optional<FoundPlacements> on_rack = FindGangOnSingleRack(pending, capacity, member)) {
       return on_rack;
@@ -199,9 +170,6 @@
       return std::nullopt;
     }
   }
-  if (!FitsAnywhere(pending, capacity, member)) {
-    return std::nullopt;
-  }
   return FoundPlacements{
       AssignTasks(pending, CandidatesAmong(pending, capacity, member, capacity.everywhere())),
       !HasRackPreference(pending)};
--- a/src/libraries/planner/placement_search.h
+++ b/src/libraries/planner/placement_search.h
@@ -30,8 +30,7 @@
 /// Whether a gang, or one independent task, fits into the capacity, on whatever rack.
 bool FitsAnywhere(const PendingStep& pending, const PlanCapacity& capacity, CapacityMember member);
 
-/// Whether the step prefers a rack, has not exceeded its wait for it yet, and would fit on it if
-/// nothing else ran there.
-bool ShouldWaitForRack(const PendingStep& pending, const PlanCapacity& capacity);
+/// How many more of the step's tasks may run on the minion, by the step's limit.
+std::int64_t TaskSlotsOn(const PendingStep& pending, const MinionId& minion);
 
 }  // namespace papayalift
--- a/src/libraries/planner/plan_capacity.cc
+++ b/src/libraries/planner/plan_capacity.cc
@@ -29,8 +29,14 @@
     m_racks[minion.rack].push_back(index);
     m_everywhere.push_back(index);
     const Resources free_after_stops = minion.free + minion.being_freed;
-    m_minions.push_back(MinionCapacity{
-        &minion, minion.free, minion.free, free_after_stops, free_after_stops, {}, minion.is_idle});
+    m_minions.push_back(MinionCapacity{&minion,
+                                       minion.free,
+                                       minion.free,
+                                       free_after_stops,
+                                       free_after_stops,
+                                       {},
+                                       minion.is_idle,
+                                       {}});
     m_free_accelerators += FreeAcceleratorsOf(m_minions.back());
     total += minion.capacity;
     free += minion.free;
@@ -68,20 +74,26 @@
   return found == m_index_by_minion.end() ? nullptr : &m_minions[found->second];
 }
 
-void PlanCapacity::Allocate(const MinionId& id, const Resources& needs) {
-  MinionCapacity& capacity = *Find(id);
-  m_free_accelerators -= FreeAcceleratorsOf(capacity);
+void PlanCapacity::Take(MinionCapacity& capacity, const Resources& needs) {
   capacity.free -= needs;
   capacity.free_without_reservations -= needs;
   capacity.free_after_stops -= needs;
   capacity.free_after_reclaim -= needs;
   capacity.is_idle = false;
+}
+
+void PlanCapacity::Allocate(const MinionId& id, const Resources& needs, Milliseconds estimate) {
+  MinionCapacity& capacity = *Find(id);
+  m_free_accelerators -= FreeAcceleratorsOf(capacity);
+  Take(capacity, needs);
   m_free_accelerators += FreeAcceleratorsOf(capacity);
+  capacity.started.push_back(PlanRun{needs, estimate});
 }
 
 void PlanCapacity::Occupy(const MinionId& id) {
-  const Resources free = Find(id)->free;
-  Allocate(id, free);
+  MinionCapacity& capacity = *Find(id);
+  m_free_accelerators -= FreeAcceleratorsOf(capacity);
+  Take(capacity, Resources(capacity.free));
 }
 
 void PlanCapacity::ReserveMinion(const MinionId& id) {
--- a/src/libraries/planner/plan_capacity.h
+++ b/src/libraries/planner/plan_capacity.h
@@ -22,6 +22,8 @@
   std::vector<std::size_t> victims;
   /// Nothing runs or is placed on the minion.
   bool is_idle = false;
+  /// Tasks that this pass starts on the minion.
+  std::vector<PlanRun> started;
 };
 
 /// The member of MinionCapacity that a search uses.
@@ -34,8 +36,8 @@
   const std::vector<MinionCapacity>& minions() const { return m_minions; }
   MinionCapacity* Find(const MinionId& id);
 
-  /// Allocates capacity to a task that starts now.
-  void Allocate(const MinionId& id, const Resources& needs);
+  /// Allocates capacity to a task that starts now and is expected to take as long as `estimate`.
+  void Allocate(const MinionId& id, const Resources& needs, Milliseconds estimate);
   /// Makes all free capacity of a minion unavailable.
   void Occupy(const MinionId& id);
   /// Reserves all free capacity of a minion, so that one without runs becomes available.
@@ -63,6 +65,8 @@
   std::int64_t free_accelerators() const { return m_free_accelerators; }
 
  private:
+  static void Take(MinionCapacity& capacity, const Resources& needs);
+
   std::vector<MinionCapacity> m_minions;
   std::vector<std::size_t> m_everywhere;
   std::map<MinionId, std::size_t> m_index_by_minion;
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -14,6 +14,13 @@
 
 namespace papayalift {
 
+/// A run on a minion that will free its resources.
+struct PlanRun {
+  Resources needs;
+  /// Until its expected end; 0 if it is being stopped.
+  Milliseconds remaining{0};
+};
+
 /// A minion that can be given work.
 struct PlanMinion {
   MinionId id;
@@ -27,6 +34,8 @@
   Resources being_freed;
   /// Nothing runs on the minion.
   bool is_idle = false;
+  /// May be left empty if no pending step prefers a rack.
+  std::vector<PlanRun> runs;
   /// Work per second relative to a healthy minion.
   double speed = 1;
 };
@@ -59,8 +68,12 @@
   Milliseconds waited{0};
   /// Time left until the step must start for the job to be on time; negative if the job is late.
   Milliseconds slack{0};
-  /// How long the step waits for its preferred rack before it runs elsewhere.
-  Milliseconds max_rack_wait{0};
+  /// How much longer the step takes away from its preferred rack.
+  Milliseconds remote_penalty{0};
+  /// How long the step has been held back for its preferred rack so far, over all its starts.
+  Milliseconds held_for_rack{0};
+  /// Runs of the job are active or may be.
+  bool job_has_runs = false;
   /// How long the step waits for minions without other runs before isolated tasks start elsewhere:
   /// while at least half of the capacity is in use, and otherwise.
   Milliseconds max_isolation_wait{0};
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -6,6 +6,7 @@
 #include "libraries/planner/isolation.h"
 #include "libraries/planner/placement_search.h"
 #include "libraries/planner/plan_capacity.h"
+#include "libraries/planner/rack_wait.h"
 #include "libraries/planner/reclaim_search.h"
 
 namespace papayalift {
@@ -143,7 +144,8 @@
         wanted > m_capacity.free_accelerators()
             ? std::nullopt
             : FindGangPlacements(pending, m_capacity, &MinionCapacity::free);
-    if (found.has_value() && (found->meets_rack_preference || !pending.is_guaranteed)) {
+    if (found.has_value() && (found->meets_rack_preference || !pending.is_guaranteed ||
+                              HasSpentRackHold(pending, m_capacity))) {
       Start(pending, *found);
     } else {
       PlanRest(pending);
@@ -201,13 +203,16 @@
       Start(pending, FoundPlacements{found->placements, true});
       return true;
     }
+    const bool waits_for_rack =
+        HasRackPreference(pending) && FitsAnywhere(pending, m_capacity, &MinionCapacity::free);
     for (const std::size_t index : found->victims) {
       StopVictim(index, pending.job);
     }
     for (const PlannedPlacement& placement : found->placements) {
       m_capacity.Reserve(placement.minion, pending.spec.needs);
     }
-    Wait(pending, pending.task_indexes.size(), WaitReason::kStops);
+    Wait(pending, pending.task_indexes.size(),
+         waits_for_rack ? WaitReason::kRack : WaitReason::kStops);
     return true;
   }
 
@@ -239,7 +244,7 @@
 
   void Start(const PendingStep& pending, const FoundPlacements& found) {
     for (const PlannedPlacement& placement : found.placements) {
-      m_capacity.Allocate(placement.minion, pending.spec.needs);
+      m_capacity.Allocate(placement.minion, pending.spec.needs, pending.spec.estimate);
     }
     m_plan.starts.push_back(PlannedStart{pending.job, pending.step, found.placements,
                                          found.meets_rack_preference
--- a/src/libraries/planner/wait_reason.cc
+++ b/src/libraries/planner/wait_reason.cc
@@ -3,6 +3,7 @@
 #include <array>
 
 #include "libraries/planner/placement_search.h"
+#include "libraries/planner/rack_wait.h"
 
 namespace papayalift {
 
@@ -13,8 +14,7 @@
 }
 
 WaitReason FindWaitReason(const PendingStep& pending, const PlanCapacity& capacity) {
-  if (ShouldWaitForRack(pending, capacity) &&
-      FitsAnywhere(pending, capacity, &MinionCapacity::free)) {
+  if (HasRackPreference(pending) && FitsAnywhere(pending, capacity, &MinionCapacity::free)) {
     return WaitReason::kRack;
   }
   if (capacity.has_reservations() &&
