Planner: Judge the room for suspects by their own service

Spare was judged over all services and every kind of resource together, so that a full service, or memory, kept a suspect of a nearly empty one waiting for 20 s.

Now each service is judged by itself in weighted cores.

--- a/src/libraries/planner/isolation.cc
+++ b/src/libraries/planner/isolation.cc
@@ -83,7 +83,7 @@
 
 bool HasWaitedForIsolation(const PendingStep& pending, const PlanCapacity& capacity) {
   // A guarantee is given back on demand.
-  return pending.waited >= (capacity.has_spare_capacity() || pending.is_guaranteed
+  return pending.waited >= (capacity.HasSpareCapacity(pending.service) || pending.is_guaranteed
                                 ? pending.max_isolation_wait_with_spare_capacity
                                 : pending.max_isolation_wait);
 }
--- a/src/libraries/planner/plan_capacity.cc
+++ b/src/libraries/planner/plan_capacity.cc
@@ -20,8 +20,6 @@
 }  // namespace
 
 PlanCapacity::PlanCapacity(const PlanSnapshot& snapshot) {
-  Resources total;
-  Resources free;
   m_minions.reserve(snapshot.minions.size());
   for (const PlanMinion& minion : snapshot.minions) {
     const std::size_t index = m_minions.size();
@@ -38,10 +36,10 @@
                                        minion.is_idle,
                                        {}});
     m_free_accelerators += FreeAcceleratorsOf(m_minions.back());
-    total += minion.capacity;
-    free += minion.free;
+    ServiceLoad& load = m_loads[minion.service];
+    load.capacity += WeightedCores(minion.capacity);
+    load.used += WeightedCores(minion.capacity - minion.free);
   }
-  m_has_spare_capacity = total.Fits(free + free);
   m_minions_of_victims.reserve(snapshot.victims.size());
   for (std::size_t number = 0; number < snapshot.victims.size(); ++number) {
     const PlanVictim& victim = snapshot.victims[number];
@@ -63,6 +61,11 @@
   }
 }
 
+bool PlanCapacity::HasSpareCapacity(const ServiceId& service) const {
+  const auto load = m_loads.find(service);
+  return load != m_loads.end() && load->second.used * 2 < load->second.capacity;
+}
+
 const std::vector<std::size_t>& PlanCapacity::OnRack(const RackId& rack) const {
   static const std::vector<std::size_t> kNone;
   const auto found = m_racks.find(rack);
--- a/src/libraries/planner/plan_capacity.h
+++ b/src/libraries/planner/plan_capacity.h
@@ -57,14 +57,21 @@
   const std::vector<std::size_t>& MinionsOfVictim(std::size_t victim) const {
     return m_minions_of_victims[victim];
   }
-  /// Whether less than half of each kind of resource was in use when the pass began.
-  bool has_spare_capacity() const { return m_has_spare_capacity; }
+  /// Whether less than half of the service's capacity, in weighted cores, was in use when the pass
+  /// began.
+  bool HasSpareCapacity(const ServiceId& service) const;
   /// Whether capacity was reserved in this pass.
   bool has_reservations() const { return m_has_reservations; }
   /// Accelerators available at once, on all minions together.
   std::int64_t free_accelerators() const { return m_free_accelerators; }
 
  private:
+  /// Capacity and use of one service when the pass began, in weighted cores.
+  struct ServiceLoad {
+    double capacity = 0;
+    double used = 0;
+  };
+
   static void Take(MinionCapacity& capacity, const Resources& needs);
 
   std::vector<MinionCapacity> m_minions;
@@ -73,7 +80,7 @@
   std::map<RackId, std::vector<std::size_t>> m_racks;
   std::vector<std::vector<std::size_t>> m_minions_of_victims;
   std::int64_t m_free_accelerators = 0;
-  bool m_has_spare_capacity = false;
+  std::map<ServiceId, ServiceLoad> m_loads;
   bool m_has_reservations = false;
 };
 
--- a/tests/planner/task_planner_test.cc
+++ b/tests/planner/task_planner_test.cc
@@ -434,6 +434,37 @@
   }
 }
 
+// With another service full, a suspect waited for 20 s although its own was nearly empty.
+Test(task_planner, isolated_task_does_not_wait_longer_because_another_service_is_full) {
+  IsolationFixture fixture;
+  for (const std::size_t minion : {0, 1, 2, 3}) {
+    fixture.Use(minion, 1);
+  }
+  for (int number = 0; number < 8; ++number) {
+    PlanMinion other;
+    other.id = MinionId("other-" + std::to_string(number));
+    other.service = ServiceId("other");
+    other.rack = RackId("r9");
+    other.capacity = kCapacity;
+    fixture.snapshot.minions.push_back(other);
+  }
+  PendingStep& suspect = fixture.snapshot.pending_steps[0];
+  suspect.waited = suspect.max_isolation_wait_with_spare_capacity;
+  cr_assert_eq(fixture.Run().starts.size(), 1);
+}
+
+// The rule's measure is cores, with an accelerator as eight of them.
+Test(task_planner, isolated_task_does_not_wait_longer_because_memory_is_taken) {
+  IsolationFixture fixture;
+  for (const std::size_t minion : {0, 1, 2, 3}) {
+    fixture.Use(minion, 1);
+    fixture.snapshot.minions[minion].free.memory_mb = 1'000;
+  }
+  PendingStep& suspect = fixture.snapshot.pending_steps[0];
+  suspect.waited = suspect.max_isolation_wait_with_spare_capacity;
+  cr_assert_eq(fixture.Run().starts.size(), 1);
+}
+
 Test(task_planner, gang_with_isolated_members_gives_each_of_them_a_minion) {
   IsolationFixture fixture;
   fixture.snapshot.pending_steps.clear();
