--- a/src/services/edge_process.cc
+++ b/src/services/edge_process.cc
@@ -129,6 +129,7 @@
     settings.registration_freshness =
         std::max(m_settings.drain_bound / 2, m_settings.drain_bound - kDrainMargin);
     settings.max_heartbeat_age = m_settings.heartbeat_interval + m_settings.heartbeat_interval / 2;
+    settings.remote_factor = m_settings.remote_factor;
     // Jobs are kept longer than configured, so that one that has long ended can still be queried.
     constexpr int kRetentionTimes = 2;
     settings.retention = m_settings.retention * kRetentionTimes;
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -24,6 +24,7 @@
 graceS = 6.5
 holdMaxMs = 9000
 status_s = 100
+remoteFactor = 2.5
 [platform]
 address = "10.200.1.7:8524"
 ttlMinMs = 1500
@@ -49,6 +50,7 @@
   cr_assert_eq(settings.drain_bound.count(), 4'000);
   cr_assert_eq(settings.heartbeat_interval.count(), 1'200);
   cr_assert_eq(settings.max_descriptors, 8'192);
+  cr_assert_eq(settings.remote_factor, 2.5);
   cr_assert(settings.is_first_start);
 }
 
@@ -62,6 +64,9 @@
   cr_assert(std::string(missing.message()).find("nodeName") != std::string::npos);
   const std::string malformed = Without("frontend") + "\n[listen2]\n";
   cr_assert_not(ParseEdgeSettings(malformed, "file").ok());
+  std::string faster_elsewhere = kCompleteFile;
+  faster_elsewhere.replace(faster_elsewhere.find("2.5"), 3, "0.5");
+  cr_assert_not(ParseEdgeSettings(faster_elsewhere, "file").ok());
   cr_assert_not(ParseEdgeSettings("no toml [", "file").ok());
 }
 
