Planner: Reserve minions for gangs that have waited

Cause: a gang that may stop nobody keeps nothing free, and narrower steps take each minion as it becomes free; once it can't be on time it is sorted behind all that still can. Class: starvation of wide requests by first fit.

Change: before the pass, the gangs that have waited 2 s get the minions where each can be whole first, by the expected ends of the runs there (one a workspace, four in all, two fifths of a service at most). Other steps of their priority or below start there if twice their estimate ends before, or beside the members; a guarantee and higher priorities take no notice. With under half of the service in use, a job with nothing running is served first after 1.5 s. Nothing is stored: each pass reserves anew, so a better set, a minion that goes or a wrong estimate moves the reservation. The expected end of a run comes from its rate once ten percent have shown it.

Tried and dropped: backfill by the plain estimate (with estimates of half no gang was started at all); no reservation while under half of the service is in use (the emptying minions themselves bring the use below that, and each reservation was lost on its last second).

A gang wider than two fifths of its service gets no reservation.

--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -237,7 +237,7 @@
                              TaskPhase::kDone);
     });
     if (is_ready) {
-      job.rack_holds[step].total = kMaxRackHoldBesideRoom;
+      job.rack_holds[step].total = kMaxWaitBesideRoom;
     }
   }
 }
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -58,8 +58,11 @@
         AddJob(job);
       }
     }
-    m_needs_run_ends = std::any_of(m_snapshot.pending_steps.begin(), m_snapshot.pending_steps.end(),
-                                   HasRackPreference);
+    m_needs_run_ends =
+        std::any_of(m_snapshot.pending_steps.begin(), m_snapshot.pending_steps.end(),
+                    [](const PendingStep& pending) {
+                      return pending.spec.kind == WorkStepKind::kGang || HasRackPreference(pending);
+                    });
     if (!m_snapshot.pending_steps.empty()) {
       AddMinions();
       AddVictims();
@@ -127,6 +130,7 @@
     pending.job = job.accepted.id;
     pending.step = static_cast<int>(step);
     pending.service = job.accepted.service;
+    pending.workspace = job.accepted.workspace;
     pending.spec = job.accepted.work.steps[step];
     for (std::size_t index = 0; index < tasks.size(); ++index) {
       if (tasks[index].phase == TaskPhase::kWaiting) {
--- a/src/libraries/leader/run_progress.cc
+++ b/src/libraries/leader/run_progress.cc
@@ -22,6 +22,7 @@
 /// Each time that a task was given up doubles the time allowed for it, at most this often: its
 /// estimate may be far too low.
 constexpr int kMaxTimeoutDoublings = 12;
+constexpr int kMinPercentsOfForecast = 10;
 constexpr Milliseconds kMinObservation{1'500};
 /// Share of the estimate for which a run must be observed, as percentages are whole numbers.
 constexpr double kMinObservedShare = 0.1;
@@ -70,11 +71,9 @@
   if (run.stop_wanted) {
     return Milliseconds(0);
   }
-  const std::optional<double> speed = MeasureSpeed(run, step, now);
-  if (speed.has_value() && *speed > 0) {
-    const double share_left = static_cast<double>(kFullPercent - run.percent) / kFullPercent;
-    return Milliseconds(static_cast<std::int64_t>(share_left / *speed *
-                                                  static_cast<double>(step.estimate.count())));
+  const int percents = run.percent - run.initial_percent.value_or(run.percent);
+  if (percents >= kMinPercentsOfForecast) {
+    return (now - run.initial_percent_at) * (kFullPercent - run.percent) / percents;
   }
   const Milliseconds elapsed = now - run.running_since.value_or(now);
   return elapsed < step.estimate ? step.estimate - elapsed : elapsed - step.estimate;
--- a/src/libraries/planner/isolation.cc
+++ b/src/libraries/planner/isolation.cc
@@ -13,7 +13,8 @@
                                      const std::set<MinionId>& taken) {
   const MinionCapacity* best = nullptr;
   for (const MinionCapacity& candidate : capacity.minions()) {
-    const bool fits = candidate.is_idle && pending.spec.needs.Fits(candidate.free) &&
+    const bool fits = candidate.is_idle &&
+                      pending.spec.needs.Fits(FreeFor(pending, candidate, &MinionCapacity::free)) &&
                       !taken.contains(candidate.minion->id) &&
                       !pending.crashed.contains(candidate.minion->id) &&
                       IsEligible(pending, *candidate.minion);
@@ -69,7 +70,8 @@
                                            const Resources& needs) {
   const MinionCapacity* best = nullptr;
   for (const MinionCapacity& candidate : capacity.minions()) {
-    const bool is_usable = needs.Fits(candidate.free) && IsEligible(pending, *candidate.minion) &&
+    const bool is_usable = needs.Fits(FreeFor(pending, candidate, &MinionCapacity::free)) &&
+                           IsEligible(pending, *candidate.minion) &&
                            pending.spec.needs.Fits(candidate.minion->capacity);
     const auto free_on = [](const MinionCapacity& minion) {
       return std::pair(minion.free.accelerators, minion.free.cpu_milli);
--- a/src/libraries/planner/placement_search.cc
+++ b/src/libraries/planner/placement_search.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "libraries/planner/rack_wait.h"
+#include "libraries/planner/room_forecast.h"
 
 namespace papayalift {
 
@@ -22,7 +23,8 @@
                         CapacityMember member) {
   const std::int64_t waiting = static_cast<std::int64_t>(pending.task_indexes.size());
   return pending.spec.needs.MaxCountIn(
-      capacity.*member, std::min(waiting, TaskSlotsOn(pending, capacity.minion->id)));
+      FreeFor(pending, capacity, member),
+      std::min(waiting, TaskSlotsOn(pending, capacity.minion->id)));
 }
 
 /// Prefers minions that are neither slow nor have failed a task of this job, then those with the
@@ -142,6 +144,15 @@
              minion.labels.end();
 }
 
+Resources FreeFor(const PendingStep& pending, const MinionCapacity& minion, CapacityMember member) {
+  const Resources& free = minion.*member;
+  if (!minion.hold.has_value() || member == &MinionCapacity::free_without_reservations ||
+      !minion.hold->Restrains(pending) || minion.hold->EndsBefore(pending.spec.estimate)) {
+    return free;
+  }
+  return Least(free, minion.hold->spare);
+}
+
 std::int64_t TaskSlotsOn(const PendingStep& pending, const MinionId& minion) {
   if (pending.spec.max_tasks_per_worker == 0) {
     return std::numeric_limits<std::int64_t>::max();
--- a/src/libraries/planner/placement_search.h
+++ b/src/libraries/planner/placement_search.h
@@ -30,6 +30,9 @@
 /// Whether a gang, or one independent task, fits into the capacity, on whatever rack.
 bool FitsAnywhere(const PendingStep& pending, const PlanCapacity& capacity, CapacityMember member);
 
+/// The part of the minion's capacity that the step may use, by what is held there for gangs.
+Resources FreeFor(const PendingStep& pending, const MinionCapacity& minion, CapacityMember member);
+
 /// How many more of the step's tasks may run on the minion, by the step's limit.
 std::int64_t TaskSlotsOn(const PendingStep& pending, const MinionId& minion);
 
--- a/src/libraries/planner/plan_capacity.cc
+++ b/src/libraries/planner/plan_capacity.cc
@@ -6,11 +6,8 @@
 
 namespace {
 
-Resources Least(const Resources& left, const Resources& right) {
-  return Resources{std::min(left.cpu_milli, right.cpu_milli),
-                   std::min(left.memory_mb, right.memory_mb),
-                   std::min(left.accelerators, right.accelerators)};
-}
+/// Estimates are often too low by half.
+constexpr int kBackfillMargin = 2;
 
 /// 0 if more is allocated than the minion has: it may have shrunk below what runs there.
 std::int64_t FreeAcceleratorsOf(const MinionCapacity& capacity) {
@@ -19,6 +16,23 @@
 
 }  // namespace
 
+bool CapacityHold::EndsBefore(Milliseconds estimate) const {
+  return estimate * kBackfillMargin <= starts_in;
+}
+
+bool CapacityHold::Restrains(const PendingStep& pending) const {
+  const bool is_served_first =
+      yields_to_idle_jobs && !pending.job_has_runs && pending.waited >= kMaxWaitBesideRoom;
+  return !pending.is_guaranteed && pending.priority >= priority && !is_served_first &&
+         (pending.job != job || pending.step != step);
+}
+
+Resources Least(const Resources& left, const Resources& right) {
+  return Resources{std::min(left.cpu_milli, right.cpu_milli),
+                   std::min(left.memory_mb, right.memory_mb),
+                   std::min(left.accelerators, right.accelerators)};
+}
+
 PlanCapacity::PlanCapacity(const PlanSnapshot& snapshot) {
   m_minions.reserve(snapshot.minions.size());
   for (const PlanMinion& minion : snapshot.minions) {
@@ -26,16 +40,14 @@
     m_index_by_minion.emplace_hint(m_index_by_minion.end(), minion.id, index);
     m_racks[minion.rack].push_back(index);
     m_everywhere.push_back(index);
-    const Resources free_after_stops = minion.free + minion.being_freed;
-    m_minions.push_back(MinionCapacity{&minion,
-                                       minion.free,
-                                       minion.free,
-                                       free_after_stops,
-                                       free_after_stops,
-                                       {},
-                                       minion.is_idle,
-                                       {}});
-    m_free_accelerators += FreeAcceleratorsOf(m_minions.back());
+    MinionCapacity& capacity = m_minions.emplace_back();
+    capacity.minion = &minion;
+    capacity.free = minion.free;
+    capacity.free_without_reservations = minion.free;
+    capacity.free_after_stops = minion.free + minion.being_freed;
+    capacity.free_after_reclaim = capacity.free_after_stops;
+    capacity.is_idle = minion.is_idle;
+    m_free_accelerators += FreeAcceleratorsOf(capacity);
     ServiceLoad& load = m_loads[minion.service];
     load.capacity += WeightedCores(minion.capacity);
     load.used += WeightedCores(minion.capacity - minion.free);
@@ -61,6 +73,11 @@
   }
 }
 
+double PlanCapacity::WeightedCapacityOf(const ServiceId& service) const {
+  const auto load = m_loads.find(service);
+  return load == m_loads.end() ? 0 : load->second.capacity;
+}
+
 bool PlanCapacity::HasSpareCapacity(const ServiceId& service) const {
   const auto load = m_loads.find(service);
   return load != m_loads.end() && load->second.used * 2 < load->second.capacity;
@@ -91,6 +108,9 @@
   Take(capacity, needs);
   m_free_accelerators += FreeAcceleratorsOf(capacity);
   capacity.started.push_back(PlanRun{needs, estimate});
+  if (capacity.hold.has_value() && !capacity.hold->EndsBefore(estimate)) {
+    capacity.hold->spare -= needs;
+  }
 }
 
 void PlanCapacity::Occupy(const MinionId& id) {
@@ -99,6 +119,20 @@
   Take(capacity, Resources(capacity.free));
 }
 
+void PlanCapacity::Hold(std::size_t minion, const CapacityHold& hold) {
+  m_minions[minion].hold = hold;
+  m_has_reservations = true;
+}
+
+void PlanCapacity::ReleaseHolds(const PendingStep& pending) {
+  for (MinionCapacity& minion : m_minions) {
+    if (minion.hold.has_value() && minion.hold->job == pending.job &&
+        minion.hold->step == pending.step) {
+      minion.hold.reset();
+    }
+  }
+}
+
 void PlanCapacity::ReserveMinion(const MinionId& id) {
   const Resources unreserved = Find(id)->free_without_reservations;
   Occupy(id);
--- a/src/libraries/planner/plan_capacity.h
+++ b/src/libraries/planner/plan_capacity.h
@@ -2,12 +2,38 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "libraries/planner/plan_snapshot.h"
 
 namespace papayalift {
 
+/// How long a job with nothing running waits beside room that a preference or another job keeps.
+constexpr Milliseconds kMaxWaitBesideRoom{1'500};
+
+/// Room on a minion that is kept for members of a gang that has waited.
+struct CapacityHold {
+  JobId job;
+  int step = 0;
+  Priority priority;
+  /// Until the gang is expected to start.
+  Milliseconds starts_in{0};
+  /// What is left at that time beside the members.
+  Resources spare;
+  /// Less than half of the service is in use, so no job is left with nothing running for the gang.
+  bool yields_to_idle_jobs = false;
+
+  /// Whether the step has to leave the room: it is not the gang, nor of higher priority, nor within
+  /// its guarantee.
+  bool Restrains(const PendingStep& pending) const;
+  /// Whether a task that starts now is expected to end well before the gang starts.
+  bool EndsBefore(Milliseconds estimate) const;
+};
+
+/// The lesser of each kind of resource.
+Resources Least(const Resources& left, const Resources& right);
+
 struct MinionCapacity {
   const PlanMinion* minion = nullptr;
   /// Available at once.
@@ -24,6 +50,7 @@
   bool is_idle = false;
   /// Tasks that this pass starts on the minion.
   std::vector<PlanRun> started;
+  std::optional<CapacityHold> hold;
 };
 
 /// The member of MinionCapacity that a search uses.
@@ -40,6 +67,10 @@
   void Allocate(const MinionId& id, const Resources& needs, Milliseconds estimate);
   /// Makes all free capacity of a minion unavailable.
   void Occupy(const MinionId& id);
+  /// Keeps room on the minion, an index into minions(), for a gang.
+  void Hold(std::size_t minion, const CapacityHold& hold);
+  /// The step needs its holds no more.
+  void ReleaseHolds(const PendingStep& pending);
   /// Reserves all free capacity of a minion, so that one without runs becomes available.
   void ReserveMinion(const MinionId& id);
   /// Reserves capacity for a task that starts once others have ended.
@@ -60,6 +91,8 @@
   /// Whether less than half of the service's capacity, in weighted cores, was in use when the pass
   /// began.
   bool HasSpareCapacity(const ServiceId& service) const;
+  /// All capacity of the service's usable minions, in weighted cores.
+  double WeightedCapacityOf(const ServiceId& service) const;
   /// Whether capacity was reserved in this pass.
   bool has_reservations() const { return m_has_reservations; }
   /// Accelerators available at once, on all minions together.
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -34,7 +34,7 @@
   Resources being_freed;
   /// Nothing runs on the minion.
   bool is_idle = false;
-  /// May be left empty if no pending step prefers a rack.
+  /// May be left empty if no pending step is a gang or prefers a rack.
   std::vector<PlanRun> runs;
   /// Work per second relative to a healthy minion.
   double speed = 1;
@@ -45,6 +45,7 @@
   JobId job;
   int step = 0;
   ServiceId service;
+  WorkspaceId workspace;
   StepSpec spec;
   /// Indexes of the waiting tasks; for a gang, all tasks.
   std::vector<int> task_indexes;
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/planner/gang_reservation.h"
 #include "libraries/planner/isolation.h"
 #include "libraries/planner/placement_search.h"
 #include "libraries/planner/plan_capacity.h"
@@ -46,6 +47,7 @@
     std::sort(order.begin(), order.end(), [](const PendingStep* left, const PendingStep* right) {
       return PlansBefore(*left, *right);
     });
+    ReserveForGangs(order, m_capacity);
     for (const PendingStep* const pending : order) {
       if (pending->spec.kind == WorkStepKind::kGang) {
         PlanGang(*pending);
@@ -146,6 +148,7 @@
             : FindGangPlacements(pending, m_capacity, &MinionCapacity::free);
     if (found.has_value() && (found->meets_rack_preference || !pending.is_guaranteed ||
                               HasSpentRackHold(pending, m_capacity))) {
+      m_capacity.ReleaseHolds(pending);
       Start(pending, *found);
     } else {
       PlanRest(pending);
