Tests: Notice when parts of the hold for a rack are taken out

Found by taking parts out of one by one and running planner_test, leader_test, rack_wait_test and busy_rack_test; six of them failed nothing:

- RestoreRackHolds without effect. gang_is_not_left_waiting_anew_by_the_next_ leader kills the leader only if the gang waits, and since the mend it doesn't: its racks are busy for 90 s.
- job_has_runs never set by the leader (the planner's test sets it by hand);
- EstimateRemaining without the speed, with 0 for a run past its estimate, and without the zero for a run that is being stopped;

--- a/tests/leader/rack_wait_test.cc
+++ b/tests/leader/rack_wait_test.cc
@@ -40,7 +40,7 @@
 /// Two racks of two minions. A chain always holds one minion of each, so that a gang of two that
 /// prefers one rack finds none, though one seems to be free soon.
 struct HalfFullRacks : TestCluster {
-  HalfFullRacks() : TestCluster(1, 0) {
+  explicit HalfFullRacks(const LeaderSettings& settings = {}) : TestCluster(1, 0, settings) {
     PutManifestOfTwoWorkspaces(2);
     for (int number = 0; number < 4; ++number) {
       minions.Add(MinionId("m" + std::to_string(number)), RackId(number < 2 ? "r0" : "r1"),
@@ -72,6 +72,14 @@
 
 }  // namespace
 
+Test(rack_wait, gang_that_loses_nothing_elsewhere_is_not_held) {
+  LeaderSettings settings;
+  settings.remote_factor = 1;
+  HalfFullRacks cluster(settings);
+  cluster.Run(Milliseconds(500));
+  cr_assert_eq(cluster.members(), 2);
+}
+
 // After each stop the gang waited anew for a free rack, and was not started by the end of a day.
 Test(rack_wait, gang_that_was_stopped_does_not_wait_for_a_rack_anew) {
   HalfFullRacks cluster;
--- a/tests/leader/run_progress_test.cc
+++ b/tests/leader/run_progress_test.cc
@@ -198,4 +198,27 @@
   cr_assert_float_eq(*MeasureSpeed(fixture.run, fixture.step, Milliseconds(90'000)), 1.0, 0.1);
 }
 
+Test(run_progress, remaining_time_follows_the_speed_that_the_run_has_shown) {
+  ProgressFixture fixture;
+  fixture.ReportAt(0, 0);
+  fixture.ReportAt(4'000, 20);
+  const Milliseconds remaining = EstimateRemaining(fixture.run, fixture.step, Milliseconds(4'000));
+  cr_assert_float_eq(static_cast<double>(remaining.count()), 16'000, 1);
+}
+
+Test(run_progress, run_past_its_estimate_is_expected_to_take_as_long_again_as_it_is_late) {
+  const ProgressFixture fixture;
+  const auto remaining_at = [&fixture](Milliseconds now) {
+    return EstimateRemaining(fixture.run, fixture.step, now).count();
+  };
+  cr_assert_eq(remaining_at(Milliseconds(3'000)), 5'000);
+  cr_assert_eq(remaining_at(Milliseconds(10'000)), 2'000);
+}
+
+Test(run_progress, run_that_is_being_stopped_is_expected_to_end_now) {
+  ProgressFixture fixture;
+  fixture.run.stop_wanted = true;
+  cr_assert_eq(EstimateRemaining(fixture.run, fixture.step, Milliseconds(3'000)).count(), 0);
+}
+
 }  // namespace papayalift
