Tests: Check on a virtual clock that no ready job stands beside room

Nothing in the tests checked these words of the rule.

Cause: the tests of the leader check that jobs end, and within 60 s; a wait of 20 s on the way passes them, and no sequence had racks that are busy for long.

Change: IdleJobCheck looks each 100 ms at what the minions see: a job without runs, a step of it with all steps before it done, room twice over (a gang as a whole, other steps task by task, as the rule says) on minions that run and are not draining, under half of the weighted cores in use; all that for 3 s on end, after 4 s of calm. idle_job_property_test plays jobs and faults in any order on 12 to 48 minions in racks of 3 to 6. FleetMinions tells rooms and done tasks. A job that may be given up is left out once it is shown as failed; its state is read each 500 ms.

Left out: limits of tasks on one minion, and more services than one.

--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -96,6 +96,14 @@
   std::set<std::string> lost_at;
 };
 
+/// What a minion has room for.
+struct MinionRoom {
+  Resources capacity;
+  /// By its runs, also while they are being stopped.
+  Resources taken;
+  MinionState state = MinionState::kReady;
+};
+
 /// All minions of a test. Records what they observe and collects violations of the rules.
 class FleetMinions {
  public:
@@ -164,6 +172,10 @@
   /// Number of crashes so far, by tasks and by calls of Crash().
   int crashes() const { return m_crashes; }
   std::vector<MinionId> RunningOn(const JobId& job) const;
+  /// Whether a run of the task has completed successfully.
+  bool IsDone(const TaskName& task) const { return m_done.contains(task); }
+  /// The rooms of all minions whose process runs, after all runs that are due have ended.
+  std::vector<MinionRoom> Rooms();
   /// Descriptions of the violations seen so far.
   const std::vector<std::string>& violations() const { return m_violations; }
 
--- a/src/stand_ins/fleet/fleet_minions_room.cc
+++ b/src/stand_ins/fleet/fleet_minions_room.cc
@@ -44,6 +44,17 @@
   Publish(m_minions.at(id));
 }
 
+std::vector<MinionRoom> FleetMinions::Rooms() {
+  AdvanceAll();
+  std::vector<MinionRoom> rooms;
+  for (const auto& [id, minion] : m_minions) {
+    if (!minion.outage.has_value()) {
+      rooms.push_back(MinionRoom{minion.capacity, AllocatedOn(minion), minion.state});
+    }
+  }
+  return rooms;
+}
+
 bool FleetMinions::FitsRoom(const Minion& minion, const Resources& taken,
                             Milliseconds arrived_at) const {
   const Milliseconds counts_for = m_shrink.contact_bound + m_shrink.heartbeat_interval;
