Leader: Look again soon for a run that may never have begun

The job then has nothing running for up to 4.0 s more after the minion answers again, beside eleven empty minions.

Cause: a run whose start was not answered is stopped, and is given up once a report that was asked for after the answer to the stop does not list it. Hold calls wait up to 2 s for news, and a run that never began brings none, so two waits pass. Class: a wait for an event that can't come.

Change: while a run is to be stopped of which nothing shows that it began, hold calls do not wait and follow each other after 100 ms.

--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -17,6 +17,16 @@
 /// Delay between hold calls while ends are not stored: the minion would answer at once, because it
 /// still lists them.
 constexpr Milliseconds kUnsavedEndsDelay{500};
+/// Delay between hold calls that find out whether a run that is to be stopped ever began. It causes
+/// no end that would cut a wait short.
+constexpr Milliseconds kUnconfirmedStopDelay{100};
+
+/// Whether a run is to be stopped of which no answer has shown that it began.
+bool HasUnconfirmedStop(const TrackedMinion& minion) {
+  return std::any_of(minion.runs.begin(), minion.runs.end(), [](const auto& entry) {
+    return entry.second.stop_wanted && !entry.second.answered_at.has_value();
+  });
+}
 
 }  // namespace
 
@@ -95,7 +105,7 @@
   const bool acknowledges = minion.is_incarnation_confirmed &&
                             minion.acknowledgeable_end() > minion.last_acknowledgement_sent;
   const bool waits = minion.has_reported && !minion.runs.empty() && minion.unsaved_ends.empty() &&
-                     minion.unanswered_calls == 0 && !acknowledges;
+                     minion.unanswered_calls == 0 && !acknowledges && !HasUnconfirmedStop(minion);
   const HoldOrder order{m_state.term.token, lease,
                         acknowledges ? minion.acknowledgeable_end() : EndNumber(0),
                         waits ? m_settings.hold_wait : Milliseconds(0)};
@@ -148,6 +158,8 @@
   if (!minion.unsaved_ends.empty()) {
     // Acknowledge() requests the next hold earlier, once the ends are stored.
     RequestHoldLater(minion, kUnsavedEndsDelay);
+  } else if (HasUnconfirmedStop(minion)) {
+    RequestHoldLater(minion, kUnconfirmedStopDelay);
   } else if (NeedsHold(minion)) {
     RequestHold(minion);
   }
--- a/tests/leader/busy_rack_test.cc
+++ b/tests/leader/busy_rack_test.cc
@@ -143,6 +143,7 @@
   cluster.Run(Milliseconds(1'000));
   RegisteredJob job = BusyRacks::MakeDataJob(0, 2);
   job.work.steps[0].estimate = Milliseconds(60'000);
+  job.duration = kLong;
   cluster.Submit(kWaiting, job);
   cluster.Run(kStartBound);
   cr_assert_eq(cluster.running(), 2);
