--- a/src/libraries/leader/plan_inputs.h
+++ b/src/libraries/leader/plan_inputs.h
@@ -18,7 +18,7 @@
   Resources capacity;
   Resources free;
 
-  /// Such as "unanswered_call:2 not_ready:1"; empty if all registered minions are usable.
+  /// Such as "no_report:1 unanswered_call:2"; empty if all registered minions are usable.
   std::string UnusableText() const;
 };
 
--- a/src/libraries/leader/wait_monitor.cc
+++ b/src/libraries/leader/wait_monitor.cc
@@ -19,11 +19,10 @@
   for (const PlannedWait& planned : waits) {
     const StepName name(planned.job, planned.step);
     const auto known = m_waits.find(name);
-    StepWait wait = known == m_waits.end() ? StepWait{planned.reason, now, now} : known->second;
+    StepWait wait = known == m_waits.end() ? StepWait{planned.reason, now, now, {}} : known->second;
     if (wait.reason != planned.reason) {
       wait.reason = planned.reason;
       wait.reason_since = now;
-      wait.is_logged = false;
     }
     LogIfLong(planned, wait, inputs, now);
     current.insert_or_assign(name, wait);
@@ -39,10 +38,11 @@
 
 void WaitMonitor::LogIfLong(const PlannedWait& planned, StepWait& wait, const PlanInputs& inputs,
                             Milliseconds now) {
-  if (wait.is_logged || now - wait.reason_since < kMinLoggedWait) {
+  bool& is_logged = wait.is_logged[static_cast<std::size_t>(wait.reason)];
+  if (is_logged || now - wait.ready_since < kMinLoggedWait) {
     return;
   }
-  wait.is_logged = true;
+  is_logged = true;
   m_metrics.Increment("papayalift_step_waits_total{reason=\"" + WaitReasonText(wait.reason) +
                       "\"}");
   const ServiceInputs service = inputs.Of(planned.service);
--- a/src/libraries/leader/wait_monitor.h
+++ b/src/libraries/leader/wait_monitor.h
@@ -17,10 +17,11 @@
   Milliseconds ready_since{0};
   /// Since when it has waited for this reason.
   Milliseconds reason_since{0};
-  bool is_logged = false;
+  /// The reasons for which a line was written.
+  std::array<bool, kWaitReasons> is_logged{};
 };
 
-/// Writes one line for each reason for which a step waits for a second, so that the many short
+/// Writes one line for each reason once a step has waited for a second, so that the many short
 /// waits of a busy fleet cost nothing.
 class WaitMonitor {
  public:
