Planner: Use avoided minions for a job that stands beside them

Cause: a minion on which a task has failed gets no work for 4 s, doubled up to three times, whatever else there is. Only a run that is done ends the doubling, and no run can be done there meanwhile. Class: caution without a way out.

Change: an avoided minion stays in the plan. It gets work only if nothing of a job runs, the job has waited for a second, it fits nowhere else and less than half of its service is in use. It counts as capacity in both measures of room, so that a gang is not held for a rack because some empty minions are avoided (4.2 s). On a fuller service minions are avoided as before.

--- a/src/libraries/leader/minion_usability.cc
+++ b/src/libraries/leader/minion_usability.cc
@@ -26,7 +26,7 @@
 
 std::string UnusableCauseText(UnusableCause cause) {
   static constexpr std::array<const char*, kUnusableCauses> kTexts = {
-      "registry", "no_report", "unanswered_call", "avoided", "probation"};
+      "registry", "no_report", "unanswered_call", "probation", "avoided"};
   return kTexts[static_cast<std::size_t>(cause)];
 }
 
@@ -42,12 +42,12 @@
   if (minion.unanswered_calls > 0) {
     return UnusableCause::kUnansweredCall;
   }
-  if (now < minion.health.avoid_until) {
-    return UnusableCause::kAvoided;
-  }
   if (HasRunOnProbation(minion)) {
     return UnusableCause::kProbation;
   }
+  if (now < minion.health.avoid_until) {
+    return UnusableCause::kAvoided;
+  }
   return std::nullopt;
 }
 
--- a/src/libraries/leader/minion_usability.h
+++ b/src/libraries/leader/minion_usability.h
@@ -16,10 +16,10 @@
   kNoReport,
   /// Its last call was not answered.
   kUnansweredCall,
-  /// Tasks have failed or stood still on it lately.
-  kAvoided,
   /// It runs a task that may crash it.
   kProbation,
+  /// Tasks have failed or stood still on it lately. It gets work as a last resort.
+  kAvoided,
 };
 
 constexpr std::size_t kUnusableCauses = 5;
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -63,8 +63,10 @@
                     [](const PendingStep& pending) {
                       return pending.spec.kind == WorkStepKind::kGang || HasRackPreference(pending);
                     });
-    if (!m_snapshot.pending_steps.empty()) {
+    if (!m_snapshot.pending_steps.empty() || !m_contents.waits_for_ends.empty()) {
       AddMinions();
+    }
+    if (!m_snapshot.pending_steps.empty()) {
       AddVictims();
     }
     return std::move(m_contents);
@@ -80,16 +82,20 @@
   void AddMinion(const TrackedMinion& minion) {
     const std::optional<UnusableCause> cause =
         FindUnusableCause(m_state, minion, m_settings.max_heartbeat_age, m_clock.Now());
-    if (!cause.has_value()) {
-      m_snapshot.minions.push_back(PlanMinionOf(minion, m_clock.Now()));
-      if (m_needs_run_ends) {
-        m_snapshot.minions.back().runs = RunsOn(minion);
-      }
-      const PlanMinion& planned = m_snapshot.minions.back();
-      m_contents.inputs.AddUsable(planned.service, planned.capacity, planned.free);
-    } else if (minion.entry.has_value()) {
+    if (cause.has_value() && minion.entry.has_value()) {
       m_contents.inputs.AddUnusable(minion.entry->service, *cause);
     }
+    if (cause.has_value() && *cause != UnusableCause::kAvoided) {
+      return;
+    }
+    PlanMinion& planned = m_snapshot.minions.emplace_back(PlanMinionOf(minion, m_clock.Now()));
+    planned.is_avoided = cause.has_value();
+    if (m_needs_run_ends) {
+      planned.runs = RunsOn(minion);
+    }
+    if (!planned.is_avoided) {
+      m_contents.inputs.AddUsable(planned.service, planned.capacity, planned.free);
+    }
   }
 
   std::vector<PlanRun> RunsOn(const TrackedMinion& minion) const {
--- a/src/libraries/leader/plan_snapshot_builder.h
+++ b/src/libraries/leader/plan_snapshot_builder.h
@@ -22,7 +22,7 @@
   /// Minions whose heartbeat is older are left out.
   Milliseconds max_heartbeat_age{0};
   /// How many times as long work takes away from its preferred rack.
-  double remote_factor = 1;
+  double remote_factor = 3;
 };
 
 /// If no step is pending,
--- a/src/libraries/planner/placement_search.cc
+++ b/src/libraries/planner/placement_search.cc
@@ -27,14 +27,15 @@
       std::min(waiting, TaskSlotsOn(pending, capacity.minion->id)));
 }
 
-/// Prefers minions that are neither slow nor have failed a task of this job, then those with the
-/// fewest free accelerators (best fit), so that large free blocks are kept.
+/// Prefers minions that are not avoided or slow and have not failed a task of this job, then those
+/// with the fewest free accelerators (best fit), so that large free blocks are kept.
 bool IsPreferred(const PendingStep& pending, CapacityMember member, const Candidate& left,
                  const Candidate& right) {
-  const bool left_avoided = left.capacity->minion->speed < kSlowSpeed ||
-                            pending.failed_on.contains(left.capacity->minion->id);
-  const bool right_avoided = right.capacity->minion->speed < kSlowSpeed ||
-                             pending.failed_on.contains(right.capacity->minion->id);
+  const auto is_avoided = [&pending](const PlanMinion& minion) {
+    return minion.is_avoided || minion.speed < kSlowSpeed || pending.failed_on.contains(minion.id);
+  };
+  const bool left_avoided = is_avoided(*left.capacity->minion);
+  const bool right_avoided = is_avoided(*right.capacity->minion);
   if (left_avoided != right_avoided) {
     return right_avoided;
   }
@@ -136,6 +137,10 @@
 }  // namespace
 
 bool IsEligible(const PendingStep& pending, const PlanMinion& minion) {
+  return (!minion.is_avoided || pending.may_use_avoided) && MatchesStep(pending, minion);
+}
+
+bool MatchesStep(const PendingStep& pending, const PlanMinion& minion) {
   if (minion.service != pending.service) {
     return false;
   }
--- a/src/libraries/planner/placement_search.h
+++ b/src/libraries/planner/placement_search.h
@@ -14,7 +14,10 @@
   bool meets_rack_preference = true;
 };
 
-/// Whether a task of the step may run on the minion, apart from the minion's free capacity.
+/// Whether the minion has the service and the label that the step needs.
+bool MatchesStep(const PendingStep& pending, const PlanMinion& minion);
+
+/// Whether a task of the step may be placed on the minion, apart from the minion's free capacity.
 bool IsEligible(const PendingStep& pending, const PlanMinion& minion);
 
 /// Placements for all tasks of a gang; empty if they do not fit. `member` selects the capacity that
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -21,7 +21,7 @@
   Milliseconds remaining{0};
 };
 
-/// A minion that can be given work.
+/// A minion that can be given work, if only as a last resort.
 struct PlanMinion {
   MinionId id;
   ServiceId service;
@@ -36,6 +36,8 @@
   bool is_idle = false;
   /// May be left empty if no pending step is a gang or prefers a rack.
   std::vector<PlanRun> runs;
+  /// Tasks have failed or stood still on it lately. It only gets work as a last resort.
+  bool is_avoided = false;
   /// Work per second relative to a healthy minion.
   double speed = 1;
 };
@@ -69,10 +71,12 @@
   Milliseconds waited{0};
   /// Time left until the step must start for the job to be on time; negative if the job is late.
   Milliseconds slack{0};
-  /// How much longer the step takes away from its preferred rack.
+  /// How much longer the step takes away from its preferred rack; 0 if it is never held for it.
   Milliseconds remote_penalty{0};
   /// How long the step has been held back for its preferred rack so far, over all its starts.
   Milliseconds held_for_rack{0};
+  /// The step may start on minions that are avoided.
+  bool may_use_avoided = false;
   /// Runs of the job are active or may be.
   bool job_has_runs = false;
   /// How long the step waits for minions without other runs before isolated tasks start elsewhere:
--- a/src/libraries/planner/rack_wait.cc
+++ b/src/libraries/planner/rack_wait.cc
@@ -17,7 +17,10 @@
   const std::int64_t wanted = kPlenty * TasksThatStartTogether(pending);
   std::int64_t fitting = 0;
   for (const MinionCapacity& minion : capacity.minions()) {
-    if (fitting < wanted && IsEligible(pending, *minion.minion)) {
+    if (fitting >= wanted) {
+      break;
+    }
+    if (MatchesStep(pending, *minion.minion)) {
       const std::int64_t slots = TaskSlotsOn(pending, minion.minion->id);
       fitting += pending.spec.needs.MaxCountIn(FreeFor(pending, minion, &MinionCapacity::free),
                                                std::min(wanted, slots));
@@ -42,8 +45,8 @@
   if (!HasRackPreference(pending) || HasSpentRackHold(pending, capacity)) {
     return false;
   }
-  const std::optional<RoomForecast> on_rack = ForecastRoomOnRack(pending, capacity);
-  return on_rack.has_value() && on_rack->time < pending.remote_penalty - pending.held_for_rack;
+  const std::optional<Milliseconds> time = TimeUntilRackFits(pending, capacity);
+  return time.has_value() && *time < pending.remote_penalty - pending.held_for_rack;
 }
 
 }  // namespace papayalift
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -157,11 +157,33 @@
 
   /// Plans waiting tasks for which there is no capacity at once.
   void PlanRest(const PendingStep& rest) {
-    if (!MayStopOthers(rest) || !PlanWithStops(rest)) {
+    if (MayStopOthers(rest) && PlanWithStops(rest)) {
+      return;
+    }
+    if (MayUseAvoidedMinions(rest)) {
+      PlanOnAvoidedMinions(rest);
+    } else {
       Wait(rest, rest.task_indexes.size(), FindWaitReason(rest, m_capacity));
     }
   }
 
+  /// A job with nothing running is not left waiting beside minions on which tasks of others have
+  /// failed.
+  bool MayUseAvoidedMinions(const PendingStep& rest) const {
+    return !rest.may_use_avoided && !rest.job_has_runs && rest.waited >= kMaxWaitBesideRoom &&
+           m_capacity.HasSpareCapacity(rest.service);
+  }
+
+  void PlanOnAvoidedMinions(const PendingStep& rest) {
+    PendingStep last_resort = rest;
+    last_resort.may_use_avoided = true;
+    if (rest.spec.kind == WorkStepKind::kGang) {
+      PlanGang(last_resort);
+    } else {
+      PlanTasksTogether(last_resort);
+    }
+  }
+
   static bool MayStopOthers(const PendingStep& pending) {
     return pending.is_guaranteed || pending.max_lost_work > 0;
   }
@@ -184,6 +206,7 @@
     }
     if (found.placements.size() < pending.task_indexes.size()) {
       PendingStep rest = pending;
+      rest.job_has_runs = rest.job_has_runs || !found.placements.empty();
       rest.task_indexes.erase(
           rest.task_indexes.begin(),
           rest.task_indexes.begin() + static_cast<std::ptrdiff_t>(found.placements.size()));
