Planner: Do not hold a gang for a rack while it waits for isolation

The others are now placed anywhere. With spare capacity a suspect waits as long as any job beside room.

--- a/src/libraries/leader/task_isolation.cc
+++ b/src/libraries/leader/task_isolation.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "libraries/planner/plan_capacity.h"
+
 namespace papayalift {
 
 namespace {
@@ -12,7 +14,7 @@
 /// How long a task that is suspected of crashing minions waits for one without other runs. With
 /// spare capacity the others run on it would not have many, and a task must not be left waiting.
 constexpr Milliseconds kMaxIsolationWait{20'000};
-constexpr Milliseconds kMaxIsolationWaitWithSpareCapacity{2'000};
+constexpr Milliseconds kMaxIsolationWaitWithSpareCapacity = kMaxWaitBesideRoom;
 std::set<int> WaitingSuspects(const std::vector<TaskProgress>& tasks) {
   std::set<int> suspects;
   for (std::size_t index = 0; index < tasks.size(); ++index) {
--- a/src/libraries/planner/isolation.cc
+++ b/src/libraries/planner/isolation.cc
@@ -48,7 +48,9 @@
   if (isolated.size() < pending.isolated.size()) {
     return std::nullopt;
   }
-  const PendingStep rest = WithoutIsolated(pending);
+  PendingStep rest = WithoutIsolated(pending);
+  // The gang waits for minions without runs already, so not for a rack as well.
+  rest.remote_penalty = Milliseconds(0);
   FoundPlacements found;
   if (!rest.task_indexes.empty()) {
     PlanCapacity remaining = capacity;
