--- a/src/libraries/leader/run_progress.cc
+++ b/src/libraries/leader/run_progress.cc
@@ -76,7 +76,12 @@
     return (now - run.initial_percent_at) * (kFullPercent - run.percent) / percents;
   }
   const Milliseconds elapsed = now - run.running_since.value_or(now);
-  return elapsed < step.estimate ? step.estimate - elapsed : elapsed - step.estimate;
+  if (elapsed >= step.estimate) {
+    return elapsed - step.estimate;
+  }
+  // A run that a former leader has started may be nearly done.
+  const Milliseconds left = step.estimate / kFullPercent * (kFullPercent - run.percent);
+  return std::min(step.estimate - elapsed, left);
 }
 
 ProgressStatus CheckProgress(const TrackedRun& run, const StepSpec& step, int former_stalls,
