Planner: Count the minion kept for a suspect as room in a rack's hold

Cause: a step held for its rack is let go after 1.5 s if it fits twice over, and that was judged by what is free after the pass's reservations. With two empty minions, one of them kept free for a suspect of another job, the step did not fit twice, and was held up to its penalty (400 s there) beside the other one. Class: the rule's "twice over" judged by what the planner may use now.

Change: room in plenty is judged without the pass's reservations. Where the step is placed stays bound to what is not reserved.

Ruled out: runs of the job that may be active (runs=0).

Tests: step_with_room_twice_over_is_not_held_for_its_rack_beside_a_suspect failed before. planner_test, rack_wait_test, busy_rack_test and idle_job_property_test pass; the rest of the tests was not run.

--- a/src/libraries/planner/rack_wait.cc
+++ b/src/libraries/planner/rack_wait.cc
@@ -22,8 +22,8 @@
     }
     if (MatchesStep(pending, *minion.minion)) {
       const std::int64_t slots = TaskSlotsOn(pending, minion.minion->id);
-      fitting += pending.spec.needs.MaxCountIn(FreeFor(pending, minion, &MinionCapacity::free),
-                                               std::min(wanted, slots));
+      fitting +=
+          pending.spec.needs.MaxCountIn(minion.free_without_reservations, std::min(wanted, slots));
     }
   }
   return fitting >= wanted;
--- a/tests/planner/task_planner_test.cc
+++ b/tests/planner/task_planner_test.cc
@@ -400,6 +400,22 @@
   cr_assert_not(MinionsOf(*StartOf(plan, "other")).contains("m2"));
 }
 
+// The minion kept free for the suspect did not count as room, and the hold had no end.
+Test(task_planner, step_with_room_twice_over_is_not_held_for_its_rack_beside_a_suspect) {
+  IsolationFixture fixture;
+  fixture.RunOn(0, 8, Milliseconds(3'000));
+  fixture.RunOn(1, 8, Milliseconds(3'000));
+  fixture.snapshot.pending_steps[0].crashed = {MinionId("m2"), MinionId("m3")};
+  PendingStep& data = fixture.AddPendingStep("data", WorkStepKind::kIndependentTasks, 1, 8);
+  data.priority = Priority(2);
+  data.spec.data_rack = RackId("r0");
+  cr_assert(fixture.Run().starts.empty());
+  data.held_for_rack = Milliseconds(1'500);
+  const Plan plan = fixture.Run();
+  cr_assert(StartOf(plan, "suspect") == nullptr);
+  cr_assert_not_null(StartOf(plan, "data"));
+}
+
 // Isolated tasks that came first took the minions that a guaranteed job had cleared by stopping
 // them.
 Test(task_planner, guaranteed_gang_gets_idle_minions_before_isolated_tasks) {
