Leader: Read the registry while watches report no heartbeats

Cause: a heartbeat is overdue if others' have arrived since for 2.25 s. While watches were silent none arrived, and the registry was not read: each write that found the entry of the cut-off minion unchanged renewed "known lately". The start was sent 5 s after the last heartbeat, 144 ms after the former room ceased to count. Class: a confirmation of one fact stands in for another.

Ruled out: late or repeated orders (a first order, sent 9 ms after its decision), and the check (contactMs and one beat, as the rule says).

Change: the tick that reads jobs and the operator's keys again while watches are silent reads the registry, too.

--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -89,9 +89,10 @@
   /// Reads the registry anew if a start was held back because it is not known lately.
   void RereadRegistry();
   void RetryLater(std::function<void(LeaderSession&)> action);
-  /// Reads the accepted jobs and the operator's keys again while the store answers but its watches
-  /// report no heartbeats. Load that it answers: a store about to forget its history leaves watches
-  /// without news for a second, while jobs are accepted.
+  /// Reads the registry, the accepted jobs and the operator's keys again while the store answers
+  /// but its watches report no heartbeats. Load that it answers: a store about to forget its
+  /// history leaves watches without news for a second, while jobs are accepted and minions fall
+  /// silent.
   void RereadIfWatchesAreSilent();
   void LoadProgress();
   void ApplyProgressItems(const ReadAnswer& answer);
--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -161,10 +161,12 @@
       m_context.election.contact_age() >= kMaxWatchSilence) {
     return;
   }
-  LogEvent(LogLevel::kWarning, "leader", "watches report no heartbeats; reading jobs again")
+  LogEvent(LogLevel::kWarning, "leader", "watches report no heartbeats; reading all again")
       .Field("silent_ms", (Now() - m_state.registry_heard_at).count())
       .Field("store_contact_age_ms", m_context.election.contact_age().count())
       .Write();
+  // NOTE: writes that find a minion's entry unchanged show that it stands, not that others beat on.
+  RereadRegistry();
   for (std::size_t index = 0; index < m_watched_prefixes.size(); ++index) {
     if (m_watched_prefixes[index].prefix != m_context.schema.MinionPrefix()) {
       RereadPrefix(index, [](LeaderSession&) {});
--- a/tests/leader/shrinking_capacity_test.cc
+++ b/tests/leader/shrinking_capacity_test.cc
@@ -79,6 +79,25 @@
     SetAllRooms(kWholeRoom);
     RunInTurn(Milliseconds(200));
   }
+  /// The last of three minions, alone in its rack, loses its room while it is cut off from the
+  /// store and the leader's watches are silent.
+  void ShrinkUnseen() {
+    minions.SetCutOffFromStore(Minion(2), true);
+    SetRoom(2, kNoRoom);
+    node(0).store().SetWatchesSilent(true);
+  }
+  void EndShrink() {
+    minions.SetCutOffFromStore(Minion(2), false);
+    SetRoom(2, kWholeRoom);
+    node(0).store().SetWatchesSilent(false);
+  }
+  /// Submits job 1, whose short tasks only that minion may run, for twice as long as a room that
+  /// has shrunk counts.
+  void SubmitShortTasks() {
+    RegisteredJob job = MakeTasks(120, 2, Milliseconds(300));
+    job.work.steps[0].required_label = "r1";
+    Submit(MakeJobId(1), job);
+  }
   std::size_t running(int job) { return minions.RunningOn(MakeJobId(job)).size(); }
 
  private:
@@ -390,6 +409,21 @@
   }
 }
 
+// Writes that found the entry unchanged stood in for heartbeats that nobody listened to.
+Test(shrinking_capacity, room_that_shrinks_cut_off_while_watches_are_silent_gets_only_what_counts) {
+  for (int delay = 0; delay < kHeartbeatInterval.count(); delay += 125) {
+    ShrinkingCluster cluster(1, 3);
+    cluster.RunInTurn(Milliseconds(delay));
+    cluster.SubmitShortTasks();
+    cluster.ShrinkUnseen();
+    cluster.RunInTurn(kFailingTime);
+    cluster.EndShrink();
+    cluster.RunInTurn(Milliseconds(15'000));
+    AssertNoViolations(cluster);
+    cr_assert_eq(cluster.StateOf(MakeJobId(1)), WorkState::kDone);
+  }
+}
+
 Test(shrinking_capacity, run_on_a_room_that_shrinks_below_it_goes_on) {
   ShrinkingCluster cluster(1, 1);
   cluster.Submit(MakeJobId(1), MakeTasks(1, 8));
