Leader: Give up tasks that crash their minions some time after a start

Cause: a run that had outlived its start (1 s) accused nobody when it was lost with its minion's process.

Ruled out: counting every late crash.

Change: late crashes add up while the task had run for about the same time at each, within a minute of its start; the count outlives leaders. From the second on the task starts alone; four crashes of any kind give it up, five if all were at one address. The counts for crashes at starts are as before.

--- a/src/libraries/journal/job_progress.h
+++ b/src/libraries/journal/job_progress.h
@@ -40,6 +40,14 @@
   /// back has the same address.
   std::string first_crash_address{};
   int crashes_at_first_address = 0;
+  /// Minions that crashed, one after the other, when the task had run on them for about the same
+  /// time, and those of them at the first address.
+  int late_crashes = 0;
+  int late_crashes_at_first_address = 0;
+  /// How long it had run at the latest of them whose start was known; 0 for none.
+  Milliseconds late_crash_after{0};
+  /// Wall clock of the leader when the attempt was placed; only stored after a late crash.
+  Milliseconds placed_at{0};
 
   bool operator==(const TaskProgress&) const = default;
 };
--- a/src/libraries/journal/job_progress_codec.cc
+++ b/src/libraries/journal/job_progress_codec.cc
@@ -27,7 +27,7 @@
   kCheckpointField,
   kMinionField,
   kIncarnationField,
-  // Only present if the task is placed or has crashed a minion.
+  // Only present if the task is placed or has crashed a minion, at its start or later.
   kCrashesField,
   kCrashesOfOneJobField,
   // Only present if the task is placed or has crashed a minion; empty unless it is placed.
@@ -35,6 +35,11 @@
   // Only present if the task has crashed a minion.
   kFirstCrashAddressField,
   kCrashesAtFirstAddressField,
+  // Only present if a minion has crashed some time after it had started the task.
+  kLateCrashesField,
+  kLateCrashesAtFirstAddressField,
+  kLateCrashAfterField,
+  kPlacedAtField,
 };
 
 Json EncodeTask(const TaskProgress& task) {
@@ -47,17 +52,24 @@
   Json json = Json::array({task.phase == TaskPhase::kPlaced, task.attempt.value(), task.failures,
                            task.last_failed.value(), task.checkpoint});
   const bool is_placed = task.phase == TaskPhase::kPlaced;
-  if (is_placed || task.crashes > 0) {
+  const bool has_crashed = task.crashes > 0 || task.late_crashes > 0;
+  if (is_placed || has_crashed) {
     json.push_back(task.minion.text());
     json.push_back(task.incarnation.value());
     json.push_back(task.crashes);
     json.push_back(task.crashes_of_one_job);
     json.push_back(task.address);
   }
-  if (task.crashes > 0) {
+  if (has_crashed) {
     json.push_back(task.first_crash_address);
     json.push_back(task.crashes_at_first_address);
   }
+  if (task.late_crashes > 0) {
+    json.push_back(task.late_crashes);
+    json.push_back(task.late_crashes_at_first_address);
+    json.push_back(task.late_crash_after.count());
+    json.push_back(task.placed_at.count());
+  }
   return json;
 }
 
@@ -87,6 +99,12 @@
     task.first_crash_address = json.at(kFirstCrashAddressField).get<std::string>();
     task.crashes_at_first_address = json.at(kCrashesAtFirstAddressField).get<int>();
   }
+  if (json.size() > kPlacedAtField) {
+    task.late_crashes = json.at(kLateCrashesField).get<int>();
+    task.late_crashes_at_first_address = json.at(kLateCrashesAtFirstAddressField).get<int>();
+    task.late_crash_after = Milliseconds(json.at(kLateCrashAfterField).get<std::int64_t>());
+    task.placed_at = Milliseconds(json.at(kPlacedAtField).get<std::int64_t>());
+  }
   return task;
 }
 
--- a/src/libraries/leader/crash_attribution.cc
+++ b/src/libraries/leader/crash_attribution.cc
@@ -1,6 +1,8 @@
 #include "libraries/leader/crash_attribution.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace papayalift {
 
@@ -17,6 +19,13 @@
 constexpr int kMaxCrashesOfOneJob = 2;
 constexpr int kMaxCrashes = 3;
 constexpr int kMaxCrashesAtOneAddress = 4;
+/// Run times that differ by no more than this, or this part of them, are about the same. A run that
+/// a former leader has started is timed from its placement, which is stored before it is sent.
+constexpr Milliseconds kMinLateCrashTolerance{400};
+constexpr int kLateCrashTolerancePart = 10;
+/// At a start and later together.
+constexpr int kMaxCrashesAtAnyTime = 4;
+constexpr int kMaxCrashesAtAnyTimeAtOneAddress = 5;
 
 /// Whether this leader knows the minion only from placements of a former one.
 bool HasLeftBefore(const TrackedMinion& minion) {
@@ -32,6 +41,11 @@
   return is_since_silence ? std::optional<Milliseconds>(minion.silence->since) : minion.vanished_at;
 }
 
+/// The silence in which the minion may have lost its runs.
+const std::optional<MinionSilence>& SilenceOf(const TrackedMinion& minion) {
+  return minion.silence.has_value() ? minion.silence : minion.previous_silence;
+}
+
 /// Whether the minion may have crashed at the run's start; this is not known of a run that a
 /// previous leader started.
 bool MayHaveCrashedIt(const TrackedRun& run, const std::optional<MinionSilence>& silence) {
@@ -54,36 +68,113 @@
          (silence.has_value() && (silence->was_refused || silence->was_replaced));
 }
 
+/// Whether a task has likely crashed its minions at the same point of its work.
+bool IsSimilar(Milliseconds left, Milliseconds right) {
+  return std::max(left, right) - std::min(left, right) <=
+         std::max(kMinLateCrashTolerance, std::max(left, right) / kLateCrashTolerancePart);
+}
+
 bool IsNear(Milliseconds left, Milliseconds right) {
   return std::max(left, right) - std::min(left, right) <= kOutageWindow;
 }
 
 }  // namespace
 
-bool IsCrashLooping(const TaskProgress& task) {
-  if (task.crashes == task.crashes_at_first_address) {
-    return task.crashes >= kMaxCrashesAtOneAddress;
+void CountLateCrash(TaskProgress& task, const LateLoss& loss) {
+  if (loss.ran_for.has_value() && task.late_crash_after.count() > 0 &&
+      !IsSimilar(*loss.ran_for, task.late_crash_after)) {
+    ForgetLateCrashes(task);
   }
-  return task.crashes_of_one_job >= kMaxCrashesOfOneJob || task.crashes >= kMaxCrashes;
+  if (task.crashes + task.late_crashes == 0) {
+    task.first_crash_address = loss.address;
+  }
+  ++task.late_crashes;
+  if (!loss.address.empty() && loss.address == task.first_crash_address) {
+    ++task.late_crashes_at_first_address;
+  }
+  task.late_crash_after = loss.ran_for.value_or(task.late_crash_after);
+}
+
+void UncountLateCrash(TaskProgress& task, const std::string& address) {
+  if (task.late_crashes <= 1) {
+    ForgetLateCrashes(task);
+    return;
+  }
+  --task.late_crashes;
+  if (address == task.first_crash_address && task.late_crashes_at_first_address > 0) {
+    --task.late_crashes_at_first_address;
+  }
+}
+
+void ForgetLateCrashes(TaskProgress& task) {
+  task.late_crashes = 0;
+  task.late_crashes_at_first_address = 0;
+  task.late_crash_after = Milliseconds(0);
+  task.placed_at = Milliseconds(0);
+  if (task.crashes == 0) {
+    task.first_crash_address.clear();
+  }
+}
+
+bool IsCrashLooping(const TaskProgress& task) {
+  const bool is_by_starts =
+      task.crashes == task.crashes_at_first_address
+          ? task.crashes >= kMaxCrashesAtOneAddress
+          : task.crashes_of_one_job >= kMaxCrashesOfOneJob || task.crashes >= kMaxCrashes;
+  const int crashes = task.crashes + task.late_crashes;
+  const bool is_one_address =
+      crashes == task.crashes_at_first_address + task.late_crashes_at_first_address;
+  return is_by_starts ||
+         crashes >= (is_one_address ? kMaxCrashesAtAnyTimeAtOneAddress : kMaxCrashesAtAnyTime);
 }
 
 bool CrashAttribution::RecordLoss(const TrackedMinion& minion, const TrackedRun& run,
                                   Milliseconds now) {
-  const std::optional<MinionSilence>& silence =
-      minion.silence.has_value() ? minion.silence : minion.previous_silence;
+  const std::optional<MinionSilence>& silence = SilenceOf(minion);
   const bool was_seen = WasProcessSeenGone(minion, run, silence);
   if (minion.is_draining || (!was_seen && !HasLeftBefore(minion)) ||
       !MayHaveCrashedIt(run, silence)) {
     return false;
   }
+  const bool is_start_known = run.orders_sent > 0;
+  const bool is_confirmed = is_start_known && run.answered_at.has_value();
+  AddSuspect(minion, run, was_seen,
+             Suspect{run.task, run.attempt, is_start_known, is_confirmed, false}, now);
+  return true;
+}
+
+std::optional<LateLoss> CrashAttribution::RecordLateLoss(const TrackedMinion& minion,
+                                                         const TrackedRun& run, bool is_counted,
+                                                         Milliseconds now) {
+  const std::optional<MinionSilence>& silence = SilenceOf(minion);
+  if (minion.is_draining || !WasProcessSeenGone(minion, run, silence) ||
+      MayHaveCrashedIt(run, silence)) {
+    return std::nullopt;
+  }
+  const Milliseconds lost_at = VanishedAt(minion).value_or(now);
+  if (lost_at - run.running_since.value_or(lost_at) >= kMaxLateCrash) {
+    return std::nullopt;
+  }
+  const std::optional<Milliseconds> started_at =
+      run.orders_sent > 0 ? std::optional<Milliseconds>(run.ordered_at) : run.placed_before_at;
+  std::optional<Milliseconds> ran_for;
+  if (started_at.has_value() && lost_at > *started_at) {
+    ran_for = lost_at - *started_at;
+  }
+  AddSuspect(minion, run, true,
+             Suspect{run.task, run.attempt, run.orders_sent > 0, true, true, is_counted, ran_for},
+             now);
+  return LateLoss{minion.address, ran_for};
+}
+
+void CrashAttribution::AddSuspect(const TrackedMinion& minion, const TrackedRun& run, bool was_seen,
+                                  Suspect suspect, Milliseconds now) {
+  const std::optional<MinionSilence>& silence = SilenceOf(minion);
   Crash& crash = FindOrAdd(minion, run, now);
   crash.was_seen = crash.was_seen || was_seen;
   crash.was_host_up =
       crash.was_host_up || (was_seen && silence.has_value() && silence->was_refused);
-  const bool is_start_known = run.orders_sent > 0;
-  crash.suspects.push_back(Suspect{run.task, run.attempt, is_start_known,
-                                   is_start_known && run.answered_at.has_value()});
-  return true;
+  crash.suspects.push_back(std::move(suspect));
 }
 
 CrashAttribution::Crash& CrashAttribution::FindOrAdd(const TrackedMinion& minion,
@@ -147,16 +238,20 @@
 void CrashAttribution::AppendSuspects(const Crash& crash,
                                       std::optional<CrashCause> cause_beside_starts,
                                       std::vector<JudgedRun>& judged) {
-  const JobId& first = crash.suspects.front().task.job;
-  const bool is_one_job =
-      std::all_of(crash.suspects.begin(), crash.suspects.end(),
-                  [&first](const Suspect& suspect) { return suspect.task.job == first; });
+  std::set<JobId> started_jobs;
+  for (const Suspect& suspect : crash.suspects) {
+    if (!suspect.is_late) {
+      started_jobs.insert(suspect.task.job);
+    }
+  }
   for (std::size_t index = crash.judged_suspects; index < crash.suspects.size(); ++index) {
     const Suspect& suspect = crash.suspects[index];
-    const CrashCause start_cause =
-        is_one_job && suspect.is_confirmed ? CrashCause::kOneJob : CrashCause::kUncertain;
-    const CrashCause cause = cause_beside_starts.value_or(start_cause);
-    judged.push_back(JudgedRun{suspect.task, suspect.attempt, crash.minion, crash.address, cause});
+    const bool is_one_job = started_jobs.size() == 1 && suspect.is_confirmed;
+    const CrashCause start_cause = is_one_job ? CrashCause::kOneJob : CrashCause::kUncertain;
+    const CrashCause own_cause = suspect.is_late ? CrashCause::kLate : start_cause;
+    const CrashCause cause = cause_beside_starts.value_or(own_cause);
+    judged.push_back(JudgedRun{suspect.task, suspect.attempt, crash.minion, crash.address, cause,
+                               suspect.is_counted, suspect.ran_for});
   }
 }
 
@@ -209,8 +304,9 @@
 void CrashAttribution::AddExplanation(const TrackedMinion& minion, MinionFate& fate) const {
   if (const Crash* const crash = FindNear(minion.id, *fate.vanished_at); crash != nullptr) {
     fate.was_host_up = crash->was_host_up;
-    fate.is_explained = std::any_of(crash->suspects.begin(), crash->suspects.end(),
-                                    [](const Suspect& suspect) { return suspect.is_start_known; });
+    fate.is_explained = std::any_of(
+        crash->suspects.begin(), crash->suspects.end(),
+        [](const Suspect& suspect) { return suspect.is_start_known && !suspect.is_late; });
     return;
   }
   // The minion's runs may not have been given up yet.
--- a/src/libraries/leader/crash_attribution.h
+++ b/src/libraries/leader/crash_attribution.h
@@ -21,12 +21,14 @@
   kUncertain,
   /// Other minions of the zone were lost at the same time.
   kOutage,
+  /// The task had run for some time, so that the minion may have failed by itself.
+  kLate,
   /// Nothing shows that the process crashed. The minion had left the registry before this leader
   /// began, perhaps as planned, and is not back.
   kUnproven,
 };
 
-/// The judgement of one run that was lost when its minion's process ended right after its start.
+/// The judgement of one run that was lost when its minion's process ended.
 struct JudgedRun {
   TaskName task;
   AttemptNumber attempt;
@@ -34,6 +36,17 @@
   /// The minion's address, which the one that comes back has as well.
   std::string address;
   CrashCause cause = CrashCause::kOneJob;
+  /// The loss was already counted when it was recorded.
+  bool is_counted = false;
+  /// How long a run that had outlived its start had run, if that is known.
+  std::optional<Milliseconds> ran_for = std::nullopt;
+};
+
+/// A run that was lost some time after its start.
+struct LateLoss {
+  std::string address;
+  /// How long it had run, if that is known.
+  std::optional<Milliseconds> ran_for;
 };
 
 class CrashAttribution {
@@ -42,6 +55,11 @@
   /// judged: its minion's process has ended, and the run had not outlived its start.
   bool RecordLoss(const TrackedMinion& minion, const TrackedRun& run, Milliseconds now);
 
+  /// As RecordLoss(), for a run that had outlived its start, but not for so long that the crash
+  /// says nothing about it. The suspect is judged as `is_counted` says.
+  std::optional<LateLoss> RecordLateLoss(const TrackedMinion& minion, const TrackedRun& run,
+                                         bool is_counted, Milliseconds now);
+
   /// The suspects that can be judged by now, each once.
   std::vector<JudgedRun> TakeJudged(const LeaderState& state, Milliseconds now);
 
@@ -53,6 +71,10 @@
     bool is_start_known = false;
     /// The minion has confirmed the start, so it was alive when it got the order.
     bool is_confirmed = false;
+    /// The run had outlived its start.
+    bool is_late = false;
+    bool is_counted = false;
+    std::optional<Milliseconds> ran_for = std::nullopt;
   };
 
   /// The end of one incarnation of a minion.
@@ -97,6 +119,8 @@
     bool was_host_up = false;
   };
 
+  void AddSuspect(const TrackedMinion& minion, const TrackedRun& run, bool was_seen,
+                  Suspect suspect, Milliseconds now);
   Crash& FindOrAdd(const TrackedMinion& minion, const TrackedRun& run, Milliseconds now);
   const Crash* FindNear(const MinionId& minion, Milliseconds at) const;
   /// The minions of all zones with crashes that are to be judged. Collected once for all crashes: a
@@ -118,9 +142,24 @@
   std::map<std::pair<MinionId, MinionIncarnation>, Crash> m_crashes;
 };
 
+/// A crash this long after the start of a run says nothing about its task, and a run that lasts as
+/// long shows that earlier crashes some time after a start had another cause.
+constexpr Milliseconds kMaxLateCrash{60'000};
+
+/// Counts a crash some time after a start of the task. It starts a new count if the task had run
+/// for another time than at the former ones: what crashes its minions does so at the same point of
+/// its work, and machines that fail by themselves don't.
+void CountLateCrash(TaskProgress& task, const LateLoss& loss);
+
+/// Takes back the count of such a crash, which turned out to have another cause.
+void UncountLateCrash(TaskProgress& task, const std::string& address);
+
+/// Forgets all such crashes of the task.
+void ForgetLateCrashes(TaskProgress& task);
+
 /// Whether a task with these crashes is to be given up: twice no other job's task can have been the
 /// cause, or it was among the suspects too often. If all crashes were at one address, it may be
-/// that machine's fault, and more are needed.
+/// that machine's fault, and more are needed. Crashes some time after a start are weaker evidence.
 bool IsCrashLooping(const TaskProgress& task);
 
 }  // namespace papayalift
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -5,6 +5,7 @@
 
 #include "libraries/journal/journal_keys.h"
 #include "libraries/leader/plan_snapshot_builder.h"
+#include "libraries/leader/task_isolation.h"
 #include "libraries/log/log_event.h"
 #include "libraries/planner/task_planner.h"
 
@@ -157,6 +158,9 @@
     task.minion = placement.minion;
     task.incarnation = minion.incarnation;
     task.address = minion.address;
+    if (task.late_crashes > 0) {
+      task.placed_at = m_context.timers.clock().WallNow();
+    }
     TrackedRun run;
     run.task = TaskName{start.job, 0, start.step, placement.index};
     run.attempt = task.attempt;
@@ -164,7 +168,7 @@
     run.incarnation = minion.incarnation;
     run.needs = job.accepted.work.steps[static_cast<std::size_t>(start.step)].needs;
     run.decided_at = Now();
-    run.is_isolated = task.crashes > 0;
+    run.is_isolated = IsSuspect(task);
     m_state.AddRun(minion, std::move(run));
   }
   if (job.progress.state == WorkState::kQueued) {
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -138,7 +138,15 @@
   void HandleTaskFailure(TrackedJob& job, const MinionId& minion, const EndedRun& end);
   /// Lets suspects that can be judged wait for another run, or gives up their jobs.
   void JudgeSuspects();
+  /// Records a run that was lost some time after its start. Returns whether its task is to wait
+  /// until it is judged. Before that many in a row it is counted at once, as a leader that is lost
+  /// before the judgement would leave no trace of it.
+  bool MustWaitAfterLateLoss(const TrackedMinion& minion, const TrackedRun& run,
+                             TaskProgress& task);
   void RecordCrash(TrackedJob& job, TaskProgress& task, const JudgedRun& run);
+  void ApplyJudgement(TrackedJob& job, TaskProgress& task, const JudgedRun& run);
+  /// Drops the task's crashes some time after a start, once a run of it has lasted for long.
+  void ForgetLateCrashesIfOutlived(TrackedJob& job, const TrackedRun& run);
   /// Lets the job's tasks that are placed only until they are judged wait, so that the job can end.
   void ReleaseSuspects(TrackedJob& job);
   void RecordCheckpoint(TrackedJob& job, const TaskName& task, const std::string& checkpoint);
--- a/src/libraries/leader/leader_session_crashes.cc
+++ b/src/libraries/leader/leader_session_crashes.cc
@@ -1,9 +1,32 @@
 #include "libraries/journal/job_progress_codec.h"
 #include "libraries/leader/leader_session.h"
+#include "libraries/leader/task_isolation.h"
 #include "libraries/log/log_event.h"
 
 namespace papayalift {
 
+namespace {
+
+void LogCrash(const TaskProgress& task, const JudgedRun& run) {
+  LogEvent(LogLevel::kWarning, "runs",
+           run.cause == CrashCause::kLate ? "a minion crashed while it ran a task"
+                                          : "a minion crashed when it started a task")
+      .Job(run.task.job)
+      .Field("task", FormatTaskName(run.task))
+      .Field("attempt", run.attempt.value())
+      .Field("minion", run.minion.text())
+      .Field("crashes", task.crashes)
+      .Field("crashes_of_one_job", task.crashes_of_one_job)
+      .Field("late_crashes", task.late_crashes)
+      .Field("ran_for_ms", run.ran_for.value_or(Milliseconds(0)).count())
+      .Field("address", run.address)
+      .Field("crashes_at_first_address", task.crashes_at_first_address)
+      .Field("late_crashes_at_first_address", task.late_crashes_at_first_address)
+      .Write();
+}
+
+}  // namespace
+
 void LeaderSession::JudgeSuspects() {
   for (const JudgedRun& run : m_crash_attribution.TakeJudged(m_state, Now())) {
     TrackedJob* const job = m_state.FindJob(run.task.job);
@@ -16,10 +39,8 @@
       ReturnToWaiting(*job, run.task);
     }
     const bool is_over = HasEnded(job->progress.state) || job->is_cancelled;
-    const bool is_by_start =
-        run.cause == CrashCause::kOneJob || run.cause == CrashCause::kUncertain;
-    if (is_by_start && !is_over && task->phase != TaskPhase::kDone) {
-      RecordCrash(*job, *task, run);
+    if (!is_over && task->phase != TaskPhase::kDone) {
+      ApplyJudgement(*job, *task, run);
     }
     EndJobIfSettled(*job);
     m_journal->MarkDirty(*job);
@@ -27,6 +48,25 @@
   }
 }
 
+void LeaderSession::ApplyJudgement(TrackedJob& job, TaskProgress& task, const JudgedRun& run) {
+  if (run.cause != CrashCause::kOutage && run.cause != CrashCause::kUnproven) {
+    RecordCrash(job, task, run);
+  } else if (run.is_counted) {
+    UncountLateCrash(task, run.address);
+  }
+}
+
+bool LeaderSession::MustWaitAfterLateLoss(const TrackedMinion& minion, const TrackedRun& run,
+                                          TaskProgress& task) {
+  const bool is_counted = !IsSuspect(task);
+  const std::optional<LateLoss> loss =
+      m_crash_attribution.RecordLateLoss(minion, run, is_counted, Now());
+  if (loss.has_value() && is_counted) {
+    CountLateCrash(task, *loss);
+  }
+  return loss.has_value() && !is_counted;
+}
+
 void LeaderSession::ReleaseSuspects(TrackedJob& job) {
   for (std::size_t step = 0; step < job.progress.steps.size(); ++step) {
     const std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
@@ -41,28 +81,35 @@
 }
 
 void LeaderSession::RecordCrash(TrackedJob& job, TaskProgress& task, const JudgedRun& run) {
-  if (task.crashes == 0) {
-    task.first_crash_address = run.address;
+  if (run.cause == CrashCause::kLate) {
+    if (!run.is_counted) {
+      CountLateCrash(task, LateLoss{run.address, run.ran_for});
+    }
+  } else {
+    if (task.crashes == 0 && task.first_crash_address != run.address) {
+      task.first_crash_address = run.address;
+      task.late_crashes_at_first_address = 0;
+    }
+    ++task.crashes;
+    const bool is_same_machine = !run.address.empty() && run.address == task.first_crash_address;
+    task.crashes_at_first_address += is_same_machine ? 1 : 0;
+    task.crashes_of_one_job += run.cause == CrashCause::kOneJob ? 1 : 0;
+    m_context.metrics.Increment("papayalift_task_crashes_total");
   }
-  ++task.crashes;
-  const bool is_same_machine = !run.address.empty() && run.address == task.first_crash_address;
-  task.crashes_at_first_address += is_same_machine ? 1 : 0;
-  task.crashes_of_one_job += run.cause == CrashCause::kOneJob ? 1 : 0;
-  LogEvent(LogLevel::kWarning, "runs", "a minion crashed when it started a task")
-      .Job(run.task.job)
-      .Field("task", FormatTaskName(run.task))
-      .Field("attempt", run.attempt.value())
-      .Field("minion", run.minion.text())
-      .Field("crashes", task.crashes)
-      .Field("crashes_of_one_job", task.crashes_of_one_job)
-      .Field("address", run.address)
-      .Field("crashes_at_first_address", task.crashes_at_first_address)
-      .Write();
-  m_context.metrics.Increment("papayalift_task_crashes_total");
+  LogCrash(task, run);
   if (IsCrashLooping(task)) {
     EndJob(job, WorkState::kFailed, "a task crashes the minions that start it");
     StopJob(job, "the job has failed");
   }
 }
 
+void LeaderSession::ForgetLateCrashesIfOutlived(TrackedJob& job, const TrackedRun& run) {
+  TaskProgress& task = *m_state.FindTask(run.task);
+  if (task.late_crashes == 0 || Now() - run.running_since.value_or(Now()) < kMaxLateCrash) {
+    return;
+  }
+  ForgetLateCrashes(task);
+  m_journal->MarkDirty(job);
+}
+
 }  // namespace papayalift
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -160,9 +160,10 @@
     return;
   }
   if (task->phase == TaskPhase::kPlaced && task->attempt == run.attempt) {
+    const TrackedMinion& minion = *m_state.FindMinion(run.minion);
     const bool is_suspect =
-        loss == RunLoss::kRunLost &&
-        m_crash_attribution.RecordLoss(*m_state.FindMinion(run.minion), run, Now());
+        loss == RunLoss::kRunLost && (m_crash_attribution.RecordLoss(minion, run, Now()) ||
+                                      MustWaitAfterLateLoss(minion, run, *task));
     // NOTE: a suspect stays placed until it is judged, so that a later leader suspects it as well.
     if (!is_suspect || job->is_cancelled) {
       ReturnToWaiting(*job, run.task);
@@ -192,6 +193,7 @@
   const TaskProgress* const task = m_state.FindTask(run.task);
   if (job != nullptr && task != nullptr && task->attempt == run.attempt) {
     RecordCheckpoint(*job, run.task, active.checkpoint);
+    ForgetLateCrashesIfOutlived(*job, run);
     StopIfStalled(*job, run);
   }
 }
--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -3,6 +3,7 @@
 
 #include "libraries/journal/journal_keys.h"
 #include "libraries/leader/leader_session.h"
+#include "libraries/leader/task_isolation.h"
 #include "libraries/log/log_event.h"
 #include "libraries/planner/rack_wait.h"
 
@@ -272,7 +273,10 @@
       run.needs = job.accepted.work.steps[step].needs;
       run.state = TrackedRunState::kOrdered;
       run.decided_at = Now();
-      run.is_isolated = task.crashes > 0;
+      run.is_isolated = IsSuspect(task);
+      if (task.placed_at.count() > 0) {
+        run.placed_before_at = Now() - (m_context.timers.clock().WallNow() - task.placed_at);
+      }
       m_state.AddRun(minion, std::move(run));
     }
   }
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -45,6 +45,8 @@
   Milliseconds decided_at{0};
   /// When its start was first sent.
   Milliseconds ordered_at{0};
+  /// When a former leader placed it, on this process's clock, if that is known.
+  std::optional<Milliseconds> placed_before_at;
   std::optional<Milliseconds> running_since;
   int percent = 0;
   /// When `percent` last rose.
--- a/src/libraries/leader/task_isolation.cc
+++ b/src/libraries/leader/task_isolation.cc
@@ -15,10 +15,12 @@
 /// spare capacity the others run on it would not have many, and a task must not be left waiting.
 constexpr Milliseconds kMaxIsolationWait{20'000};
 constexpr Milliseconds kMaxIsolationWaitWithSpareCapacity = kMaxWaitBesideRoom;
+constexpr int kMinLateCrashesOfSuspect = 2;
+
 std::set<int> WaitingSuspects(const std::vector<TaskProgress>& tasks) {
   std::set<int> suspects;
   for (std::size_t index = 0; index < tasks.size(); ++index) {
-    if (tasks[index].phase == TaskPhase::kWaiting && tasks[index].crashes > 0) {
+    if (tasks[index].phase == TaskPhase::kWaiting && IsSuspect(tasks[index])) {
       suspects.insert(static_cast<int>(index));
     }
   }
@@ -64,9 +66,14 @@
   return false;
 }
 
-/// Leaves only the first suspect in the step, or none while another is on probation.
-void HoldBackSuspects(PendingStep& pending, bool has_task_on_probation) {
+/// Leaves only the first task that may have crashed a minion when it started, or none while another
+/// is on probation.
+void HoldBackSuspects(const std::vector<TaskProgress>& tasks, PendingStep& pending,
+                      bool has_task_on_probation) {
   std::set<int> held_back = pending.isolated;
+  std::erase_if(held_back, [&tasks](int index) {
+    return tasks[static_cast<std::size_t>(index)].crashes == 0;
+  });
   if (!held_back.empty() && !has_task_on_probation) {
     held_back.erase(held_back.begin());
   }
@@ -78,6 +85,10 @@
 
 }  // namespace
 
+bool IsSuspect(const TaskProgress& task) {
+  return task.crashes > 0 || task.late_crashes >= kMinLateCrashesOfSuspect;
+}
+
 bool HasRunOnProbation(const TrackedMinion& minion) {
   return std::any_of(minion.runs.begin(), minion.runs.end(),
                      [](const auto& entry) { return IsOnProbation(entry.second); });
@@ -91,7 +102,7 @@
   pending.max_isolation_wait = kMaxIsolationWait;
   pending.max_isolation_wait_with_spare_capacity = kMaxIsolationWaitWithSpareCapacity;
   if (pending.spec.kind != WorkStepKind::kGang && HasLikelyCause(tasks)) {
-    HoldBackSuspects(pending, HasTaskOnProbation(state, job, step));
+    HoldBackSuspects(tasks, pending, HasTaskOnProbation(state, job, step));
   }
 }
 
--- a/src/libraries/leader/task_isolation.h
+++ b/src/libraries/leader/task_isolation.h
@@ -8,6 +8,10 @@
 
 namespace papayalift {
 
+/// Whether the task may have crashed a minion. Two crashes some time after its starts are as good
+/// as one right after a start.
+bool IsSuspect(const TaskProgress& task);
+
 /// Whether the minion runs such a task, and it may still crash it: nothing else is placed there.
 bool HasRunOnProbation(const TrackedMinion& minion);
 
--- a/tests/journal/journal_codec_test.cc
+++ b/tests/journal/journal_codec_test.cc
@@ -41,6 +41,25 @@
   cr_assert(DecodeJobProgress(EncodeJobProgress(progress)).value() == progress);
 }
 
+Test(journal_codec, late_crash_counts_are_kept_while_a_task_waits_and_while_it_is_placed) {
+  JobProgress progress;
+  progress.state = WorkState::kRunning;
+  progress.steps.resize(1);
+  progress.steps[0].tasks.resize(2);
+  for (TaskProgress& task : progress.steps[0].tasks) {
+    task.attempt = AttemptNumber(2);
+    task.first_crash_address = "10.0.0.7:80";
+    task.late_crashes = 2;
+    task.late_crashes_at_first_address = 1;
+    task.late_crash_after = Milliseconds(4'000);
+    task.placed_at = Milliseconds(1'700'000);
+  }
+  progress.steps[0].tasks[1].phase = TaskPhase::kPlaced;
+  progress.steps[0].tasks[1].minion = MinionId("m");
+  progress.steps[0].tasks[1].incarnation = MinionIncarnation(1'700);
+  cr_assert(DecodeJobProgress(EncodeJobProgress(progress)).value() == progress);
+}
+
 Test(journal_codec, progress_without_crash_counts_is_decoded) {
   const JobProgress progress =
       DecodeJobProgress(
--- a/tests/leader/crash_attribution_test.cc
+++ b/tests/leader/crash_attribution_test.cc
@@ -55,6 +55,11 @@
     return attribution.RecordLoss(state.minions.at(run.minion), run, kJudgedAt);
   }
 
+  bool LoseLate(const TrackedRun& run) {
+    return attribution.RecordLateLoss(state.minions.at(run.minion), run, false, kJudgedAt)
+        .has_value();
+  }
+
   LeaderState state;
   CrashAttribution attribution;
 };
@@ -196,4 +201,105 @@
   cr_assert(IsCrashLooping(task), "the fourth was on the same one");
 }
 
+Test(crash_attribution, run_that_outlived_its_start_is_judged_as_lost_late) {
+  AttributionFixture fixture;
+  fixture.EndProcess(0, kOrderedAt + Milliseconds(4'000));
+  TrackedRun run = AttributionFixture::RunOf("a", 0);
+  run.running_since = kOrderedAt;
+  run.has_outlived_start = true;
+  cr_assert(fixture.LoseLate(run));
+  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  cr_assert_eq(judged.size(), 1);
+  cr_assert(judged[0].cause == CrashCause::kLate);
+}
+
+Test(crash_attribution, late_losses_that_have_another_cause_or_come_too_late_are_not_recorded) {
+  AttributionFixture fixture;
+  TrackedRun run = AttributionFixture::RunOf("a", 0);
+  run.running_since = kOrderedAt;
+  run.has_outlived_start = true;
+  fixture.Minion(0).silence = MinionSilence{kOrderedAt + Milliseconds(4'000)};
+  cr_assert_not(fixture.LoseLate(run), "the minion may be cut off");
+  fixture.EndProcess(0, kOrderedAt + Milliseconds(4'000));
+  fixture.Minion(0).is_draining = true;
+  cr_assert_not(fixture.LoseLate(run), "the minion was draining");
+  fixture.Minion(0).is_draining = false;
+  fixture.EndProcess(0, kOrderedAt + kMaxLateCrash);
+  cr_assert_not(fixture.LoseLate(run), "it had run for long");
+  fixture.EndProcess(0);
+  run.has_outlived_start = false;
+  cr_assert_not(fixture.LoseLate(run), "it was lost at its start");
+}
+
+Test(crash_attribution, late_losses_in_an_outage_accuse_no_task) {
+  AttributionFixture fixture;
+  for (int number = 0; number < 5; ++number) {
+    fixture.EndProcess(number, kOrderedAt + Milliseconds(4'000));
+    TrackedRun run = AttributionFixture::RunOf("job" + std::to_string(number), number);
+    run.running_since = kOrderedAt;
+    run.has_outlived_start = true;
+    cr_assert(fixture.LoseLate(run));
+  }
+  for (const JudgedRun& run : fixture.attribution.TakeJudged(fixture.state, kJudgedAt)) {
+    cr_expect(run.cause == CrashCause::kOutage);
+  }
+}
+
+// Work beside a deadly start is not another suspect of it.
+Test(crash_attribution, run_lost_late_beside_a_start_leaves_the_cause_certain) {
+  AttributionFixture fixture;
+  fixture.EndProcess(0);
+  TrackedRun older = AttributionFixture::RunOf("old", 0);
+  older.running_since = kOrderedAt - Milliseconds(4'000);
+  older.has_outlived_start = true;
+  cr_assert(fixture.LoseLate(older));
+  cr_assert(fixture.Lose(AttributionFixture::RunOf("a", 0)));
+  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  cr_assert_eq(judged.size(), 2);
+  cr_expect(judged[0].cause == CrashCause::kLate);
+  cr_expect(judged[1].cause == CrashCause::kOneJob);
+}
+
+Test(crash_attribution, task_is_given_up_after_four_crashes_at_any_time_or_five_on_one_machine) {
+  TaskProgress task;
+  task.crashes = 1;
+  task.late_crashes = 2;
+  cr_assert_not(IsCrashLooping(task));
+  task.late_crashes = 3;
+  cr_assert(IsCrashLooping(task));
+  task.crashes_at_first_address = 1;
+  task.late_crashes_at_first_address = 3;
+  cr_assert_not(IsCrashLooping(task));
+  task.late_crashes = 4;
+  task.late_crashes_at_first_address = 4;
+  cr_assert(IsCrashLooping(task));
+}
+
+Test(crash_attribution, late_crashes_at_another_point_of_the_work_start_a_new_count) {
+  TaskProgress task;
+  CountLateCrash(task, LateLoss{"a", Milliseconds(4'000)});
+  CountLateCrash(task, LateLoss{"b", Milliseconds(4'300)});
+  CountLateCrash(task, LateLoss{"a", std::nullopt});
+  cr_assert_eq(task.late_crashes, 3);
+  cr_assert_eq(task.late_crashes_at_first_address, 2);
+  CountLateCrash(task, LateLoss{"b", Milliseconds(9'000)});
+  cr_assert_eq(task.late_crashes, 1);
+  cr_assert_eq(task.first_crash_address, "b");
+  UncountLateCrash(task, "b");
+  cr_assert(task == TaskProgress{});
+}
+
+Test(crash_attribution, late_crash_that_was_counted_at_once_is_judged_as_such) {
+  AttributionFixture fixture;
+  fixture.EndProcess(0, kOrderedAt + Milliseconds(4'000));
+  TrackedRun run = AttributionFixture::RunOf("a", 0);
+  run.has_outlived_start = true;
+  const std::optional<LateLoss> loss =
+      fixture.attribution.RecordLateLoss(fixture.Minion(0), run, true, kJudgedAt);
+  cr_assert(loss.value().ran_for == Milliseconds(4'000));
+  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  cr_assert(judged.at(0).is_counted);
+  cr_assert(judged.at(0).ran_for == Milliseconds(4'000));
+}
+
 }  // namespace papayalift
