--- a/src/libraries/planner/placement_search.cc
+++ b/src/libraries/planner/placement_search.cc
@@ -168,8 +168,13 @@
 }
 
 bool FitsAnywhere(const PendingStep& pending, const PlanCapacity& capacity, CapacityMember member) {
-  return TotalTasksOn(pending, capacity, member, capacity.everywhere()) >=
-         TasksThatStartTogether(pending);
+  const std::int64_t wanted = TasksThatStartTogether(pending);
+  std::int64_t fitting = 0;
+  return std::any_of(capacity.minions().begin(), capacity.minions().end(),
+                     [&](const MinionCapacity& minion) {
+                       fitting += FittingTasksOn(pending, minion, member);
+                       return fitting >= wanted;
+                     });
 }
 
 std::optional<FoundPlacements> FindGangPlacements(const PendingStep& pending,
