--- a/src/libraries/leader/crash_attribution.h
+++ b/src/libraries/leader/crash_attribution.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "libraries/leader/crash_counts.h"
 #include "libraries/leader/leader_state.h"
 
 namespace papayalift {
@@ -42,13 +43,6 @@
   std::optional<Milliseconds> ran_for = std::nullopt;
 };
 
-/// A run that was lost some time after its start.
-struct LateLoss {
-  std::string address;
-  /// How long it had run, if that is known.
-  std::optional<Milliseconds> ran_for;
-};
-
 class CrashAttribution {
  public:
   /// To be called with every run that is lost. Returns whether the run is a suspect, which will be
@@ -142,24 +136,4 @@
   std::map<std::pair<MinionId, MinionIncarnation>, Crash> m_crashes;
 };
 
-/// A crash this long after the start of a run says nothing about its task, and a run that lasts as
-/// long shows that earlier crashes some time after a start had another cause.
-constexpr Milliseconds kMaxLateCrash{60'000};
-
-/// Counts a crash some time after a start of the task. It starts a new count if the task had run
-/// for another time than at the former ones: what crashes its minions does so at the same point of
-/// its work, and machines that fail by themselves don't.
-void CountLateCrash(TaskProgress& task, const LateLoss& loss);
-
-/// Takes back the count of such a crash, which turned out to have another cause.
-void UncountLateCrash(TaskProgress& task, const std::string& address);
-
-/// Forgets all such crashes of the task.
-void ForgetLateCrashes(TaskProgress& task);
-
-/// Whether a task with these crashes is to be given up: twice no other job's task can have been the
-/// cause, or it was among the suspects too often. If all crashes were at one address, it may be
-/// that machine's fault, and more are needed. Crashes some time after a start are weaker evidence.
-bool IsCrashLooping(const TaskProgress& task);
-
 }  // namespace papayalift
--- a/src/libraries/planner/wait_reason.h
+++ b/src/libraries/planner/wait_reason.h
@@ -10,7 +10,8 @@
 enum class WaitReason {
   /// No usable minions have room for it.
   kNoCapacity,
-  /// It would fit, but on other racks than the preferred one.
+  /// It would fit, but on other racks than the preferred one, which is expected to be free soon or
+  /// where runs are being stopped for it.
   kRack,
   /// It would fit, but the room is reserved for steps that come first.
   kReserved,
