Planner: Say in which order a forecast lists its minions

They stand in the order in which they were looked at; the comment said that those with room first come first. Found while reading the diff as a newcomer.

--- a/src/libraries/planner/room_forecast.h
+++ b/src/libraries/planner/room_forecast.h
@@ -21,7 +21,7 @@
 struct RoomForecast {
   /// From now; 0 if there is room already.
   Milliseconds time{0};
-  /// The minions with room at that time, those that have it first in front.
+  /// All minions that were looked at, in their order, with their room at that time.
   std::vector<ForecastRoom> rooms;
 };
 
