Review: Show done tasks started again after more than 500 ends

TWICE: 630 small tasks end on one minion while no leader acknowledges ends, as the leader was just killed. Minions return ends 500 at a time. The new leader takes the runs that the first report doesn't list for runs that never started, and starts their tasks again although they are done.

--- a/review/lib-2/world.hpp
+++ b/review/lib-2/world.hpp
@@ -338,6 +338,8 @@
   std::int64_t from = 0;
   std::int64_t to = -1;
   std::string how;
+  // Its end was acknowledged, and the minion's lease had not lapsed meanwhile.
+  bool is_noted = false;
 };
 
 // One minion, as PROTOCOL.md has it; it does not guard its capacity. Its work is what `spec` says:
@@ -421,7 +423,6 @@
     return std::any_of(m_runs.begin(), m_runs.end(),
                        [&job](const auto& entry) { return entry.first.starts_with(job); });
   }
-  std::int64_t resources_cpu = 16'000;
 
  private:
   struct Run {
@@ -436,6 +437,8 @@
     std::string task;
     int attempt = 0;
     std::string how;
+    std::size_t interval = 0;
+    bool has_lapsed = false;
   };
 
   std::int64_t ClockNow() const {
@@ -455,7 +458,7 @@
                      {"slots", 8},
                      {"state", "ready"},
                      {"coldLeftMs", 0},
-                     {"capacity", {{"cpu", resources_cpu}, {"memMb", 32'768}, {"gpu", 8}}},
+                     {"capacity", {{"cpu", 128'000}, {"memMb", 262'144}, {"gpu", 8}}},
                      {"labels", {"a", "r1-" + m_zone}},
                      {"born", m_born},
                      {"clockMs", ClockNow()},
@@ -480,7 +483,7 @@
     const Run run = m_runs.at(task);
     m_runs.erase(task);
     m_barred[task] = std::max(m_barred[task], run.attempt);
-    m_ended.push_back(End{++m_last_end, task, run.attempt, how});
+    m_ended.push_back(End{++m_last_end, task, run.attempt, how, run.interval, false});
     m_intervals[run.interval].to = m_record.Now();
     m_intervals[run.interval].how = how;
     m_record.Write(m_id + " ends " + task + " attempt " + std::to_string(run.attempt) + ": " + how);
@@ -488,6 +491,9 @@
   }
   void Advance() {
     std::vector<std::pair<std::string, std::string>> over;
+    for (End& end : m_ended) {
+      end.has_lapsed = end.has_lapsed || ClockNow() > m_lease_until;
+    }
     for (const auto& [task, run] : m_runs) {
       if (ClockNow() > m_lease_until) {
         over.emplace_back(task, "lapsed");
@@ -588,7 +594,7 @@
     }
     ExtendLease(order);
     const std::string spec = order.value("spec", "");
-    m_intervals.push_back(Interval{task, attempt, m_id, m_record.Now(), -1, ""});
+    m_intervals.push_back(Interval{task, attempt, m_id, m_record.Now(), -1, "", false});
     m_runs[task] = Run{attempt, Clock::now(), std::stoll(spec),
                        spec.find("failed") != std::string::npos, m_intervals.size() - 1};
     m_record.Write(said + ": it runs, lease until " + std::to_string(m_lease_until));
@@ -597,6 +603,11 @@
 
   Reply Hold(const Json& order, std::unique_lock<std::mutex>& lock) {
     const std::int64_t cursor = order.value("ackCursor", 0LL);
+    for (const End& end : m_ended) {
+      if (end.number <= cursor) {
+        m_intervals[end.interval].is_noted = !end.has_lapsed;
+      }
+    }
     std::erase_if(m_ended, [cursor](const End& end) { return end.number <= cursor; });
     ExtendLease(order);
     const Clock::time_point until =
@@ -612,6 +623,10 @@
           {task, run.attempt, "", std::min<std::int64_t>(100, worked * 100 / run.work_ms), 1'000});
     }
     for (const End& end : m_ended) {
+      // "The others are returned again (500 at a time)."
+      if (body["ended"].size() == 500) {
+        break;
+      }
       body["ended"].push_back({end.number, end.task, end.attempt, end.how, ""});
     }
     return Answer(body);
@@ -835,6 +850,28 @@
     }
     return longest;
   }
+  // TWICE: a start after a run of the task has ended `done`, if that end was taken note of. Returns
+  // how many tasks were started so.
+  int StartsAfterDone() {
+    const std::vector<Interval> all = Intervals();
+    std::map<std::string, std::int64_t> done;
+    for (const Interval& run : all) {
+      if (run.how == "done" && run.is_noted) {
+        const auto [found, is_new] = done.try_emplace(run.task, run.to);
+        found->second = std::min(found->second, run.to);
+      }
+    }
+    std::set<std::string> again;
+    for (const Interval& run : all) {
+      const auto found = done.find(run.task);
+      if (found != done.end() && run.from > found->second && again.insert(run.task).second) {
+        record.Write("TWICE: " + run.task + " attempt " + std::to_string(run.attempt) +
+                     " starts on " + run.minion + ", though the task was done at " +
+                     std::to_string(found->second) + " ms");
+      }
+    }
+    return static_cast<int>(again.size());
+  }
   std::string StateOf(Node& node, const std::string& job) {
     const Answer answer = node.Ask("GET", job);
     return answer.status == 200 ? Json::parse(answer.body).value("state", "") : "";
