Review: Show a cancelled job that runs after the store's leases ran out

UNASKED and REFUSED: a submission that the store has not answered is carried out seconds later, although its job was cancelled meanwhile (410) and the submission itself refused (503). The cancellation of a job that is not stored lies under a store lease, and leases may expire while the store is down.

--- a/review/lib-2/world.hpp
+++ b/review/lib-2/world.hpp
@@ -120,8 +120,22 @@
     const auto found = m_items.find(key);
     return found == m_items.end() ? "" : found->second.value;
   }
+  // The next submission of a job is not answered, and is carried out after the delay if its
+  // conditions hold then.
+  void LoseNextSubmission(Ms delay) { m_submission_delay = delay; }
+  // While it is down it resets all connections, and all leases run out.
+  void SetDown(bool is_down) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_is_down = is_down;
+    while (!m_leases.empty()) {
+      EndLease(m_leases.begin()->first);
+    }
+    m_changed.notify_all();
+  }
   // Values of more bytes are refused, as `valueBytes` of the settings says.
   std::size_t max_value_bytes = 1'048'576;
+  // What the late submission met; 0 before it was carried out.
+  std::atomic<int> late_status{0};
 
  private:
   struct Item {
@@ -193,6 +207,12 @@
   Reply Handle(const Request& request) {
     try {
       std::unique_lock<std::mutex> lock(m_mutex);
+      if (m_is_down) {
+        return Reply{0, "", true};
+      }
+      if (m_submission_delay.has_value() && IsSubmission(request)) {
+        return CarryOutLate(request, lock);
+      }
       Expire();
       if (request.path == "/kv-key") {
         const auto found = m_items.find(request.query.at("key"));
@@ -218,6 +238,29 @@
     }
   }
 
+  static bool IsSubmission(const Request& request) {
+    if (request.path != "/kv-txn") {
+      return false;
+    }
+    const Json transaction = Json::parse(request.body);
+    const Json writes = transaction.value("write", Json::array());
+    return std::any_of(writes.begin(), writes.end(), [](const Json& row) {
+      const std::string key = row.at("key");
+      return key.starts_with("papayalift/accepted/") && !key.ends_with("/cancel");
+    });
+  }
+  Reply CarryOutLate(const Request& request, std::unique_lock<std::mutex>& lock) {
+    const Clock::time_point due = Clock::now() + *m_submission_delay;
+    m_submission_delay.reset();
+    while (Clock::now() < due && !m_is_closing) {
+      m_changed.wait_until(lock, due);
+    }
+    Expire();
+    const Reply reply = Transact(Json::parse(request.body));
+    late_status = reply.status;
+    return Reply{0, "", true};
+  }
+
   Reply Range(const Request& request) {
     const std::string& prefix = request.query.at("prefix");
     const auto after = request.query.find("after");
@@ -246,6 +289,9 @@
           body["events"].push_back(event.json);
         }
       }
+      if (m_is_down) {
+        return Reply{0, "", true};
+      }
       if (!body["events"].empty() || Clock::now() >= until || m_is_closing) {
         return JsonReply(body);
       }
@@ -322,6 +368,8 @@
   std::mutex m_mutex;
   std::condition_variable m_changed;
   bool m_is_closing = false;
+  bool m_is_down = false;
+  std::optional<Ms> m_submission_delay;
   std::int64_t m_revision = 1;
   std::int64_t m_last_lease = 0;
   std::map<std::string, Item> m_items;
