--- a/review/lib-2/http.hpp
+++ b/review/lib-2/http.hpp
@@ -142,8 +142,12 @@
  public:
   using Handler = std::function<Reply(const Request&)>;
 
-  Server(std::string host, int port, Handler handler)
-      : m_host(std::move(host)), m_port(port), m_handler(std::move(handler)) {}
+  // Further connections wait until one of the others is closed.
+  Server(std::string host, int port, Handler handler, int max_connections = 4'000)
+      : m_host(std::move(host)),
+        m_port(port),
+        m_handler(std::move(handler)),
+        m_max_connections(max_connections) {}
   ~Server() { Stop(); }
 
   void Start() {
@@ -182,6 +186,10 @@
  private:
   void Accept() {
     while (!m_is_stopped) {
+      if (m_threads >= m_max_connections) {
+        std::this_thread::sleep_for(Ms(1));
+        continue;
+      }
       pollfd ready{m_listener, POLLIN, 0};
       if (poll(&ready, 1, 20) != 1 || m_is_stopped) {
         continue;
@@ -255,6 +263,7 @@
   const std::string m_host;
   const int m_port;
   const Handler m_handler;
+  const int m_max_connections;
   int m_listener = -1;
   std::atomic<bool> m_is_stopped{true};
   std::atomic<int> m_threads{0};
--- a/review/lib-2/world.hpp
+++ b/review/lib-2/world.hpp
@@ -401,8 +401,9 @@
         m_id(std::move(id)),
         m_address(host + ":" + std::to_string(port)),
         m_zone(std::move(zone)),
-        m_server(std::move(host), port,
-                 [this](const Request& request) { return Handle(request); }) {
+        m_server(
+            std::move(host), port, [this](const Request& request) { return Handle(request); },
+            kMaxConnections) {
     Boot();
     m_beats = std::thread([this] { Beat(); });
   }
@@ -473,6 +474,9 @@
   }
 
  private:
+  // "8 slots and 64 channels each" (SYSTEM.md).
+  static constexpr int kMaxConnections = 64;
+
   struct Run {
     int attempt = 0;
     Clock::time_point began;
@@ -832,6 +836,9 @@
     return *minions.back();
   }
 
+  std::string host(int number) const { return m_network + std::to_string(number); }
+  int port() const { return kPort; }
+
   // Repeats until `holds` or the time is over.
   static bool Await(Ms limit, const std::function<bool()>& holds) {
     const Clock::time_point until = Clock::now() + limit;
