Review: Show a job as failed after two cuts that refuse

LOST: a job whose queue allows four attempts is shown as failed although none of its runs has ended so and no minion has crashed. Two minions, one after the other, are cut off for 5.5 s with refused connections, each 0.6 s after it has started the task. The leader takes a refused connection for the proof that the process has ended, and the task for one that crashes minions.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
+program=target/review-2/case-$(basename "$folder")
+[ -x "$program" ] && [ -x target/src/services/papayalift ] || exit 2
+timeout -k 5 110 "$program" "$folder"
+status=$?
+[ "$status" -le 1 ] || exit 2
+exit "$status"
--- a/review/lib-2/world.hpp
+++ b/review/lib-2/world.hpp
@@ -451,12 +451,28 @@
       Register();
     }
   }
+  // The next hold that names a deadline is not answered, and is carried out after the delay.
+  void CarryOutNextHoldLate(Ms delay) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_hold_delay = delay;
+  }
   // No packet passes between it and the nodes: what comes meanwhile is lost.
   void CutFromNodes(bool is_cut) {
     m_record.Write(m_id + (is_cut ? " is cut from the nodes" : " reaches the nodes again"));
     m_is_cut_from_nodes = is_cut;
   }
 
+  // The same, but the cut resets connections and refuses new ones. The process works on.
+  void RefuseNodes(bool is_cut) {
+    m_record.Write(m_id +
+                   (is_cut ? " is cut from the nodes, with refusals" : " reaches the nodes"));
+    if (is_cut) {
+      m_server.Stop();
+    } else {
+      m_server.Start();
+    }
+  }
+
   std::vector<Interval> Intervals() {
     const std::lock_guard<std::mutex> lock(m_mutex);
     Advance();
@@ -576,6 +592,25 @@
     return true;
   }
 
+  // Carries the hold out after the delay, unless it was fenced off or the process has ended.
+  Reply CarryOutLate(const Json& order, std::unique_lock<std::mutex>& lock) {
+    const Clock::time_point due = Clock::now() + *m_hold_delay;
+    m_hold_delay.reset();
+    m_record.Write(m_id + " leaves a hold unanswered, deadline " +
+                   std::to_string(order.at("deadlineMs").get<std::int64_t>()) + " at clock " +
+                   std::to_string(ClockNow()));
+    const std::int64_t born = m_born;
+    while (Clock::now() < due && !m_is_closing && m_born == born) {
+      m_ended_one.wait_until(lock, std::min(due, Clock::now() + Ms(50)));
+    }
+    if (m_born == born && order.value("fencingToken", std::int64_t{0}) >= m_fence) {
+      ExtendLease(order);
+      m_record.Write(m_id + " carries the hold out, lease until " + std::to_string(m_lease_until) +
+                     " at clock " + std::to_string(ClockNow()));
+    }
+    return Reply{0, "", true};
+  }
+
   Reply Handle(const Request& request) {
     if (WaitsBehindCut()) {
       return Reply{0, "", true};
@@ -588,7 +623,11 @@
     try {
       std::unique_lock<std::mutex> lock(m_mutex);
       Advance();
-      reply = Obey(request, Json::parse(request.body), lock);
+      const Json order = Json::parse(request.body);
+      if (m_hold_delay.has_value() && request.path == "/hold" && order.contains("deadlineMs")) {
+        return CarryOutLate(order, lock);
+      }
+      reply = Obey(request, order, lock);
     } catch (const std::exception& error) {
       reply = Reply{400, "{}"};
     }
@@ -697,6 +736,7 @@
   std::atomic<bool> m_is_cut_from_nodes{false};
   std::int64_t m_born = 0;
   Clock::time_point m_started;
+  std::optional<Ms> m_hold_delay;
   std::int64_t m_fence = 0;
   std::int64_t m_last_end = 0;
   std::int64_t m_lease_until = 0;
