Review: Show two runs after a hold that is carried out late

TWICE, a variant of case 8: the first hold to a minion that started again names a deadline on its former process's clock, is left unanswered, and is carried out 12 s later. It extends the lease by 10 s, which the leader doesn't count. When the minion is cut off, its task is started elsewhere while it runs.

--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,40 +1,73 @@
-// A minion without runs is cut from the store, starts again behind the cut, gets a task, and is
-// then cut from the nodes too, while it works on.
+// A minion without runs starts again under its id, and is cut off from the nodes while it works.
 #include "../lib-2/world.hpp"
 
 namespace review {
 
-int Run(const std::string& folder) {
-  World world(folder, 4);
-  if (!world.AwaitReady()) {
-    return kNotRun;
+namespace {
+
+const std::string kJob = "00000000000000a1";
+
+bool Submit(World& world) {
+  return world.nodes.front()->Ask("POST", kJob, JobBody("30000")).status == 200 &&
+         World::Await(Ms(5'000), [&] { return world.MinionOf(kJob) != nullptr; });
+}
+
+bool CutOff(World& world, Minion& minion, Ms delay) {
+  if (world.MinionOf(kJob) != &minion) {
+    return false;
   }
+  std::this_thread::sleep_for(delay);
+  minion.CutFromNodes(true);
+  std::this_thread::sleep_for(Ms(5'500));
+  minion.CutFromNodes(false);
+  return true;
+}
+
+// It starts again behind a cut from the store, so that the nodes don't know of it when they send
+// the start order.
+bool StartAgainUnnoticed(World& world, Minion& minion) {
   std::this_thread::sleep_for(Ms(4'000));
-  const std::string job = "00000000000000a1";
-  // The planner takes the first of several empty minions.
-  Minion& minion = *world.minions.front();
   if (HasTrouble()) {
     minion.CutFromStore(true);
     minion.Crash();
     std::this_thread::sleep_for(Ms(100));
     minion.Boot();
   }
-  if (world.nodes.front()->Ask("POST", job, JobBody("30000")).status != 200) {
-    return kNotRun;
+  if (!Submit(world)) {
+    return false;
   }
-  if (!World::Await(Ms(5'000), [&] { return world.MinionOf(job) != nullptr; })) {
-    return kNotRun;
+  if (HasTrouble()) {
+    const bool is_cut = CutOff(world, minion, Ms(1'000));
+    minion.CutFromStore(false);
+    return is_cut;
   }
-  Minion& first = *world.MinionOf(job);
+  return true;
+}
+
+// The first hold to the new process is left unanswered and carried out 12 s later.
+bool HoldCarriedOutLate(World& world, Minion& minion) {
+  std::this_thread::sleep_for(Ms(20'000));
   if (HasTrouble()) {
-    if (&first != &minion) {
-      return kNotRun;
-    }
+    minion.Crash();
     std::this_thread::sleep_for(Ms(1'000));
-    first.CutFromNodes(true);
-    std::this_thread::sleep_for(Ms(5'500));
-    first.CutFromNodes(false);
-    first.CutFromStore(false);
+    minion.CarryOutNextHoldLate(Ms(12'000));
+    minion.Boot();
+  }
+  std::this_thread::sleep_for(Ms(9'000));
+  return Submit(world) && (!HasTrouble() || CutOff(world, minion, Ms(3'700)));
+}
+
+}  // namespace
+
+int Run(const std::string& folder) {
+  World world(folder, 4);
+  // The planner takes the first of several empty minions.
+  Minion& minion = *world.minions.front();
+  const char* const variant = std::getenv("VARIANT");
+  const bool is_late_hold = variant != nullptr && std::string(variant) == "late-hold";
+  if (!world.AwaitReady() ||
+      !(is_late_hold ? HoldCarriedOutLate : StartAgainUnnoticed)(world, minion)) {
+    return kNotRun;
   }
   std::this_thread::sleep_for(Ms(5'000));
   const std::int64_t overlap = world.LongestOverlap();
