--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -6,6 +6,31 @@
 namespace {
 
 const std::string kJob = "00000000000000a1";
+constexpr int kMinions = 9;
+constexpr int kBusyMinions = 7;
+
+// Jobs that each take all accelerators of a minion for as long as the case lasts.
+bool KeepMinionsBusy(World& world) {
+  const std::string body =
+      R"({"spec":"100000","phases":[{"count":1,"cpu":2000,"memMb":1024,"gpu":8,"estimateMs":100000}]})";
+  for (int number = 0; number < kBusyMinions; ++number) {
+    if (world.nodes.front()->Ask("POST", "000000000000001" + std::to_string(number), body).status !=
+        200) {
+      return false;
+    }
+  }
+  return World::Await(Ms(5'000), [&] { return world.Intervals().size() == kBusyMinions; });
+}
+
+// The first minion that the jobs have left empty.
+Minion* FirstIdle(World& world) {
+  for (const std::unique_ptr<Minion>& minion : world.minions) {
+    if (minion->Intervals().empty()) {
+      return minion.get();
+    }
+  }
+  return nullptr;
+}
 
 bool Submit(World& world) {
   return world.nodes.front()->Ask("POST", kJob, JobBody("30000")).status == 200 &&
@@ -60,13 +85,15 @@
 }  // namespace
 
 int Run(const std::string& folder) {
-  World world(folder, 4);
+  World world(folder, kMinions);
+  if (!world.AwaitReady() || !KeepMinionsBusy(world)) {
+    return kNotRun;
+  }
   // The planner takes the first of several empty minions.
-  Minion& minion = *world.minions.front();
+  Minion& minion = *FirstIdle(world);
   const char* const variant = std::getenv("VARIANT");
   const bool is_late_hold = variant != nullptr && std::string(variant) == "late-hold";
-  if (!world.AwaitReady() ||
-      !(is_late_hold ? HoldCarriedOutLate : StartAgainUnnoticed)(world, minion)) {
+  if (!(is_late_hold ? HoldCarriedOutLate : StartAgainUnnoticed)(world, minion)) {
     return kNotRun;
   }
   std::this_thread::sleep_for(Ms(5'000));
