--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,11 +1,11 @@
-// The leader is killed shortly before more than 500 tasks end on one minion.
+// The leader is killed shortly before more than a thousand tasks end on one minion.
 #include "../lib-2/world.hpp"
 
 namespace review {
 
 namespace {
 
-constexpr int kJobs = 7;
+constexpr int kJobs = 14;
 constexpr int kTasks = 90;
 constexpr int kWorkMs = 5'000;
 
@@ -24,7 +24,7 @@
   }
   std::this_thread::sleep_for(Ms(2'000));
   const std::string step = R"({"count":)" + std::to_string(kTasks) +
-                           R"(,"cpu":200,"memMb":256,"estimateMs":)" + std::to_string(kWorkMs) +
+                           R"(,"cpu":100,"memMb":128,"estimateMs":)" + std::to_string(kWorkMs) +
                            "}";
   const std::string body =
       R"({"spec":")" + std::to_string(kWorkMs) + R"(","phases":[)" + step + "]}";
@@ -33,7 +33,7 @@
     if (node.Ask("POST", JobId(number), body).status != 200) {
       return kNotRun;
     }
-    std::this_thread::sleep_for(Ms(100));
+    std::this_thread::sleep_for(Ms(50));
   }
   if (!World::Await(Ms(4'000), [&] { return world.Intervals().size() == kJobs * kTasks; })) {
     return kNotRun;
