Stand-ins: Play resets, late holds, cut reports and ended leases

An answer tells whether it came over a kept connection, and a report whether it lists all ends; nothing reads either yet.

--- a/src/libraries/work/run_messages.h
+++ b/src/libraries/work/run_messages.h
@@ -12,7 +12,8 @@
 
 namespace papayalift {
 
-/// Increases with every leader. A minion rejects orders with a lower token than it has seen.
+/// Increases with every leader, and during a term with every new process of a minion. A minion
+/// rejects orders with a lower token than it has seen.
 using FencingToken = StrongNumber<struct FencingTokenTag>;
 /// Start time of a minion's process; a restarted minion keeps no state. 0 if it is not known.
 using MinionIncarnation = StrongNumber<struct MinionIncarnationTag>;
@@ -101,6 +102,9 @@
   /// The minion's clock when it answered; empty if the answer did not contain it.
   std::optional<MinionTime> clock;
   std::string detail;
+  /// An earlier call had been answered over the connection, so no other process than the one that
+  /// answered it can have received the order.
+  bool is_connection_kept = false;
 };
 
 struct ActiveRun {
@@ -135,6 +139,9 @@
   MinionIncarnation incarnation;
   std::vector<ActiveRun> active;
   std::vector<EndedRun> ended;
+  /// False if the minion may have more ends than it returns at a time. A run that is not listed may
+  /// then be among these.
+  bool lists_all_ends = true;
 };
 
 struct HoldAnswer {
--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -74,6 +74,10 @@
   m_minions.at(id).faults = std::move(faults);
 }
 
+void FleetMinions::FailNextHolds(const MinionId& id, std::deque<OrderFault> faults) {
+  m_minions.at(id).hold_faults = std::move(faults);
+}
+
 OrderFault FleetMinions::NextFault(Minion& minion) {
   if (minion.faults.empty()) {
     return OrderFault::kNone;
@@ -118,7 +122,10 @@
                          const std::function<void(OrderAnswer)>& answer) {
   Minion& minion = m_minions.at(address.id);
   if (FailsCall(minion, kOrderTimeout, [answer](OrderResult result) {
-        answer(OrderAnswer{result, {}, "gone"});
+        // Callers keep connections, which no other process than the one that ended can read.
+        OrderAnswer gone{result, {}, "gone"};
+        gone.is_connection_kept = true;
+        answer(gone);
       })) {
     return;
   }
@@ -245,7 +252,10 @@
                         const std::function<void(OrderAnswer)>& answer) {
   Minion& minion = m_minions.at(address.id);
   if (FailsCall(minion, kOrderTimeout, [answer](OrderResult result) {
-        answer(OrderAnswer{result, {}, "gone"});
+        // Callers keep connections, which no other process than the one that ended can read.
+        OrderAnswer gone{result, {}, "gone"};
+        gone.is_connection_kept = true;
+        answer(gone);
       })) {
     return;
   }
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -41,6 +41,8 @@
 enum class OutageKind {
   /// At once, with a refused connection.
   kRefused,
+  /// At once, with a connection that is reset after the call was sent.
+  kReset,
   /// After the caller's timeout, without an answer.
   kSilent,
 };
@@ -152,6 +154,10 @@
   /// evacuation.
   void SetEvacuatedSince(std::optional<Milliseconds> since) { m_evacuated_since = since; }
   void FailNextOrders(const MinionId& id, std::deque<OrderFault> faults);
+  /// The same for hold calls. Those that are lost or late are not answered.
+  void FailNextHolds(const MinionId& id, std::deque<OrderFault> faults);
+  /// How many ends a report lists at most. The others follow once these are acknowledged.
+  void SetMaxEndsPerReport(std::size_t ends) { m_max_ends_per_report = ends; }
 
   void Start(const MinionAddress& minion, const StartOrder& order,
              const std::function<void(OrderAnswer)>& answer);
@@ -228,10 +234,13 @@
     std::vector<FormerRoom> former_rooms;
     Milliseconds published_at{0};
     std::deque<OrderFault> faults;
+    std::deque<OrderFault> hold_faults;
     int heartbeats = 0;
   };
 
   static Minion NextLifeOf(const Minion& old);
+  bool FailsHold(Minion& minion, const HoldOrder& order,
+                 const std::function<void(HoldAnswer)>& answer);
   void EndProcess(Minion& minion);
   void ComeBack(const MinionId& id, MinionReturn comes_back);
   void ExpireEntry(const MinionId& id, Milliseconds started_at);
@@ -281,6 +290,7 @@
   std::map<JobId, RegisteredJob> m_jobs;
   std::map<JobId, int> m_starts;
   std::map<TaskName, TaskRecord> m_task_records;
+  std::size_t m_max_ends_per_report = 500;
   MinionOutage m_outage_of_crashes;
   int m_crashes = 0;
   std::map<JobId, Milliseconds> m_last_orders;
--- a/src/stand_ins/fleet/fleet_minions_crashes.cc
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -145,7 +145,9 @@
   } else if (outage == OutageKind::kSilent || !minion.is_reachable) {
     m_timers.After(timeout, [answer] { answer(OrderResult::kUnclear); });
   } else {
-    m_timers.After(kConnectDelay, [answer] { answer(OrderResult::kNoListener); });
+    const OrderResult result =
+        outage == OutageKind::kReset ? OrderResult::kUnclear : OrderResult::kNoListener;
+    m_timers.After(kConnectDelay, [answer, result] { answer(result); });
   }
   return true;
 }
--- a/src/stand_ins/fleet/fleet_minions_holds.cc
+++ b/src/stand_ins/fleet/fleet_minions_holds.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "stand_ins/fleet/fleet_minions.h"
 
 namespace papayalift {
@@ -26,7 +28,29 @@
     m_timers.After(order.wait + kHoldTimeoutMargin, [answer] { answer(HoldAnswer{}); });
     return;
   }
-  PollHold(address.id, minion.started_at, order, m_timers.clock().Now() + order.wait, answer);
+  if (!FailsHold(minion, order, answer)) {
+    PollHold(address.id, minion.started_at, order, m_timers.clock().Now() + order.wait, answer);
+  }
+}
+
+/// Applies the next fault of hold calls, if there is one.
+bool FleetMinions::FailsHold(Minion& minion, const HoldOrder& order,
+                             const std::function<void(HoldAnswer)>& answer) {
+  if (minion.hold_faults.empty()) {
+    return false;
+  }
+  const OrderFault fault = minion.hold_faults.front();
+  minion.hold_faults.pop_front();
+  if (fault == OrderFault::kNone) {
+    return false;
+  }
+  if (fault == OrderFault::kAnswerLost) {
+    CarryOutHold(minion, order);
+  } else if (fault == OrderFault::kLate) {
+    CarryOutLater(minion.id, [this, order](Minion& later) { CarryOutHold(later, order); });
+  }
+  m_timers.After(order.wait + kHoldTimeoutMargin, [answer] { answer(HoldAnswer{}); });
+  return true;
 }
 
 void FleetMinions::PollHold(const MinionId& id, Milliseconds started_at, const HoldOrder& order,
@@ -76,7 +100,10 @@
   answer.result = OrderResult::kDone;
   answer.report.clock = ClockOf(minion);
   answer.report.incarnation = MinionIncarnation(minion.started_at.count());
-  answer.report.ended = minion.ended;
+  const std::size_t listed = std::min(minion.ended.size(), m_max_ends_per_report);
+  answer.report.ended.assign(minion.ended.begin(),
+                             minion.ended.begin() + static_cast<std::ptrdiff_t>(listed));
+  answer.report.lists_all_ends = listed < m_max_ends_per_report;
   for (const auto& [task, run] : minion.runs) {
     answer.report.active.push_back(ActiveRun{task, run.attempt, run.checkpoint, PercentOf(run)});
   }
--- a/src/stand_ins/fleet/fleet_store.cc
+++ b/src/stand_ins/fleet/fleet_store.cc
@@ -90,6 +90,12 @@
   return true;
 }
 
+void FleetStore::EndAllLeases() {
+  while (!m_leases.empty()) {
+    End(m_leases.begin()->first);
+  }
+}
+
 void FleetStore::End(StoreLease lease) {
   m_leases.erase(lease);
   for (auto entry = m_lease_of_key.begin(); entry != m_lease_of_key.end();) {
--- a/src/stand_ins/fleet/fleet_store.h
+++ b/src/stand_ins/fleet/fleet_store.h
@@ -29,6 +29,8 @@
   StoreLease Grant(Milliseconds time_to_live);
   bool KeepLeaseAlive(StoreLease lease);
   void End(StoreLease lease);
+  /// Ends all leases, as an outage of the store may.
+  void EndAllLeases();
 
   /// Returns the changes under the prefix after a revision, or nullopt if they were compacted.
   std::optional<std::vector<WatchedChange>> ChangesAfter(const std::string& prefix,
