Leader: Take no refused connection for the end of a minion's process

No run failed and no minion crashed.

Cause: a refused connection counted as proof that the process had ended, so a run that was lost in the cut was a crash at its start, and two end a job. The log lines "a minion crashed when it started a task" come 0.14 s after each "a run is lost", while the minion stays registered under the same `born`.

Now FateOfProcess alone decides: the process has ended if the minion answers as another one, or its registration is of a later one, or its address belongs to a later one. Otherwise the loss stays open, kept with the task, at most five; it counts once the process has ended, and is dropped once it answers again. Five open losses with minions that are neither registered nor answer give the task up, so none is started without end.

A minion that had left before the term leaves the cause open and not dropped.

--- a/src/libraries/journal/job_progress.h
+++ b/src/libraries/journal/job_progress.h
@@ -18,6 +18,22 @@
   kDone,
 };
 
+/// A run that was lost with a minion that is out of reach: its process has crashed, or is only cut
+/// off, or has left as planned.
+struct OpenLoss {
+  MinionId minion;
+  MinionIncarnation incarnation;
+  std::string address;
+  /// If it crashed, only this job can have been the cause.
+  bool is_of_one_job = false;
+  /// The run had outlived its start.
+  bool is_late = false;
+  /// How long it had run then; 0 if that is not known.
+  Milliseconds ran_for{0};
+
+  bool operator==(const OpenLoss&) const = default;
+};
+
 struct TaskProgress {
   TaskPhase phase = TaskPhase::kWaiting;
   /// The latest attempt that was placed; 0 for none.
@@ -48,6 +64,8 @@
   Milliseconds late_crash_after{0};
   /// Wall clock of the leader when the attempt was placed; only stored after a late crash.
   Milliseconds placed_at{0};
+  /// At most a handful; each is dropped once its process is known to have ended or to run on.
+  std::vector<OpenLoss> open_losses{};
 
   bool operator==(const TaskProgress&) const = default;
 };
--- a/src/libraries/journal/job_progress_codec.cc
+++ b/src/libraries/journal/job_progress_codec.cc
@@ -27,21 +27,54 @@
   kCheckpointField,
   kMinionField,
   kIncarnationField,
-  // Only present if the task is placed or has crashed a minion, at its start or later.
+  // Only present if the task is placed, or has crashed a minion or may have, at its start or later.
   kCrashesField,
   kCrashesOfOneJobField,
-  // Only present if the task is placed or has crashed a minion; empty unless it is placed.
+  // As these; empty unless the task is placed.
   kAddressField,
-  // Only present if the task has crashed a minion.
+  // Only present if the task has crashed a minion or may have.
   kFirstCrashAddressField,
   kCrashesAtFirstAddressField,
-  // Only present if a minion has crashed some time after it had started the task.
+  // Only present if a minion has crashed some time after it had started the task, or losses are
+  // open.
   kLateCrashesField,
   kLateCrashesAtFirstAddressField,
   kLateCrashAfterField,
   kPlacedAtField,
+  // Only present if losses are open.
+  kOpenLossesField,
 };
 
+// An open loss is encoded as an array of fields.
+enum OpenLossField : std::size_t {
+  kLossMinionField,
+  kLossIncarnationField,
+  kLossAddressField,
+  kLossIsOfOneJobField,
+  kLossIsLateField,
+  kLossRanForField,
+};
+
+Json EncodeOpenLosses(const std::vector<OpenLoss>& losses) {
+  Json json = Json::array();
+  for (const OpenLoss& loss : losses) {
+    json.push_back({loss.minion.text(), loss.incarnation.value(), loss.address, loss.is_of_one_job,
+                    loss.is_late, loss.ran_for.count()});
+  }
+  return json;
+}
+
+OpenLoss DecodeOpenLoss(const Json& json) {
+  OpenLoss loss;
+  loss.minion = MinionId(json.at(kLossMinionField).get<std::string>());
+  loss.incarnation = MinionIncarnation(json.at(kLossIncarnationField).get<std::int64_t>());
+  loss.address = json.at(kLossAddressField).get<std::string>();
+  loss.is_of_one_job = json.at(kLossIsOfOneJobField).get<bool>();
+  loss.is_late = json.at(kLossIsLateField).get<bool>();
+  loss.ran_for = Milliseconds(json.at(kLossRanForField).get<std::int64_t>());
+  return loss;
+}
+
 Json EncodeTask(const TaskProgress& task) {
   if (task.phase == TaskPhase::kDone) {
     return kTaskDone;
@@ -52,7 +85,8 @@
   Json json = Json::array({task.phase == TaskPhase::kPlaced, task.attempt.value(), task.failures,
                            task.last_failed.value(), task.checkpoint});
   const bool is_placed = task.phase == TaskPhase::kPlaced;
-  const bool has_crashed = task.crashes > 0 || task.late_crashes > 0;
+  const bool has_open_losses = !task.open_losses.empty();
+  const bool has_crashed = task.crashes > 0 || task.late_crashes > 0 || has_open_losses;
   if (is_placed || has_crashed) {
     json.push_back(task.minion.text());
     json.push_back(task.incarnation.value());
@@ -64,12 +98,15 @@
     json.push_back(task.first_crash_address);
     json.push_back(task.crashes_at_first_address);
   }
-  if (task.late_crashes > 0) {
+  if (task.late_crashes > 0 || has_open_losses) {
     json.push_back(task.late_crashes);
     json.push_back(task.late_crashes_at_first_address);
     json.push_back(task.late_crash_after.count());
     json.push_back(task.placed_at.count());
   }
+  if (has_open_losses) {
+    json.push_back(EncodeOpenLosses(task.open_losses));
+  }
   return json;
 }
 
@@ -105,6 +142,11 @@
     task.late_crash_after = Milliseconds(json.at(kLateCrashAfterField).get<std::int64_t>());
     task.placed_at = Milliseconds(json.at(kPlacedAtField).get<std::int64_t>());
   }
+  if (json.size() > kOpenLossesField) {
+    for (const Json& loss : json.at(kOpenLossesField)) {
+      task.open_losses.push_back(DecodeOpenLoss(loss));
+    }
+  }
   return task;
 }
 
--- a/src/libraries/leader/crash_attribution.cc
+++ b/src/libraries/leader/crash_attribution.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "libraries/leader/process_fate.h"
+
 namespace papayalift {
 
 namespace {
@@ -19,7 +21,8 @@
 
 /// Whether this leader knows the minion only from placements of a former one.
 bool HasLeftBefore(const TrackedMinion& minion) {
-  return !minion.entry.has_value() && minion.incarnation.value() == 0;
+  return !minion.entry.has_value() && minion.entry_revision.value() == 0 &&
+         minion.incarnation.value() == 0;
 }
 
 /// When the minion was lost, if it did not announce that it would leave.
@@ -44,18 +47,14 @@
   return !run.has_outlived_start && !outlived_start;
 }
 
-/// Whether this leader has seen that the process that the run was placed on has ended. A minion
-/// that only does not answer may be cut off, and one that had left before this term may have left
-/// as planned.
-bool WasProcessSeenGone(const TrackedMinion& minion, const TrackedRun& run,
-                        const std::optional<MinionSilence>& silence) {
-  if (HasLeftBefore(minion)) {
-    return false;
-  }
-  const bool has_answered = minion.incarnation.value() != 0;
-  return (has_answered && minion.incarnation != run.incarnation) ||
-         (minion.entry.has_value() && minion.entry->incarnation != run.incarnation) ||
-         (silence.has_value() && (silence->was_refused || silence->was_replaced));
+MinionProcess ProcessOf(const TrackedMinion& minion, const TrackedRun& run) {
+  return MinionProcess{minion.id, run.incarnation, minion.address};
+}
+
+/// Whether that silence gives reason to think that the process has ended: the host refused
+/// connections, or another minion answered. The process may only be cut off all the same.
+bool MayHaveEnded(const std::optional<MinionSilence>& silence) {
+  return silence.has_value() && (silence->was_refused || silence->was_replaced);
 }
 
 bool IsNear(Milliseconds left, Milliseconds right) {
@@ -64,26 +63,27 @@
 
 }  // namespace
 
-bool CrashAttribution::RecordLoss(const TrackedMinion& minion, const TrackedRun& run,
-                                  Milliseconds now) {
+bool CrashAttribution::RecordLoss(const LeaderState& state, const TrackedMinion& minion,
+                                  const TrackedRun& run, Milliseconds now) {
   const std::optional<MinionSilence>& silence = SilenceOf(minion);
-  const bool was_seen = WasProcessSeenGone(minion, run, silence);
-  if (minion.is_draining || (!was_seen && !HasLeftBefore(minion)) ||
-      !MayHaveCrashedIt(run, silence)) {
+  const bool may_have_ended = FateOfProcess(state, ProcessOf(minion, run)) == ProcessFate::kEnded ||
+                              MayHaveEnded(silence) || HasLeftBefore(minion);
+  if (minion.is_draining || !may_have_ended || !MayHaveCrashedIt(run, silence)) {
     return false;
   }
   const bool is_start_known = run.orders_sent > 0;
   const bool is_confirmed = is_start_known && run.answered_at.has_value();
-  AddSuspect(minion, run, was_seen,
-             Suspect{run.task, run.attempt, is_start_known, is_confirmed, false}, now);
+  AddSuspect(minion, run, Suspect{run.task, run.attempt, is_start_known, is_confirmed, false}, now);
   return true;
 }
 
-std::optional<LateLoss> CrashAttribution::RecordLateLoss(const TrackedMinion& minion,
+std::optional<LateLoss> CrashAttribution::RecordLateLoss(const LeaderState& state,
+                                                         const TrackedMinion& minion,
                                                          const TrackedRun& run, bool is_counted,
                                                          Milliseconds now) {
   const std::optional<MinionSilence>& silence = SilenceOf(minion);
-  if (minion.is_draining || !WasProcessSeenGone(minion, run, silence) ||
+  const bool has_ended = FateOfProcess(state, ProcessOf(minion, run)) == ProcessFate::kEnded;
+  if (minion.is_draining || (!has_ended && !MayHaveEnded(silence)) ||
       MayHaveCrashedIt(run, silence)) {
     return std::nullopt;
   }
@@ -93,23 +93,23 @@
   }
   const std::optional<Milliseconds> started_at =
       run.orders_sent > 0 ? std::optional<Milliseconds>(run.ordered_at) : run.placed_before_at;
-  std::optional<Milliseconds> ran_for;
+  LateLoss loss{minion.address, std::nullopt, has_ended};
   if (started_at.has_value() && lost_at > *started_at) {
-    ran_for = lost_at - *started_at;
+    loss.ran_for = lost_at - *started_at;
   }
-  AddSuspect(minion, run, true,
-             Suspect{run.task, run.attempt, run.orders_sent > 0, true, true, is_counted, ran_for},
+  AddSuspect(minion, run,
+             Suspect{run.task, run.attempt, run.orders_sent > 0, true, true,
+                     is_counted && has_ended, loss.ran_for},
              now);
-  return LateLoss{minion.address, ran_for};
+  return loss;
 }
 
-void CrashAttribution::AddSuspect(const TrackedMinion& minion, const TrackedRun& run, bool was_seen,
+void CrashAttribution::AddSuspect(const TrackedMinion& minion, const TrackedRun& run,
                                   Suspect suspect, Milliseconds now) {
-  const std::optional<MinionSilence>& silence = SilenceOf(minion);
   Crash& crash = FindOrAdd(minion, run, now);
-  crash.was_seen = crash.was_seen || was_seen;
-  crash.was_host_up =
-      crash.was_host_up || (was_seen && silence.has_value() && silence->was_refused);
+  const std::optional<MinionSilence>& silence = SilenceOf(minion);
+  crash.was_host_up = crash.was_host_up || (silence.has_value() && silence->was_refused);
+  crash.has_left_before = HasLeftBefore(minion);
   crash.suspects.push_back(std::move(suspect));
 }
 
@@ -164,11 +164,11 @@
   if (IsOutage(crash, health)) {
     return CrashCause::kOutage;
   }
-  // What crashes comes back at its address, and what leaves as planned does not.
-  const bool has_crashed =
-      crash.was_seen || state.HasLaterMinionAt(crash.address, crash.incarnation);
-  return has_crashed ? std::optional<CrashCause>()
-                     : std::optional<CrashCause>(CrashCause::kUnproven);
+  if (FateOfProcess(state, MinionProcess{crash.minion, crash.incarnation, crash.address}) ==
+      ProcessFate::kEnded) {
+    return std::nullopt;
+  }
+  return CrashCause::kOpen;
 }
 
 void CrashAttribution::AppendSuspects(const Crash& crash,
@@ -185,9 +185,15 @@
     const bool is_one_job = started_jobs.size() == 1 && suspect.is_confirmed;
     const CrashCause start_cause = is_one_job ? CrashCause::kOneJob : CrashCause::kUncertain;
     const CrashCause own_cause = suspect.is_late ? CrashCause::kLate : start_cause;
-    const CrashCause cause = cause_beside_starts.value_or(own_cause);
-    judged.push_back(JudgedRun{suspect.task, suspect.attempt, crash.minion, crash.address, cause,
-                               suspect.is_counted, suspect.ran_for});
+    JudgedRun run{suspect.task, suspect.attempt, crash.minion, crash.address, own_cause};
+    run.incarnation = crash.incarnation;
+    // A minion that had left before this term may have left as planned, so its loss is no reason to
+    // keep the task from others at once.
+    run.cause_if_ended = crash.has_left_before ? CrashCause::kLate : own_cause;
+    run.cause = cause_beside_starts.value_or(own_cause);
+    run.is_counted = suspect.is_counted;
+    run.ran_for = suspect.ran_for;
+    judged.push_back(std::move(run));
   }
 }
 
--- a/src/libraries/leader/crash_attribution.h
+++ b/src/libraries/leader/crash_attribution.h
@@ -24,9 +24,10 @@
   kOutage,
   /// The task had run for some time, so that the minion may have failed by itself.
   kLate,
-  /// Nothing shows that the process crashed. The minion had left the registry before this leader
-  /// began, perhaps as planned, and is not back.
-  kUnproven,
+  /// Nothing shows yet whether the process has crashed. Its host refused connections, as one that
+  /// is cut off may as well, or the minion had left the registry before this leader began, perhaps
+  /// as planned. What crashes comes back at its address, and what leaves as planned does not.
+  kOpen,
 };
 
 /// The judgement of one run that was lost when its minion's process ended.
@@ -37,6 +38,10 @@
   /// The minion's address, which the one that comes back has as well.
   std::string address;
   CrashCause cause = CrashCause::kOneJob;
+  MinionIncarnation incarnation{};
+  /// The cause if the process has ended; only differs from `cause` while that is open, or if the
+  /// process ended of something else.
+  CrashCause cause_if_ended = CrashCause::kOneJob;
   /// The loss was already counted when it was recorded.
   bool is_counted = false;
   /// How long a run that had outlived its start had run, if that is known.
@@ -46,13 +51,15 @@
 class CrashAttribution {
  public:
   /// To be called with every run that is lost. Returns whether the run is a suspect, which will be
-  /// judged: its minion's process has ended, and the run had not outlived its start.
-  bool RecordLoss(const TrackedMinion& minion, const TrackedRun& run, Milliseconds now);
+  /// judged: its minion's process has ended, or may have, and the run had not outlived its start.
+  bool RecordLoss(const LeaderState& state, const TrackedMinion& minion, const TrackedRun& run,
+                  Milliseconds now);
 
   /// As RecordLoss(), for a run that had outlived its start, but not for so long that the crash
-  /// says nothing about it. The suspect is judged as `is_counted` says.
-  std::optional<LateLoss> RecordLateLoss(const TrackedMinion& minion, const TrackedRun& run,
-                                         bool is_counted, Milliseconds now);
+  /// says nothing about it. The suspect is judged as `is_counted` says; none counts before its
+  /// process is known to have ended.
+  std::optional<LateLoss> RecordLateLoss(const LeaderState& state, const TrackedMinion& minion,
+                                         const TrackedRun& run, bool is_counted, Milliseconds now);
 
   /// The suspects that can be judged by now, each once.
   std::vector<JudgedRun> TakeJudged(const LeaderState& state, Milliseconds now);
@@ -78,11 +85,10 @@
     ZoneId zone;
     std::string address;
     Milliseconds at{0};
-    /// This leader has seen that the process is gone, and that it had not announced its leave.
-    bool was_seen = false;
-    /// The minion's host refused connections while its process was gone; a host without power would
-    /// not have answered.
+    /// The minion's host refused connections; a host without power would not have answered.
     bool was_host_up = false;
+    /// This leader knows the minion only from placements of a former one.
+    bool has_left_before = false;
     std::vector<Suspect> suspects;
     /// Number of the first suspects that are judged. Others may be recorded after that.
     std::size_t judged_suspects = 0;
@@ -113,8 +119,8 @@
     bool was_host_up = false;
   };
 
-  void AddSuspect(const TrackedMinion& minion, const TrackedRun& run, bool was_seen,
-                  Suspect suspect, Milliseconds now);
+  void AddSuspect(const TrackedMinion& minion, const TrackedRun& run, Suspect suspect,
+                  Milliseconds now);
   Crash& FindOrAdd(const TrackedMinion& minion, const TrackedRun& run, Milliseconds now);
   const Crash* FindNear(const MinionId& minion, Milliseconds at) const;
   /// The minions of all zones with crashes that are to be judged. Collected once for all crashes: a
--- a/src/libraries/leader/crash_counts.cc
+++ b/src/libraries/leader/crash_counts.cc
@@ -1,6 +1,7 @@
 #include "libraries/leader/crash_counts.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayalift {
 
@@ -16,6 +17,10 @@
 /// At a start and later together.
 constexpr int kMaxCrashesAtAnyTime = 4;
 constexpr int kMaxCrashesAtAnyTimeAtOneAddress = 5;
+/// Crashes and losses with minions of which nothing is seen any more. No more starts are allowed of
+/// a task that has crashed its minions.
+constexpr int kMaxCrashesWithOpenLosses = 5;
+constexpr std::size_t kMaxOpenLosses = kMaxCrashesWithOpenLosses;
 
 /// Whether a task has likely crashed its minions at the same point of its work.
 bool IsSimilar(Milliseconds left, Milliseconds right) {
@@ -61,6 +66,18 @@
   }
 }
 
+void AddOpenLoss(TaskProgress& task, OpenLoss loss) {
+  if (task.open_losses.size() == kMaxOpenLosses) {
+    task.open_losses.erase(task.open_losses.begin());
+  }
+  task.open_losses.push_back(std::move(loss));
+}
+
+bool IsLosingMinions(const TaskProgress& task, int unaccounted_losses) {
+  return unaccounted_losses > 0 &&
+         task.crashes + task.late_crashes + unaccounted_losses >= kMaxCrashesWithOpenLosses;
+}
+
 bool IsCrashLooping(const TaskProgress& task) {
   const bool is_by_starts =
       task.crashes == task.crashes_at_first_address
--- a/src/libraries/leader/crash_counts.h
+++ b/src/libraries/leader/crash_counts.h
@@ -13,6 +13,8 @@
   std::string address;
   /// How long it had run, if that is known.
   std::optional<Milliseconds> ran_for;
+  /// The minion's process is known to have ended.
+  bool has_ended = true;
 };
 
 /// A crash this long after the start of a run says nothing about its task, and a run that lasts as
@@ -30,6 +32,15 @@
 /// Forgets all such crashes of the task.
 void ForgetLateCrashes(TaskProgress& task);
 
+/// Keeps a loss of which it is not known yet whether the process has ended. Of too many the oldest
+/// is dropped.
+void AddOpenLoss(TaskProgress& task, OpenLoss loss);
+
+/// Whether a task with these open losses is to be given up, given how many of them are of minions
+/// that are neither registered nor answer: its crashes and these together suffice. A minion that is
+/// only cut off is back before that many more runs are lost.
+bool IsLosingMinions(const TaskProgress& task, int unaccounted_losses);
+
 /// Whether a task with these crashes is to be given up: twice no other job's task can have been the
 /// cause, or it was among the suspects too often. If all crashes were at one address, it may be
 /// that machine's fault, and more are needed. Crashes some time after a start are weaker evidence.
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -273,6 +273,7 @@
   ExportSilentRuns();
   m_lease_recorder->RemoveNeedless(kMinSilenceWithoutRuns);
   JudgeSuspects();
+  ResolveOpenLosses();
   RereadIfWatchesAreSilent();
   RemoveExpiredJobs();
   SchedulePlan();
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -154,6 +154,11 @@
   bool MustWaitAfterLateLoss(const TrackedMinion& minion, const TrackedRun& run,
                              TaskProgress& task);
   void RecordCrash(TrackedJob& job, TaskProgress& task, const JudgedRun& run);
+  /// Keeps the loss with the task until it is known whether the minion's process has ended.
+  void KeepOpen(TaskProgress& task, const JudgedRun& run);
+  /// Counts open losses whose process has ended as crashes, and drops those whose process runs on.
+  void ResolveOpenLosses();
+  void ResolveOpenLossesOf(TrackedJob& job, const TaskName& name, TaskProgress& task);
   void ApplyJudgement(TrackedJob& job, TaskProgress& task, const JudgedRun& run);
   /// Drops the task's crashes some time after a start, once a run of it has lasted for long.
   void ForgetLateCrashesIfOutlived(TrackedJob& job, const TrackedRun& run);
@@ -211,6 +216,7 @@
   bool m_is_closed = false;
   bool m_is_plan_scheduled = false;
   CrashAttribution m_crash_attribution;
+  std::set<TaskName> m_tasks_with_open_losses;
   bool m_is_registry_read_in_flight = false;
   /// No silence of the watches is answered by reading all anew before.
   Milliseconds m_next_reread_at{0};
--- a/src/libraries/leader/leader_session_crashes.cc
+++ b/src/libraries/leader/leader_session_crashes.cc
@@ -1,5 +1,9 @@
+#include <set>
+#include <utility>
+
 #include "libraries/journal/job_progress_codec.h"
 #include "libraries/leader/leader_session.h"
+#include "libraries/leader/process_fate.h"
 #include "libraries/leader/task_isolation.h"
 #include "libraries/log/log_event.h"
 
@@ -49,22 +53,86 @@
 }
 
 void LeaderSession::ApplyJudgement(TrackedJob& job, TaskProgress& task, const JudgedRun& run) {
-  if (run.cause != CrashCause::kOutage && run.cause != CrashCause::kUnproven) {
+  if (run.cause == CrashCause::kOpen) {
+    KeepOpen(task, run);
+  } else if (run.cause != CrashCause::kOutage) {
     RecordCrash(job, task, run);
   } else if (run.is_counted) {
     UncountLateCrash(task, run.address);
   }
 }
 
+void LeaderSession::KeepOpen(TaskProgress& task, const JudgedRun& run) {
+  LogEvent(LogLevel::kInfo, "runs", "a run is lost with a minion that is out of reach")
+      .Job(run.task.job)
+      .Field("task", FormatTaskName(run.task))
+      .Field("attempt", run.attempt.value())
+      .Field("minion", run.minion.text())
+      .Field("incarnation", run.incarnation.value())
+      .Field("open_losses", static_cast<std::int64_t>(task.open_losses.size()) + 1)
+      .Reason("nothing shows yet whether its process has crashed")
+      .Write();
+  AddOpenLoss(
+      task,
+      OpenLoss{run.minion, run.incarnation, run.address, run.cause_if_ended == CrashCause::kOneJob,
+               run.cause_if_ended == CrashCause::kLate, run.ran_for.value_or(Milliseconds(0))});
+  m_tasks_with_open_losses.insert(run.task);
+}
+
+void LeaderSession::ResolveOpenLosses() {
+  for (const TaskName& name : std::set<TaskName>(m_tasks_with_open_losses)) {
+    TrackedJob* const job = m_state.FindJob(name.job);
+    TaskProgress* const task = m_state.FindTask(name);
+    if (job == nullptr || task == nullptr || HasEnded(job->progress.state) || job->is_cancelled ||
+        task->phase == TaskPhase::kDone) {
+      m_tasks_with_open_losses.erase(name);
+      continue;
+    }
+    ResolveOpenLossesOf(*job, name, *task);
+    if (task->open_losses.empty()) {
+      m_tasks_with_open_losses.erase(name);
+    }
+  }
+}
+
+void LeaderSession::ResolveOpenLossesOf(TrackedJob& job, const TaskName& name, TaskProgress& task) {
+  int unaccounted_losses = 0;
+  for (const OpenLoss& loss : std::exchange(task.open_losses, {})) {
+    const ProcessFate fate =
+        FateOfProcess(m_state, MinionProcess{loss.minion, loss.incarnation, loss.address});
+    if (fate == ProcessFate::kUnknown) {
+      task.open_losses.push_back(loss);
+      unaccounted_losses += IsUnaccountedFor(m_state, loss.minion) ? 1 : 0;
+      continue;
+    }
+    m_journal->MarkDirty(job);
+    SchedulePlan();
+    if (fate == ProcessFate::kEnded) {
+      JudgedRun run{name, task.attempt, loss.minion, loss.address, CrashCause::kUncertain};
+      run.cause = loss.is_late         ? CrashCause::kLate
+                  : loss.is_of_one_job ? CrashCause::kOneJob
+                                       : CrashCause::kUncertain;
+      if (loss.ran_for.count() > 0) {
+        run.ran_for = loss.ran_for;
+      }
+      RecordCrash(job, task, run);
+    }
+  }
+  if (!HasEnded(job.progress.state) && IsLosingMinions(task, unaccounted_losses)) {
+    EndJob(job, WorkState::kFailed, "a task's minions are gone for good, each after its start");
+    StopJob(job, "the job has failed");
+  }
+}
+
 bool LeaderSession::MustWaitAfterLateLoss(const TrackedMinion& minion, const TrackedRun& run,
                                           TaskProgress& task) {
-  const bool is_counted = !IsSuspect(task);
+  const bool is_suspect = IsSuspect(task);
   const std::optional<LateLoss> loss =
-      m_crash_attribution.RecordLateLoss(minion, run, is_counted, Now());
-  if (loss.has_value() && is_counted) {
+      m_crash_attribution.RecordLateLoss(m_state, minion, run, !is_suspect, Now());
+  if (loss.has_value() && loss->has_ended && !is_suspect) {
     CountLateCrash(task, *loss);
   }
-  return loss.has_value() && !is_counted;
+  return loss.has_value() && is_suspect;
 }
 
 void LeaderSession::ReleaseSuspects(TrackedJob& job) {
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -170,7 +170,7 @@
   if (task->phase == TaskPhase::kPlaced && task->attempt == run.attempt) {
     const TrackedMinion& minion = *m_state.FindMinion(run.minion);
     const bool is_suspect =
-        loss == RunLoss::kRunLost && (m_crash_attribution.RecordLoss(minion, run, Now()) ||
+        loss == RunLoss::kRunLost && (m_crash_attribution.RecordLoss(m_state, minion, run, Now()) ||
                                       MustWaitAfterLateLoss(minion, run, *task));
     // NOTE: a suspect stays placed until it is judged, so that a later leader suspects it as well.
     if (!is_suspect || job->is_cancelled) {
--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -285,6 +285,10 @@
     const std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
       const TaskProgress& task = tasks[index];
+      const TaskName name{job.accepted.id, 0, static_cast<int>(step), static_cast<int>(index)};
+      if (!task.open_losses.empty()) {
+        m_tasks_with_open_losses.insert(name);
+      }
       if (task.phase != TaskPhase::kPlaced) {
         continue;
       }
@@ -296,7 +300,7 @@
         minion.address = task.address;
       }
       TrackedRun run;
-      run.task = TaskName{job.accepted.id, 0, static_cast<int>(step), static_cast<int>(index)};
+      run.task = name;
       run.attempt = task.attempt;
       run.minion = task.minion;
       run.incarnation = task.incarnation;
--- a/src/libraries/leader/task_isolation.cc
+++ b/src/libraries/leader/task_isolation.cc
@@ -33,7 +33,11 @@
                                             const std::set<int>& suspects) {
   std::set<std::string> addresses;
   for (const int index : suspects) {
-    addresses.insert(tasks[static_cast<std::size_t>(index)].first_crash_address);
+    const TaskProgress& task = tasks[static_cast<std::size_t>(index)];
+    addresses.insert(task.first_crash_address);
+    for (const OpenLoss& loss : task.open_losses) {
+      addresses.insert(loss.address);
+    }
   }
   std::set<MinionId> minions;
   for (const auto& [id, minion] : state.minions) {
@@ -86,7 +90,12 @@
 }  // namespace
 
 bool IsSuspect(const TaskProgress& task) {
-  return task.crashes > 0 || task.late_crashes >= kMinLateCrashesOfSuspect;
+  const int open_late_losses =
+      static_cast<int>(std::count_if(task.open_losses.begin(), task.open_losses.end(),
+                                     [](const OpenLoss& loss) { return loss.is_late; }));
+  const int open_losses = static_cast<int>(task.open_losses.size()) - open_late_losses;
+  return task.crashes + open_losses > 0 ||
+         task.late_crashes + open_late_losses >= kMinLateCrashesOfSuspect;
 }
 
 bool HasRunOnProbation(const TrackedMinion& minion) {
