Job requests: Bar cancelled submissions by a revision, not by a lease

Cause: a submission compared that the withdrawal's key is absent, and that key was removed with its lease. Absence is no condition that fails for ever.

A withdrawal writes the record of its job, a submission compares that record's revision, so what was sent before can't be applied after, however late.

--- a/src/libraries/job_requests/commit_with_retries.cc
+++ b/src/libraries/job_requests/commit_with_retries.cc
@@ -44,7 +44,7 @@
     }
     switch (answer.result) {
       case TransactionResult::kApplied:
-        Finish(WriteResult{WriteOutcome::kStored, {}, ""});
+        Finish(WriteResult{WriteOutcome::kStored, {}, "", answer.revision});
         return;
       case TransactionResult::kConflict:
         Finish(WriteResult{WriteOutcome::kConflict, answer.items, ""});
--- a/src/libraries/job_requests/commit_with_retries.h
+++ b/src/libraries/job_requests/commit_with_retries.h
@@ -26,6 +26,8 @@
   /// Current items of the compared keys; only after a conflict.
   std::vector<StoreItem> items;
   std::string error;
+  /// Of the store after the write; only if it is stored.
+  Revision revision{};
 };
 
 /// Commits `transaction`, and sends it again while its outcome is unclear. Calls `callback` once:
--- a/src/libraries/job_requests/job_request_handler.cc
+++ b/src/libraries/job_requests/job_request_handler.cc
@@ -71,7 +71,7 @@
       m_view(view),
       m_metrics(metrics),
       m_withdrawal_limiter(withdrawal_limits),
-      m_withdrawal_lease(timers, store, metrics) {}
+      m_withdrawals(timers, store, metrics) {}
 
 void JobRequestHandler::Handle(JobRequest request, JobReplyCallback reply) {
   const RequestContextPointer context = std::make_shared<RequestContext>();
@@ -171,6 +171,10 @@
     Refuse(context, JobReplyKind::kUnsupported, "the queue needs a recommendation service");
     return;
   }
+  if (m_withdrawals.IsWithdrawn(context->job, context->workspace)) {
+    Refuse(context, JobReplyKind::kWithdrawn, "the job was cancelled before it was stored");
+    return;
+  }
   AcceptedJob job;
   job.id = context->job;
   job.queue = queue.id;
@@ -185,10 +189,10 @@
   Transaction transaction;
   transaction.Expect(AcceptedKey(job.id), Revision(0))
       .Expect(CancelKey(job.id), Revision(0))
-      .Expect(WithdrawalKey(job.id, job.workspace), Revision(0))
       .Expect(m_schema.ManifestKey(), m_view.revision())
       .Put(AcceptedKey(job.id), EncodeAcceptedJob(job))
       .Put(WaitingKey(job.queue, job.id), "");
+  m_withdrawals.ExpectNoWithdrawal(job.id, transaction);
   Commit(context, transaction, AcceptedKey(job.id), JobReplyKind::kAccepted);
 }
 
@@ -228,16 +232,21 @@
     Finish(context, JobReply{success, context->job});
     return;
   }
-  if (FindItem(result.items, CancelKey(context->job)) != nullptr ||
-      FindItem(result.items, WithdrawalKey(context->job, context->workspace)) != nullptr) {
+  if (FindItem(result.items, CancelKey(context->job)) != nullptr) {
     Refuse(context, JobReplyKind::kWithdrawn, "the job was cancelled before it was stored");
     return;
   }
-  if (const StoreItem* const manifest = FindItem(result.items, m_schema.ManifestKey())) {
+  m_withdrawals.Adopt(context->job, result.items);
+  DispatchAfterConflict(context, result.items);
+}
+
+void JobRequestHandler::DispatchAfterConflict(const RequestContextPointer& context,
+                                              const std::vector<StoreItem>& items) {
+  if (const StoreItem* const manifest = FindItem(items, m_schema.ManifestKey())) {
     m_view.Adopt(*manifest);
   }
   if (context->dispatches >= kMaxDispatches || m_timers.clock().Now() >= context->deadline) {
-    Refuse(context, JobReplyKind::kUnavailable, "the manifest changes too fast");
+    Refuse(context, JobReplyKind::kUnavailable, "what the write compares changes too fast");
     return;
   }
   Dispatch(context);
@@ -352,44 +361,49 @@
     const std::optional<Milliseconds> wait =
         m_withdrawal_limiter.Admit(context->workspace, m_timers.clock().Now());
     if (wait.has_value()) {
-      m_metrics.Increment("papayalift_withdrawals_refused_total");
-      JobReply reply{JobReplyKind::kTooManyCancellations, context->job};
-      reply.detail = "too many jobs that are not stored were cancelled";
-      reply.retry_after = *wait;
-      Finish(context, std::move(reply));
+      RefuseWithdrawal(context, *wait);
       return;
     }
     context->is_withdrawal_admitted = true;
   }
-  m_withdrawal_lease.Acquire([this, context, accepted](std::optional<StoreLease> lease) {
-    if (context->is_answered) {
+  Transaction transaction;
+  transaction.Expect(AcceptedKey(context->job), accepted)
+      .Expect(m_schema.ManifestKey(), m_view.revision());
+  m_timers.Cancel(context->deadline_timer);
+  // NOTE: an earlier withdrawal is written again: it would end sooner than this one has to be kept.
+  m_withdrawals.Withdraw(
+      context->job, context->workspace, std::move(transaction), context->deadline,
+      [this, context](const WithdrawalStore::Result& result) { OnWithdrawn(context, result); });
+}
+
+void JobRequestHandler::OnWithdrawn(const RequestContextPointer& context,
+                                    const WithdrawalStore::Result& result) {
+  switch (result.outcome) {
+    case WithdrawalStore::Outcome::kStored:
+      Finish(context, JobReply{JobReplyKind::kNoSuchJob, context->job});
       return;
-    }
-    if (!lease.has_value()) {
-      Refuse(context, JobReplyKind::kUnavailable, "the store grants no lease");
+    case WithdrawalStore::Outcome::kConflict:
+      DispatchAfterConflict(context, result.items);
       return;
-    }
-    CommitWithdrawal(context, accepted, *lease);
-  });
+    case WithdrawalStore::Outcome::kNotSent:
+      Refuse(context, JobReplyKind::kUnavailable, "the store can't be reached");
+      return;
+    case WithdrawalStore::Outcome::kUnclear:
+      Refuse(context, JobReplyKind::kUnclear, "the store did not answer");
+      return;
+    case WithdrawalStore::Outcome::kFull:
+      RefuseWithdrawal(context, result.retry_after);
+      return;
+  }
 }
 
-// NOTE: an earlier withdrawal is written again: it would end sooner than this one has to be kept.
-void JobRequestHandler::CommitWithdrawal(const RequestContextPointer& context, Revision accepted,
-                                         StoreLease lease) {
-  Transaction transaction;
-  transaction.Expect(AcceptedKey(context->job), accepted)
-      .Expect(m_schema.ManifestKey(), m_view.revision())
-      .PutUnderLease(WithdrawalKey(context->job, context->workspace), "", lease);
-  m_timers.Cancel(context->deadline_timer);
-  CommitWithRetries(m_timers, m_store, transaction, context->deadline,
-                    [this, context](const WriteResult& result) {
-                      if (result.outcome == WriteOutcome::kNotSent) {
-                        m_withdrawal_lease.Drop();
-                      } else if (result.outcome != WriteOutcome::kConflict) {
-                        m_withdrawal_lease.RecordHeld();
-                      }
-                      OnWriteFinished(context, result, "", JobReplyKind::kNoSuchJob);
-                    });
+void JobRequestHandler::RefuseWithdrawal(const RequestContextPointer& context,
+                                         Milliseconds retry_after) {
+  m_metrics.Increment("papayalift_withdrawals_refused_total");
+  JobReply reply{JobReplyKind::kTooManyCancellations, context->job};
+  reply.detail = "too many jobs that are not stored were cancelled";
+  reply.retry_after = retry_after;
+  Finish(context, std::move(reply));
 }
 
 // --- replies ---
--- a/src/libraries/job_requests/job_request_handler.h
+++ b/src/libraries/job_requests/job_request_handler.h
@@ -5,8 +5,8 @@
 
 #include "libraries/job_requests/commit_with_retries.h"
 #include "libraries/job_requests/job_request.h"
-#include "libraries/job_requests/withdrawal_lease.h"
 #include "libraries/job_requests/withdrawal_limiter.h"
+#include "libraries/job_requests/withdrawal_store.h"
 #include "libraries/leader/manifest_view.h"
 #include "libraries/loop/timers.h"
 #include "libraries/metrics/metrics.h"
@@ -72,7 +72,11 @@
   /// stored after the cancellation is answered. `accepted` is the revision of the accepted record,
   /// 0 for none.
   void Withdraw(const RequestContextPointer& context, Revision accepted);
-  void CommitWithdrawal(const RequestContextPointer& context, Revision accepted, StoreLease lease);
+  void OnWithdrawn(const RequestContextPointer& context, const WithdrawalStore::Result& result);
+  void RefuseWithdrawal(const RequestContextPointer& context, Milliseconds retry_after);
+  /// Dispatches the request again, since what its write compared has changed.
+  void DispatchAfterConflict(const RequestContextPointer& context,
+                             const std::vector<StoreItem>& items);
   void Finish(const RequestContextPointer& context, JobReply reply);
   void Refuse(const RequestContextPointer& context, JobReplyKind kind, const std::string& detail);
 
@@ -82,7 +86,7 @@
   ManifestView& m_view;
   Metrics& m_metrics;
   WithdrawalLimiter m_withdrawal_limiter;
-  WithdrawalLease m_withdrawal_lease;
+  WithdrawalStore m_withdrawals;
 };
 
 }  // namespace papayalift
--- a/src/libraries/journal/journal_keys.cc
+++ b/src/libraries/journal/journal_keys.cc
@@ -1,16 +1,11 @@
 #include "libraries/journal/journal_keys.h"
 
-#include <fmt/format.h>
-
-#include "libraries/base/hash.h"
-
 namespace papayalift {
 
 namespace {
 
 constexpr char kCancelSuffix[] = "/cancel";
 constexpr char kWaitingPrefix[] = "papayalift/waiting/";
-constexpr char kWithdrawalPrefix[] = "papayalift/withdrawn/";
 
 }  // namespace
 
@@ -18,11 +13,6 @@
 
 std::string CancelKey(const JobId& job) { return AcceptedKey(job) + kCancelSuffix; }
 
-std::string WithdrawalKey(const JobId& job, const WorkspaceId& workspace) {
-  // A hash, as names of workspaces may be longer than a key.
-  return fmt::format("{}{}/{:016x}", kWithdrawalPrefix, job.text(), Hash64(workspace.text()));
-}
-
 std::string ProgressKey(const JobId& job) { return kProgressPrefix + job.text(); }
 
 std::string WaitingPrefix(const QueueId& queue) { return kWaitingPrefix + queue.text() + "/"; }
--- a/src/libraries/journal/journal_keys.h
+++ b/src/libraries/journal/journal_keys.h
@@ -14,12 +14,12 @@
 constexpr char kLeaseRecordKey[] = "papayalift/term/leases";
 constexpr char kAcceptedPrefix[] = "papayalift/accepted/";
 constexpr char kProgressPrefix[] = "papayalift/progress/";
+/// Prefix of the records of cancelled jobs that were not stored. A submission that is under way
+/// compares one of them.
+constexpr char kWithdrawalsPrefix[] = "papayalift/withdrawals/";
 
 std::string AcceptedKey(const JobId& job);
 std::string CancelKey(const JobId& job);
-/// The cancellation of a job of the workspace that is not stored. A submission of it may be under
-/// way, and is refused while this is kept.
-std::string WithdrawalKey(const JobId& job, const WorkspaceId& workspace);
 std::string ProgressKey(const JobId& job);
 /// Prefix of the waiting keys, one for each job of the queue of which no task has started.
 std::string WaitingPrefix(const QueueId& queue);
--- a/tests/leader/withdrawn_job_test.cc
+++ b/tests/leader/withdrawn_job_test.cc
@@ -2,10 +2,12 @@
 #include <rapidcheck.h>
 
 #include <deque>
+#include <iterator>
 #include <optional>
 
 #include "leader/test_cluster.h"
 #include "libraries/journal/journal_keys.h"
+#include "libraries/journal/withdrawal_record.h"
 
 namespace papayalift {
 
@@ -22,11 +24,15 @@
   return job;
 }
 
-/// A withdrawal is stored under a lease that is up to ten seconds old.
-constexpr Milliseconds kMaxTimeKept = WithdrawalLease::kWithdrawalLifetime + Milliseconds(10'000);
+constexpr Milliseconds kMaxTimeKept = kWithdrawalLifetime + kWithdrawalClockMargin;
 
+/// The withdrawals in all records.
 std::size_t WithdrawalsIn(const TestCluster& cluster) {
-  return cluster.store.ItemsBelow("papayalift/withdrawn/").size();
+  std::size_t sum = 0;
+  for (const StoreItem& item : cluster.store.ItemsBelow(kWithdrawalsPrefix)) {
+    sum += WithdrawalRecord::Decode(item.value)->size();
+  }
+  return sum;
 }
 
 JobReplyKind SubmitAt(TestCluster& cluster, std::size_t node) {
@@ -78,9 +84,10 @@
     for (int step = 0; step < steps; ++step) {
       static constexpr void (RandomRequests::*kActions[])(std::size_t) = {
           &RandomRequests::FailWrites, &RandomRequests::SlowDown, &RandomRequests::Wait,
-          &RandomRequests::Submit, &RandomRequests::Cancel};
+          &RandomRequests::Submit,     &RandomRequests::Cancel,   &RandomRequests::EndLeases,
+          &RandomRequests::KillLeader};
       const std::size_t node = static_cast<std::size_t>(Pick(0, 2));
-      (this->*kActions[Pick(0, 5)])(node);
+      (this->*kActions[Pick(0, static_cast<int>(std::size(kActions)))])(node);
     }
     m_cluster.Run(Milliseconds(15'000));
   }
@@ -110,6 +117,16 @@
     Refresh(m_cluster, node);
     m_cluster.node(node).store().SetNetworkDelay(Milliseconds(*rc::gen::element(2, 400, 3'000)));
   }
+  /// As an outage of the store may, under which also the term lies.
+  void EndLeases(std::size_t /*node*/) { m_cluster.store.EndAllLeases(); }
+  void KillLeader(std::size_t /*node*/) {
+    const std::size_t leader = m_cluster.leader_index();
+    if (leader < m_cluster.size()) {
+      m_cluster.Kill(leader);
+      m_cluster.Restart(leader);
+      m_cluster.Run(Milliseconds(1'000));
+    }
+  }
   void Wait(std::size_t /*node*/) { m_cluster.Run(Milliseconds(Pick(0, 4'000))); }
   void Submit(std::size_t node) {
     m_cancelled_at.reset();
@@ -146,6 +163,41 @@
   ExpectNeverStarted(cluster);
 }
 
+// The withdrawal lay under a store lease, and leases may run out while the store is down
+// (review/9).
+Test(withdrawn_job, whose_submission_is_written_late_after_all_leases_ended_is_not_stored) {
+  TestCluster cluster(2);
+  Refresh(cluster, 0);
+  cluster.node(0).store().FailNextCommits(std::deque<StoreFault>(8, StoreFault::kAppliedLate));
+  SubmitAndLeave(cluster, 0);
+  cluster.Run(Milliseconds(500));
+  cr_assert(CancelAt(cluster, 1) == JobReplyKind::kNoSuchJob);
+  cluster.Run(Milliseconds(500));
+  cluster.store.EndAllLeases();
+  ExpectNeverStarted(cluster);
+}
+
+Test(withdrawn_job, is_refused_after_all_leases_ended) {
+  TestCluster cluster(2);
+  cr_assert(CancelAt(cluster, 0) == JobReplyKind::kNoSuchJob);
+  cluster.store.EndAllLeases();
+  cluster.Run(Milliseconds(2'000));
+  cr_assert(SubmitAt(cluster, 1) == JobReplyKind::kWithdrawn);
+  ExpectNeverStarted(cluster);
+}
+
+// The record that a withdrawal shares with other jobs changes under their submissions.
+Test(withdrawn_job, fails_no_submission_of_another_job) {
+  TestCluster cluster(2);
+  for (int number = 1'000; number < 1'050; ++number) {
+    const std::string withdrawn = "/p1/" + MakeJobId(2 * number).text();
+    cr_assert(cluster.node(1).Ask(JobRequestKind::kCancel, withdrawn, "key").kind ==
+              JobReplyKind::kNoSuchJob);
+    cr_assert(cluster.Submit(MakeJobId(2 * number + 1), SmallJob()).kind ==
+              JobReplyKind::kAccepted);
+  }
+}
+
 // The same for a node that stood still with the submission (review/5, VARIANT=freeze).
 Test(withdrawn_job, whose_submission_waits_in_a_paused_node_is_not_stored) {
   TestCluster cluster(2);
@@ -170,9 +222,9 @@
   cluster.Run(Milliseconds(60'000));
   cr_assert(CancelAt(cluster, 1) == JobReplyKind::kNoSuchJob);
   cr_assert_eq(WithdrawalsIn(cluster), 1);
-  cluster.Run(WithdrawalLease::kWithdrawalLifetime - Milliseconds(1'000));
+  cluster.Run(kWithdrawalLifetime - Milliseconds(1'000));
   cr_assert_eq(WithdrawalsIn(cluster), 1);
-  cluster.Run(kMaxTimeKept - WithdrawalLease::kWithdrawalLifetime + Milliseconds(2'000));
+  cluster.Run(kMaxTimeKept - kWithdrawalLifetime + Milliseconds(2'000));
   cr_assert_eq(WithdrawalsIn(cluster), 0);
 }
 
