Leader: Give no run up by a report that may leave ends out

Cause: a minion returns at most 500 ends at a time, and of the runs that the next leader's first report did not list it said "a run never started", "the minion has no such run".

Now a report says whether it lists all ends, and one that may not gives no run up; the next comes once these ends are stored and acknowledged.

--- a/src/libraries/leader/run_supervisor_reports.cc
+++ b/src/libraries/leader/run_supervisor_reports.cc
@@ -139,6 +139,16 @@
 
 void RunSupervisor::ResolveMissingRuns(TrackedMinion& minion, Milliseconds sent_at,
                                        const HoldReport& report) {
+  if (!report.lists_all_ends) {
+    // A run that is not listed may have ended, also as done. The next report comes once these ends
+    // are stored and acknowledged.
+    LogEvent(LogLevel::kInfo, "runs", "a report does not list all ends")
+        .Field("minion", minion.id.text())
+        .Field("ends", static_cast<std::int64_t>(report.ended.size()))
+        .Field("runs", static_cast<std::int64_t>(minion.runs.size()))
+        .Write();
+    return;
+  }
   std::vector<TaskName> never_started;
   std::vector<TaskName> gone;
   for (auto& [task, run] : minion.runs) {
