Leader: Count leases by the process that an order has met

Cause: orders are bound to an id and name their leases on the clock of the process that reported last. A new process, whose clock is behind, granted 10 s where the leader counted 5.5 s. The start's answer showed the new clock (13 ms instead of 4 s), and nothing looked. Late orders meant for a former process were counted up to the first report of the next one only.

Now MinionLeases alone counts until when a run may go on. Holds name no lease while the process is in doubt. The first order to a new process has a higher token, the revision of this leader's latest write, so that late orders are refused. NextLeaseEnd, LeaseExpiryOf and the like moved there from RunSupervisor.

--- a/src/libraries/leader/job_journal.cc
+++ b/src/libraries/leader/job_journal.cc
@@ -1,5 +1,6 @@
 #include "libraries/leader/job_journal.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -233,6 +234,7 @@
 }
 
 void JobJournal::FinishWrite(TrackedJob& job, Revision revision) {
+  m_state.confirmed_revision = std::max(m_state.confirmed_revision, revision);
   const ProgressWrite write = *std::exchange(job.write, std::nullopt);
   job.progress_revision = revision;
   job.is_end_stored = write.stores_end;
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -198,8 +198,12 @@
 
 void LeaderSession::OnActive(TrackedRun& run, const ActiveRun& active) {
   TrackedJob* const job = m_state.FindJob(run.task.job);
-  const TaskProgress* const task = m_state.FindTask(run.task);
+  TaskProgress* const task = m_state.FindTask(run.task);
   if (job != nullptr && task != nullptr && task->attempt == run.attempt) {
+    if (task->phase == TaskPhase::kPlaced && task->incarnation != run.incarnation) {
+      task->incarnation = run.incarnation;
+      m_journal->MarkDirty(*job);
+    }
     RecordCheckpoint(*job, run.task, active.checkpoint);
     ForgetLateCrashesIfOutlived(*job, run);
     StopIfStalled(*job, run);
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -42,6 +42,14 @@
   /// When the minion confirmed the run. Reports requested after this time must list it.
   std::optional<Milliseconds> answered_at;
   std::optional<Milliseconds> stop_answered_at;
+  /// The run is certainly on the process `incarnation`: a report of it has listed the run, or the
+  /// answer to its start has shown its clock.
+  bool is_process_shown = false;
+  /// Start orders whose outcome is not known yet.
+  int starts_in_flight = 0;
+  /// Until then a process that this leader does not know may hold a lease for the run; empty if
+  /// only the known one can have received its starts.
+  std::optional<Milliseconds> unknown_process_until;
   Milliseconds decided_at{0};
   /// When its start was first sent.
   Milliseconds ordered_at{0};
@@ -193,6 +201,17 @@
   MinionTime clock;
   /// When `clock` was read, on this process's clock.
   Milliseconds clock_read_at{0};
+  /// When the call was sent whose report last showed the process `incarnation`.
+  Milliseconds process_seen_at{0};
+  /// An order was answered by a process that did not show that it is the one that reported last.
+  bool is_process_in_doubt = false;
+  /// The highest token of the orders sent to it in this term; 0 before the first.
+  FencingToken token;
+  /// Orders meant for a former process may still reach its process, and are to be barred by a
+  /// higher token.
+  bool needs_higher_token = false;
+  /// An order with such a token was sent, and nothing shows yet that it was received.
+  bool is_barring_late_orders = false;
   /// The latest lease end that an order of this term has named.
   std::optional<MinionTime> lease_until;
   /// The latest lease end that its process may have been granted by orders meant for a former
@@ -243,6 +262,9 @@
 
 struct LeaderState {
   Term term;
+  /// The latest revision at which the term is known to have been this leader's: of a write that was
+  /// conditional on it.
+  Revision confirmed_revision;
   Milliseconds elected_at{0};
   std::map<JobId, TrackedJob> jobs;
   /// Reads that were sent before a removal may still list the job.
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -5,14 +5,13 @@
 #include <vector>
 
 #include "libraries/leader/lease_time.h"
+#include "libraries/leader/process_fate.h"
 #include "libraries/log/log_event.h"
 
 namespace papayalift {
 
 namespace {
 
-/// If the last confirmation of the term is older, the store counts as away.
-constexpr Milliseconds kMaxConfirmationAge{1'000};
 constexpr Milliseconds kRetryDelay{300};
 constexpr Milliseconds kStopRetryDelay{400};
 /// A start without an answer is repeated for this long. Some minions reset connections at once and
@@ -34,7 +33,9 @@
       m_state(state),
       m_settings(settings),
       m_term_confirmed_at(std::move(term_confirmed_at)),
-      m_callbacks(std::move(callbacks)) {}
+      m_callbacks(std::move(callbacks)),
+      m_leases(timers, state, MinionLeases::Settings{settings.longest_lease}, m_term_confirmed_at,
+               m_callbacks.former_leases_end) {}
 
 TrackedRun* RunSupervisor::FindRun(const TaskName& task, const MinionId& minion,
                                    AttemptNumber attempt) {
@@ -47,27 +48,6 @@
                                                                                : &found->second;
 }
 
-MinionTime RunSupervisor::MinMinionClock(const TrackedMinion& minion) const {
-  const double elapsed = static_cast<double>((Now() - minion.clock_read_at).count());
-  return MinionTime(minion.clock.value() + static_cast<std::int64_t>(elapsed * kMinClockRate));
-}
-
-std::optional<MinionTime> RunSupervisor::NextLeaseEnd(const TrackedMinion& minion,
-                                                      Milliseconds usual_lease) const {
-  if (!minion.has_reported || !m_state.MayGrantLease(minion.id)) {
-    return std::nullopt;
-  }
-  // A later leader waits for `longest_lease` from the start of its own term, which is not before
-  // the last confirmation of this one.
-  const Milliseconds allowed = m_term_confirmed_at() + m_settings.longest_lease - Now();
-  const bool is_confirmed = Now() - m_term_confirmed_at() < kMaxConfirmationAge;
-  // The clock may be ahead of what it shows at least, the more the longer ago it was read.
-  const double elapsed = static_cast<double>((Now() - minion.clock_read_at).count());
-  const Milliseconds uncertainty(static_cast<std::int64_t>(elapsed * (1 - kMinClockRate)));
-  const Milliseconds left = is_confirmed ? std::min(usual_lease + uncertainty, allowed) : allowed;
-  return MinionTime(MinMinionClock(minion).value() + std::max(Milliseconds(0), left).count());
-}
-
 // --- starts ---
 
 void RunSupervisor::Start(TrackedRun& run, const std::string& payload,
@@ -86,7 +66,7 @@
   // longer with each repetition.
   const bool is_repeated = run.orders_sent > 0 && minion.lease_until.has_value();
   const std::optional<MinionTime> lease =
-      is_repeated ? minion.lease_until : NextLeaseEnd(minion, m_settings.start_lease);
+      is_repeated ? minion.lease_until : m_leases.NextLeaseOfStart(minion, m_settings.start_lease);
   if (!lease.has_value()) {
     HoldBackStart(run, "the minion must not be granted a lease yet");
     return;
@@ -101,13 +81,17 @@
     minion.last_started_task = task;
   }
   ++run.orders_sent;
-  const StartOrder order{task, attempt, payload, *lease, m_state.term.token, checkpoint};
+  m_leases.RecordStartSent(run);
+  const StartOrder order{task, attempt, payload, *lease, m_leases.NextToken(minion), checkpoint};
   m_minions.Start(minion.destination(), order,
                   [weak = weak_from_this(), order, minion_id,
                    incarnation = minion.incarnation](const OrderAnswer& answer) {
                     const Self self = weak.lock();
                     if (self != nullptr && !self->m_is_closed) {
-                      self->CheckLeaseOfStart(minion_id, incarnation, answer);
+                      self->m_leases.RecordStartAnswer(
+                          *self->m_state.FindMinion(minion_id),
+                          self->FindRun(order.task, minion_id, order.attempt), order, incarnation,
+                          answer);
                       self->OnStartAnswer(order, minion_id, answer);
                     }
                   });
@@ -138,17 +122,16 @@
 
 void RunSupervisor::OnStartAnswer(const StartOrder& order, const MinionId& minion_id,
                                   const OrderAnswer& answer) {
-  if (answer.result == OrderResult::kFenced) {
-    m_callbacks.on_fenced();
+  TrackedMinion& minion = *m_state.FindMinion(minion_id);
+  if (answer.result == OrderResult::kFenced && IsSuperseded(minion, order.token)) {
     return;
   }
   TrackedRun* const run = FindRun(order.task, minion_id, order.attempt);
   if (run == nullptr) {
     return;
   }
-  TrackedMinion& minion = *m_state.FindMinion(minion_id);
   if (answer.result == OrderResult::kLeaseExpired && answer.clock.has_value() &&
-      *answer.clock > MinMinionClock(minion)) {
+      *answer.clock > m_leases.MinClock(minion)) {
     // The next start is to be based on what the minion has just said.
     minion.clock = *answer.clock;
     minion.clock_read_at = Now();
@@ -193,6 +176,14 @@
   LoseRun(minion_id, order.task, RunLoss::kNeverStarted, answer.detail);
 }
 
+bool RunSupervisor::IsSuperseded(const TrackedMinion& minion, FencingToken token) const {
+  if (m_leases.IsBarredByOwnToken(minion, token)) {
+    return false;
+  }
+  m_callbacks.on_fenced();
+  return true;
+}
+
 void RunSupervisor::RepeatStartLater(const StartOrder& order, const MinionId& minion_id) {
   m_timers.After(kStartRetryDelay, [weak = weak_from_this(), order, minion_id] {
     const Self self = weak.lock();
@@ -232,8 +223,8 @@
 
 void RunSupervisor::SendStop(const TaskName& task, const MinionId& minion_id,
                              AttemptNumber attempt) {
-  const TrackedMinion& minion = *m_state.FindMinion(minion_id);
-  const StopOrder order{task, attempt, m_state.term.token};
+  TrackedMinion& minion = *m_state.FindMinion(minion_id);
+  const StopOrder order{task, attempt, m_leases.NextToken(minion)};
   m_minions.Stop(minion.destination(), order,
                  [weak = weak_from_this(), order, minion_id](const OrderAnswer& answer) {
                    const Self self = weak.lock();
@@ -245,17 +236,19 @@
 
 void RunSupervisor::OnStopAnswer(const StopOrder& order, const MinionId& minion_id,
                                  const OrderAnswer& answer) {
-  if (answer.result == OrderResult::kFenced) {
-    m_callbacks.on_fenced();
+  TrackedMinion& minion = *m_state.FindMinion(minion_id);
+  m_leases.RecordStopAnswer(minion, answer);
+  if (answer.result == OrderResult::kFenced && IsSuperseded(minion, order.token)) {
     return;
   }
   TrackedRun* const run = FindRun(order.task, minion_id, order.attempt);
   if (run == nullptr) {
     return;
   }
-  TrackedMinion& minion = *m_state.FindMinion(minion_id);
   if (answer.result != OrderResult::kDone) {
-    RecordFailedCall(minion, "stop", answer.result, answer.detail);
+    if (answer.result != OrderResult::kFenced) {
+      RecordFailedCall(minion, "stop", answer.result, answer.detail);
+    }
     SendStopLater(order.task, minion_id, order.attempt);
     return;
   }
@@ -283,58 +276,12 @@
   m_callbacks.on_lost(run, loss, reason);
 }
 
-LeaseExpiry RunSupervisor::LeaseExpiryOf(const TrackedMinion& minion) const {
-  LeaseExpiry expiry{m_callbacks.former_leases_end(minion.id), LeaseOrigin::kFormerLeader};
-  const auto extend = [&](const std::optional<MinionTime>& lease, LeaseOrigin origin) {
-    if (!lease.has_value()) {
-      return;
-    }
-    const Milliseconds left(lease->value() - minion.clock.value());
-    const Milliseconds at = minion.clock_read_at + LongestRealTime(left);
-    if (at > expiry.at) {
-      expiry = LeaseExpiry{at, origin};
-    }
-  };
-  extend(minion.lease_until, LeaseOrigin::kThisLeader);
-  extend(minion.foreign_lease_until, LeaseOrigin::kLateOrder);
-  return expiry;
-}
-
-bool RunSupervisor::IsLeaseExpired(const TrackedMinion& minion) const {
-  // A minion that answers says itself what has become of its runs.
-  return !minion.answers() && Now() > LeaseExpiryOf(minion).at;
-}
-
 std::optional<Milliseconds> RunSupervisor::LeasesLeft(const MinionId& id) const {
   const TrackedMinion* const minion = m_state.FindMinion(id);
   if (minion == nullptr || minion->runs.empty() || minion->answers()) {
     return std::nullopt;
   }
-  return std::max(Milliseconds(0), LeaseExpiryOf(*minion).at - Now());
-}
-
-void RunSupervisor::AssumeForeignLease(TrackedMinion& minion, MinionTime clock) const {
-  const MinionTime longest(clock.value() + m_settings.longest_lease.count());
-  minion.foreign_lease_until = std::max(minion.foreign_lease_until.value_or(longest), longest);
-}
-
-void RunSupervisor::CheckLeaseOfStart(const MinionId& id, MinionIncarnation incarnation,
-                                      const OrderAnswer& answer) {
-  TrackedMinion* const minion = m_state.FindMinion(id);
-  const bool is_not_received = answer.result == OrderResult::kNotSent ||
-                               answer.result == OrderResult::kNoListener ||
-                               answer.result == OrderResult::kOtherMinion;
-  if (minion == nullptr || minion->incarnation == incarnation || is_not_received) {
-    return;
-  }
-  // NOTE: clocks of minions are never fast, so this one shows no more than this by now.
-  const Milliseconds elapsed = Now() - minion->clock_read_at;
-  AssumeForeignLease(*minion, MinionTime(minion->clock.value() + elapsed.count()));
-}
-
-bool RunSupervisor::IsProcessReplaced(const TrackedMinion& minion, const TrackedRun& run) const {
-  return minion.silence.has_value() && minion.silence->was_replaced &&
-         m_state.HasLaterMinionAt(minion.address, run.incarnation);
+  return std::max(Milliseconds(0), m_leases.LatestExpiryOf(*minion).at - Now());
 }
 
 const char* RunSupervisor::ReasonToGiveUp(const TrackedMinion& minion,
@@ -342,10 +289,13 @@
   if (run.state == TrackedRunState::kDecided) {
     return nullptr;
   }
-  if (IsLeaseExpired(minion)) {
+  // A minion that answers says itself what has become of its runs.
+  if (!minion.answers() && m_leases.HaveExpired(minion, run)) {
     return "the minion's lease has expired";
   }
-  return IsProcessReplaced(minion, run) ? "another minion is at its minion's address" : nullptr;
+  return IsReplaced(m_state, MinionProcess{minion.id, run.incarnation, minion.address})
+             ? "another minion is at its minion's address"
+             : nullptr;
 }
 
 void RunSupervisor::GiveUpLostRuns() {
@@ -371,7 +321,12 @@
     return;
   }
   m_timers.Cancel(minion.give_up_timer);
-  const Milliseconds left = LeaseExpiryOf(minion).at - Now();
+  // Runs whose leases expire later are given up with the next tick after that.
+  Milliseconds first_expiry = m_leases.LatestExpiryOf(minion).at;
+  for (const auto& [task, run] : minion.runs) {
+    first_expiry = std::min(first_expiry, m_leases.ExpiryOf(minion, run).at);
+  }
+  const Milliseconds left = first_expiry - Now();
   constexpr Milliseconds kPastExpiry{1};
   minion.give_up_timer = m_timers.After(std::max(Milliseconds(0), left) + kPastExpiry,
                                         [weak = weak_from_this(), id = minion.id] {
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "libraries/leader/leader_state.h"
+#include "libraries/leader/minion_leases.h"
 #include "libraries/loop/timers.h"
 #include "libraries/work/minion_port.h"
 
@@ -23,23 +24,6 @@
   kRunLost,
 };
 
-/// Who granted the lease for which the runs of a minion that does not answer are kept.
-enum class LeaseOrigin {
-  /// A former leader may have.
-  kFormerLeader,
-  kThisLeader,
-  /// The order was meant for a former process, or sent by a former leader, and may have reached the
-  /// minion's process late.
-  kLateOrder,
-};
-
-/// When all leases of a minion have certainly expired.
-struct LeaseExpiry {
-  Milliseconds at{0};
-  /// Of the lease that expires last.
-  LeaseOrigin origin = LeaseOrigin::kFormerLeader;
-};
-
 struct SupervisorCallbacks {
   /// Why the run must not be started on its minion, by what is known now; nullopt if it may.
   std::function<std::optional<std::string>(const TrackedRun&)> obstacle_to_start;
@@ -115,6 +99,13 @@
  private:
   using Self = std::shared_ptr<RunSupervisor>;
 
+  /// A hold call in flight.
+  struct SentHold {
+    Milliseconds at{0};
+    FencingToken token;
+    bool names_lease = false;
+  };
+
   void SendStart(const TaskName& task, const MinionId& minion, AttemptNumber attempt,
                  const std::string& payload, const std::string& checkpoint);
   std::optional<std::string> ObstacleToStart(const TrackedRun& run) const;
@@ -128,10 +119,13 @@
   void SendHold(TrackedMinion& minion);
   void RequestHoldLater(TrackedMinion& minion, Milliseconds delay);
   void RequestNextFirstReports();
-  void OnHoldAnswer(const MinionId& id, Milliseconds sent_at, const HoldAnswer& answer);
+  void OnHoldAnswer(const MinionId& id, const SentHold& sent, const HoldAnswer& answer);
   void RecordOutcome(const MinionId& id);
   void OnHoldFailed(TrackedMinion& minion, const HoldAnswer& answer);
-  void ProcessReport(TrackedMinion& minion, Milliseconds sent_at, const HoldReport& report);
+  /// Steps down if a minion has refused the order for the token of another leader. Returns false if
+  /// it was a token of this leader's own.
+  bool IsSuperseded(const TrackedMinion& minion, FencingToken token) const;
+  void ProcessReport(TrackedMinion& minion, const SentHold& sent, const HoldReport& report);
   void UpdateIncarnation(TrackedMinion& minion, MinionIncarnation incarnation);
   void ProcessEndedRuns(const MinionId& id, const HoldReport& report);
   void ProcessActiveRuns(TrackedMinion& minion, const HoldReport& report);
@@ -141,24 +135,10 @@
                const std::string& reason);
   void GiveUpLostRunsOf(TrackedMinion& minion);
   void GiveUpOnceExpired(TrackedMinion& minion);
-  /// Notes that orders that this leader did not mean for the minion's process may have been carried
-  /// out by it until `clock`.
-  void AssumeForeignLease(TrackedMinion& minion, MinionTime clock) const;
-  /// A start whose lease was named for `incarnation` was answered, or may have been carried out.
-  void CheckLeaseOfStart(const MinionId& id, MinionIncarnation incarnation,
-                         const OrderAnswer& answer);
-  LeaseExpiry LeaseExpiryOf(const TrackedMinion& minion) const;
-  bool IsLeaseExpired(const TrackedMinion& minion) const;
-  /// Whether the process that the run was placed on has ended: another minion answers at its
-  /// address, and one that started later is registered there.
-  bool IsProcessReplaced(const TrackedMinion& minion, const TrackedRun& run) const;
   /// Why the run can't be active any more although its minion has not reported its end; nullptr if
   /// it may be.
   const char* ReasonToGiveUp(const TrackedMinion& minion, const TrackedRun& run) const;
   bool NeedsHold(const TrackedMinion& minion) const;
-  std::optional<MinionTime> NextLeaseEnd(const TrackedMinion& minion,
-                                         Milliseconds usual_lease) const;
-  MinionTime MinMinionClock(const TrackedMinion& minion) const;
   void RecordFailedCall(TrackedMinion& minion, const char* call, OrderResult result,
                         const std::string& detail);
   void LogFirstFailedCall(const TrackedMinion& minion, const char* call, OrderResult result,
@@ -174,6 +154,7 @@
   const SupervisorSettings m_settings;
   const std::function<Milliseconds()> m_term_confirmed_at;
   const SupervisorCallbacks m_callbacks;
+  const MinionLeases m_leases;
   bool m_is_closed = false;
   /// Minions whose first report is still to be requested.
   std::deque<MinionId> m_first_report_queue;
--- a/src/libraries/leader/run_supervisor_calls.cc
+++ b/src/libraries/leader/run_supervisor_calls.cc
@@ -31,6 +31,8 @@
       return "a lease of this leader";
     case LeaseOrigin::kLateOrder:
       return "a lease of a late order";
+    case LeaseOrigin::kUnknownProcess:
+      return "a lease that a process not heard of may hold";
   }
   return "";
 }
@@ -83,7 +85,7 @@
 }
 
 void RunSupervisor::LogSilence(const TrackedMinion& minion, const std::string& detail) const {
-  const LeaseExpiry expiry = LeaseExpiryOf(minion);
+  const LeaseExpiry expiry = m_leases.LatestExpiryOf(minion);
   LogEvent(LogLevel::kWarning, "runs", "minion does not answer")
       .Field("minion", minion.id.text())
       .Field("runs", static_cast<std::int64_t>(minion.runs.size()))
--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -102,9 +102,9 @@
   // NOTE: the lease of a minion that does not answer must not be extended, or it would never
   // expire. A lease that was named before must not be named again: its process may be a new one,
   // for which a time on the former one's clock is far ahead.
-  const std::optional<MinionTime> lease = minion.unanswered_calls == 0
-                                              ? NextLeaseEnd(minion, m_settings.usual_lease)
-                                              : std::optional<MinionTime>();
+  const std::optional<MinionTime> lease =
+      minion.unanswered_calls == 0 ? m_leases.NextLeaseOfHold(minion, m_settings.usual_lease)
+                                   : std::optional<MinionTime>();
   // NOTE: a new incarnation restarts its end numbers, so an acknowledgement meant for the previous
   // one would delete ends that were never reported. Ends are therefore only acknowledged if no
   // earlier call is unanswered, and by a call that does not wait: a minion that started anew in the
@@ -113,28 +113,30 @@
                             minion.acknowledgeable_end() > minion.last_acknowledgement_sent;
   const bool waits = lease.has_value() && !minion.runs.empty() && minion.unsaved_ends.empty() &&
                      minion.unanswered_calls == 0 && !acknowledges && !HasUnconfirmedStop(minion);
-  const HoldOrder order{m_state.term.token, lease,
+  const HoldOrder order{m_leases.NextToken(minion), lease,
                         acknowledges ? minion.acknowledgeable_end() : EndNumber(0),
                         waits ? m_settings.hold_wait : Milliseconds(0)};
   if (order.lease_until.has_value()) {
     minion.lease_until =
         std::max(minion.lease_until.value_or(*order.lease_until), *order.lease_until);
+    m_leases.RecordHold(minion);
   }
   if (acknowledges) {
     minion.last_acknowledgement_sent = order.acknowledged;
   }
   minion.is_hold_in_flight = true;
-  m_minions.Hold(
-      minion.destination(), order,
-      [weak = weak_from_this(), id = minion.id, sent_at = Now()](const HoldAnswer& answer) {
-        const Self self = weak.lock();
-        if (self != nullptr && !self->m_is_closed) {
-          self->OnHoldAnswer(id, sent_at, answer);
-        }
-      });
+  m_minions.Hold(minion.destination(), order,
+                 [weak = weak_from_this(), id = minion.id,
+                  sent = SentHold{Now(), order.token, order.lease_until.has_value()}](
+                     const HoldAnswer& answer) {
+                   const Self self = weak.lock();
+                   if (self != nullptr && !self->m_is_closed) {
+                     self->OnHoldAnswer(id, sent, answer);
+                   }
+                 });
 }
 
-void RunSupervisor::OnHoldAnswer(const MinionId& id, Milliseconds sent_at,
+void RunSupervisor::OnHoldAnswer(const MinionId& id, const SentHold& sent,
                                  const HoldAnswer& answer) {
   TrackedMinion& minion = *m_state.FindMinion(id);
   minion.is_hold_in_flight = false;
@@ -142,10 +144,15 @@
     RequestNextFirstReports();
   }
   if (answer.result == OrderResult::kFenced) {
-    m_callbacks.on_fenced();
+    if (!IsSuperseded(minion, sent.token)) {
+      RequestHold(minion);
+    }
     return;
   }
   if (answer.result != OrderResult::kDone) {
+    if (sent.names_lease) {
+      m_leases.RecordHold(minion);
+    }
     OnHoldFailed(minion, answer);
     RecordOutcome(id);
     return;
@@ -159,7 +166,7 @@
   RecordAnswer(minion);
   minion.is_incarnation_confirmed = true;
   minion.last_report_at = Now();
-  ProcessReport(minion, sent_at, answer.report);
+  ProcessReport(minion, sent, answer.report);
   if (m_is_closed) {
     return;
   }
--- a/src/libraries/leader/run_supervisor_reports.cc
+++ b/src/libraries/leader/run_supervisor_reports.cc
@@ -21,24 +21,21 @@
 
 }  // namespace
 
-void RunSupervisor::ProcessReport(TrackedMinion& minion, Milliseconds sent_at,
+void RunSupervisor::ProcessReport(TrackedMinion& minion, const SentHold& sent,
                                   const HoldReport& report) {
   const MinionId id = minion.id;
   const bool is_first_contact = !minion.has_reported;
   const bool is_first_report = is_first_contact || minion.incarnation != report.incarnation;
   UpdateIncarnation(minion, report.incarnation);
   minion.has_reported = true;
-  minion.clock = report.clock;
-  minion.clock_read_at = Now();
-  if (is_first_report && !(is_first_contact && m_state.is_first_leader)) {
-    AssumeForeignLease(minion, report.clock);
-  }
+  m_leases.RecordReport(minion, sent.at, sent.token, report,
+                        is_first_report && !(is_first_contact && m_state.is_first_leader));
   ProcessEndedRuns(id, report);
   if (m_is_closed) {
     return;
   }
   ProcessActiveRuns(minion, report);
-  ResolveMissingRuns(minion, sent_at, report);
+  ResolveMissingRuns(minion, sent.at, report);
   minion.previous_silence.reset();
   if (is_first_report) {
     m_callbacks.on_capacity_added();
@@ -64,6 +61,9 @@
     // Times on the former process's clock.
     minion.lease_until.reset();
     minion.foreign_lease_until.reset();
+    // The process may still be met by orders meant for the former one.
+    minion.needs_higher_token = true;
+    minion.is_barring_late_orders = false;
     minion.vanished_at =
         minion.previous_silence.has_value() ? minion.previous_silence->since : Now();
   } else if (!minion.entry.has_value()) {
@@ -104,6 +104,9 @@
       continue;
     }
     run->answered_at = run->answered_at.value_or(Now());
+    run->is_process_shown = true;
+    // Another process than the one that the start was meant for may have taken it.
+    run->incarnation = minion.incarnation;
     if (run->state == TrackedRunState::kOrdered) {
       run->state = TrackedRunState::kRunning;
       m_callbacks.on_started(*run);
--- a/tests/leader/restarted_minion_test.cc
+++ b/tests/leader/restarted_minion_test.cc
@@ -67,6 +67,67 @@
   cluster.ExpectDoneWithoutViolations();
 }
 
+// The answer to the start came from another process than the one it was meant for, and the next
+// report was lost (review/8).
+Test(restarted_minion, that_is_cut_off_before_its_first_report_runs_no_task_twice) {
+  for (const int cut_after : {5, 20, 100, 1'000, 1'900}) {
+    RestartCluster cluster;
+    for (int number = 0; number < 6; ++number) {
+      const MinionId minion("m" + std::to_string(number));
+      cluster.minions.SetCutOffFromStore(minion, true);
+      cluster.minions.Restart(minion);
+      cluster.minions.FailNextHolds(minion, {OrderFault::kAnswerLost});
+    }
+    cluster.SubmitJob();
+    while (cluster.minions.RunningOn(cluster.id).empty()) {
+      cluster.Run(Milliseconds(1));
+    }
+    cluster.Run(Milliseconds(cut_after));
+    cluster.CutOff(cluster.Holder(), Milliseconds(9'000));
+    cluster.ExpectDoneWithoutViolations();
+  }
+}
+
+// The start itself stayed without an answer.
+Test(restarted_minion, that_takes_a_start_and_is_cut_off_runs_no_task_twice) {
+  RestartCluster cluster;
+  for (int number = 0; number < 6; ++number) {
+    const MinionId minion("m" + std::to_string(number));
+    cluster.minions.SetCutOffFromStore(minion, true);
+    cluster.minions.Restart(minion);
+    cluster.minions.FailNextOrders(minion, {OrderFault::kAnswerLost});
+  }
+  cluster.SubmitJob();
+  while (cluster.minions.RunningOn(cluster.id).empty()) {
+    cluster.Run(Milliseconds(1));
+  }
+  cluster.CutOff(cluster.Holder(), Milliseconds(9'000));
+  cluster.ExpectDoneWithoutViolations();
+}
+
+// A hold meant for the former process was carried out late, and extended the lease of a run that
+// was started after it (review/8, VARIANT=late-hold).
+Test(restarted_minion, that_carries_out_a_late_order_runs_no_task_twice) {
+  for (const OrderFault fault : {OrderFault::kLate, OrderFault::kAnswerLost}) {
+    for (const int submitted_after : {500, 1'500, 2'500}) {
+      RestartCluster cluster;
+      for (int number = 0; number < 6; ++number) {
+        const MinionId minion("m" + std::to_string(number));
+        cluster.minions.Crash(minion, MinionOutage{Milliseconds(1'000)});
+      }
+      cluster.Run(Milliseconds(1'000));
+      for (int number = 0; number < 6; ++number) {
+        cluster.minions.FailNextHolds(MinionId("m" + std::to_string(number)), {fault});
+      }
+      cluster.Run(Milliseconds(submitted_after));
+      cluster.SubmitJob();
+      cluster.Run(Milliseconds(3'200 - submitted_after));
+      cluster.CutOff(cluster.Holder(), Milliseconds(9'000));
+      cluster.ExpectDoneWithoutViolations();
+    }
+  }
+}
+
 // What a minion that answers only holds for the lease that was named to it must not wait longer.
 Test(restarted_minion, that_is_gone_for_good_gives_its_task_up_within_the_longest_lease) {
   RestartCluster cluster;
