Leader: Keep a task done whose next placement is discarded

A run was given up, and its end `done` is heard of while the next attempt's placement is being stored. The task is marked as done, and discarding that placement made it wait and start once more.

Now a discarded placement lets its task wait only if it is still placed. late_end_test fails without the change and passes with it.

--- a/src/libraries/leader/leader_session_journal.cc
+++ b/src/libraries/leader/leader_session_journal.cc
@@ -145,7 +145,10 @@
     return;
   }
   m_state.RemoveRun(MinionId(task.minion), name);
-  ReturnToWaiting(job, name);
+  // The end of an earlier attempt may have been heard of since the decision.
+  if (task.phase == TaskPhase::kPlaced) {
+    ReturnToWaiting(job, name);
+  }
 }
 
 void LeaderSession::Acknowledge(const EndReference& end) {
