Leader: Use no entry of a service that nobody names

Cause: any entry that could be decoded was believed, so its address took the place of the minion's, and its later `born` showed the process as replaced.

Now an entry counts only if the manifest, or an accepted job, names its service; others are left out with a log line. A new manifest lets the registry be read anew. The stand-in's minions answer only at their own address.

--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -111,6 +111,8 @@
   void ApplyOperatorChange(const WatchedChange& change);
   void ApplyAcceptedItem(const StoreItem& item);
   void ApplyMinionItem(const StoreItem& item);
+  /// Whether the manifest, or an accepted job, names the service.
+  bool IsNamed(const ServiceId& service) const;
   /// Logs that a minion was registered after the first reading: a new one, one that was not listed
   /// for a while, or a new incarnation.
   void LogRegistration(const TrackedMinion& minion, MinionIncarnation previous) const;
--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -133,6 +133,10 @@
     return;
   }
   absl::StatusOr<MinionEntry> entry = m_context.schema.DecodeMinion(id, item.value);
+  if (entry.ok() && !IsNamed(entry->service)) {
+    // Another writer's: neither its address nor its start says anything of the minion of this id.
+    entry = absl::NotFoundError("no manifest names its service");
+  }
   if (!entry.ok()) {
     LogEvent(LogLevel::kWarning, "leader", "a registration can't be used")
         .Field("minion", id.text())
@@ -178,6 +182,14 @@
   SchedulePlan();
 }
 
+bool LeaderSession::IsNamed(const ServiceId& service) const {
+  const std::shared_ptr<const FleetManifest> manifest = m_context.view.manifest();
+  return manifest == nullptr || manifest->services.contains(service) ||
+         std::any_of(m_state.jobs.begin(), m_state.jobs.end(), [&service](const auto& entry) {
+           return entry.second.accepted.service == service;
+         });
+}
+
 void LeaderSession::LogRegistration(const TrackedMinion& minion, MinionIncarnation previous) const {
   LogEvent(LogLevel::kInfo, "leader", "minion registered")
       .Zone(minion.entry->zone)
@@ -227,6 +239,8 @@
   if (change.item.key == m_context.schema.ManifestKey()) {
     if (change.kind == WriteKind::kPut) {
       m_context.view.Adopt(change.item);
+      // It may name a service that registrations were left out for.
+      RereadRegistry();
     }
     return;
   }
--- a/src/libraries/work/fleet_manifest.h
+++ b/src/libraries/work/fleet_manifest.h
@@ -44,6 +44,8 @@
   ManifestVersion version;
   std::vector<QueueSpec> queues;
   std::vector<ManifestWorkspace> workspaces;
+  /// The services that it names, those of its queues included.
+  std::set<ServiceId> services;
 
   const QueueSpec* FindQueue(const QueueId& id) const;
   /// The queue of the host with the longest path prefix of `path`; null if there is none.
--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -121,7 +121,7 @@
 void FleetMinions::Start(const MinionAddress& address, const StartOrder& order,
                          const std::function<void(OrderAnswer)>& answer) {
   Minion& minion = m_minions.at(address.id);
-  if (FailsCall(minion, kOrderTimeout, [answer](OrderResult result) {
+  if (FailsCall(minion, address, kOrderTimeout, [answer](OrderResult result) {
         // Callers keep connections, which no other process than the one that ended can read.
         OrderAnswer gone{result, {}, "gone"};
         gone.is_connection_kept = true;
@@ -251,7 +251,7 @@
 void FleetMinions::Stop(const MinionAddress& address, const StopOrder& order,
                         const std::function<void(OrderAnswer)>& answer) {
   Minion& minion = m_minions.at(address.id);
-  if (FailsCall(minion, kOrderTimeout, [answer](OrderResult result) {
+  if (FailsCall(minion, address, kOrderTimeout, [answer](OrderResult result) {
         // Callers keep connections, which no other process than the one that ended can read.
         OrderAnswer gone{result, {}, "gone"};
         gone.is_connection_kept = true;
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -244,9 +244,9 @@
   void EndProcess(Minion& minion);
   void ComeBack(const MinionId& id, MinionReturn comes_back);
   void ExpireEntry(const MinionId& id, Milliseconds started_at);
-  /// Whether the minion's process is gone or can't be called. If so, fails the call after `timeout`
-  /// or at once.
-  bool FailsCall(const Minion& minion, Milliseconds timeout,
+  /// Whether the minion's process is gone, can't be called, or is not at the address. If so, fails
+  /// the call after `timeout` or at once.
+  bool FailsCall(const Minion& minion, const MinionAddress& called, Milliseconds timeout,
                  const std::function<void(OrderResult)>& answer);
   /// Answers a start, unless the minion's process ends before.
   void AnswerStart(const Minion& minion, const OrderAnswer& done,
--- a/src/stand_ins/fleet/fleet_minions_crashes.cc
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -132,8 +132,12 @@
   }
 }
 
-bool FleetMinions::FailsCall(const Minion& minion, Milliseconds timeout,
-                             const std::function<void(OrderResult)>& answer) {
+bool FleetMinions::FailsCall(const Minion& minion, const MinionAddress& called,
+                             Milliseconds timeout, const std::function<void(OrderResult)>& answer) {
+  if (!called.address.empty() && called.address != minion.address) {
+    m_timers.After(kConnectDelay, [answer] { answer(OrderResult::kOtherMinion); });
+    return true;
+  }
   const std::optional<OutageKind> outage =
       minion.outage.has_value() ? minion.outage : minion.cut_off_from_callers;
   if (!outage.has_value()) {
--- a/src/stand_ins/fleet/fleet_minions_holds.cc
+++ b/src/stand_ins/fleet/fleet_minions_holds.cc
@@ -21,7 +21,7 @@
     failed.result = result;
     answer(failed);
   };
-  if (FailsCall(minion, order.wait + kHoldTimeoutMargin, fail)) {
+  if (FailsCall(minion, address, order.wait + kHoldTimeoutMargin, fail)) {
     return;
   }
   if (!minion.is_reachable) {
--- a/tests/leader/odd_entry_test.cc
+++ b/tests/leader/odd_entry_test.cc
@@ -4,6 +4,15 @@
 
 namespace papayalift {
 
+namespace {
+
+/// A manifest without routes that names the service.
+std::string ManifestNaming(const std::string& service) {
+  return R"({"version":9,"routes":[],"tenants":[],"services":[{"name":")" + service + R"("}]})";
+}
+
+}  // namespace
+
 // Another writer left odd entries among those of the minions (issue 32). No such minion exists, so
 // a call to one would end the test.
 Test(odd_entry, among_those_of_the_minions_is_left_out_and_all_others_are_followed) {
@@ -40,4 +49,60 @@
   cr_assert(cluster.minions.violations().empty());
 }
 
+// Another product wrote its entry under the id of a minion that was at work. Its address and its
+// start were believed, and the task was started elsewhere (review/10).
+Test(odd_entry, of_a_service_that_no_manifest_names_says_nothing_of_the_minion_of_its_id) {
+  TestCluster cluster(1, 4);
+  cluster.Run(Milliseconds(3'000));
+  RegisteredJob job;
+  job.work.steps = {MakeStep(1, 1)};
+  job.duration = Milliseconds(20'000);
+  cluster.Submit(MakeJobId(1), job);
+  cluster.Run(Milliseconds(500));
+  cr_assert_eq(cluster.minions.RunningOn(MakeJobId(1)).size(), 1);
+  const MinionId holder = cluster.minions.RunningOn(MakeJobId(1)).front();
+  for (int beat = 0; beat < 4; ++beat) {
+    cluster.minions.SendHeartbeats();
+    cluster.Run(Milliseconds(30));
+    cluster.store.Put(
+        "servers/" + holder.text(),
+        R"({"service":"billing","address":"10.9.9.9:80","zone":"a","state":"ready","coldLeftMs":0,)"
+        R"("capacity":{"cpu":8000,"memMb":8000,"gpu":8},"labels":["kind","r0"],"sequence":1,)"
+        R"("born":4000000})");
+    cluster.Run(Milliseconds(1'500));
+  }
+  cluster.Run(Milliseconds(20'000));
+  cr_expect(cluster.StateOf(MakeJobId(1)) == WorkState::kDone);
+  cr_expect_eq(cluster.minions.starts(MakeJobId(1)), 1);
+  cr_expect(cluster.minions.violations().empty());
+}
+
+// The minions of a service that a later manifest adds are used from then on.
+Test(odd_entry, of_a_service_is_used_once_a_manifest_names_it) {
+  TestCluster cluster(1, 0);
+  cluster.store.Put(
+      "servers/n0",
+      R"({"service":"new","address":"10.9.9.9:80","zone":"a","state":"ready","coldLeftMs":0,)"
+      R"("capacity":{"cpu":8000,"memMb":8000,"gpu":8},"labels":["kind","r0"],"sequence":1,)"
+      R"("born":7})");
+  cluster.Run(Milliseconds(3'000));
+  const auto is_listed = [&cluster] {
+    const auto& minions = cluster.leader()->session()->state().minions;
+    const auto found = minions.find(MinionId("n0"));
+    return found != minions.end() && found->second.entry.has_value();
+  };
+  cr_assert_not(is_listed());
+  cluster.minions.Add(MinionId("n0"), RackId("r0"), Resources{8'000, 8'000, 8});
+  cluster.store.Put(
+      "servers/n0",
+      R"({"service":"new","address":"10.0.0.1:80","zone":"a","state":"ready","coldLeftMs":0,)"
+      R"("capacity":{"cpu":8000,"memMb":8000,"gpu":8},"labels":["kind","r0"],"sequence":2,)"
+      R"("born":7})");
+  cluster.Run(Milliseconds(500));
+  cr_assert_not(is_listed());
+  cluster.store.Put("op/config", ManifestNaming("new"));
+  cluster.Run(Milliseconds(1'000));
+  cr_assert(is_listed());
+}
+
 }  // namespace papayalift
