Leader: Suspect no member of a gang that was broken before

When one member of a gang is lost its minions end the others, so the second process ended without that run, for all that is known.

Now a run whose gang was broken before is no suspect. A unit test failed to compile before, as nothing knew of it.

--- a/src/libraries/leader/crash_attribution.cc
+++ b/src/libraries/leader/crash_attribution.cc
@@ -68,7 +68,9 @@
   const std::optional<MinionSilence>& silence = SilenceOf(minion);
   const bool may_have_ended = FateOfProcess(state, ProcessOf(minion, run)) == ProcessFate::kEnded ||
                               MayHaveEnded(silence) || HasLeftBefore(minion);
-  if (minion.is_draining || !may_have_ended || !MayHaveCrashedIt(run, silence)) {
+  // A run whose gang is broken has ended before its minion's process, for all that is known.
+  if (minion.is_draining || run.is_gang_broken || !may_have_ended ||
+      !MayHaveCrashedIt(run, silence)) {
     return false;
   }
   const bool is_start_known = run.orders_sent > 0;
@@ -83,7 +85,7 @@
                                                          Milliseconds now) {
   const std::optional<MinionSilence>& silence = SilenceOf(minion);
   const bool has_ended = FateOfProcess(state, ProcessOf(minion, run)) == ProcessFate::kEnded;
-  if (minion.is_draining || (!has_ended && !MayHaveEnded(silence)) ||
+  if (minion.is_draining || run.is_gang_broken || (!has_ended && !MayHaveEnded(silence)) ||
       MayHaveCrashedIt(run, silence)) {
     return std::nullopt;
   }
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -169,6 +169,8 @@
   void RecordCheckpoint(TrackedJob& job, const TaskName& task, const std::string& checkpoint);
   void ReturnToWaiting(TrackedJob& job, const TaskName& task);
   void StopStep(TrackedJob& job, int step, const std::string& reason);
+  /// Stops the members of a gang of which one has failed or was lost.
+  void StopBrokenGang(TrackedJob& job, int step, const std::string& reason);
   void StopJob(TrackedJob& job, const std::string& reason);
   void Cancel(TrackedJob& job);
   void EndJobIfSettled(TrackedJob& job);
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -106,7 +106,7 @@
     }
   }
   if (is_gang) {
-    StopStep(job, end.task.step, "a member of the gang has failed");
+    StopBrokenGang(job, end.task.step, "a member of the gang has failed");
   }
   if (failures >= job.accepted.max_attempts && !HasEnded(job.progress.state) && !job.is_cancelled) {
     EndJob(job, WorkState::kFailed, "a task has failed as often as its queue allows");
@@ -178,7 +178,7 @@
     }
     const std::size_t step = static_cast<std::size_t>(run.task.step);
     if (job->accepted.work.steps[step].kind == WorkStepKind::kGang) {
-      StopStep(*job, run.task.step, "a member of the gang was lost");
+      StopBrokenGang(*job, run.task.step, "a member of the gang was lost");
     }
     m_journal->MarkDirty(*job);
   }
@@ -240,6 +240,17 @@
   }
 }
 
+void LeaderSession::StopBrokenGang(TrackedJob& job, int step, const std::string& reason) {
+  const std::vector<TaskProgress>& tasks = job.progress.steps[static_cast<std::size_t>(step)].tasks;
+  for (std::size_t index = 0; index < tasks.size(); ++index) {
+    const TaskName name{job.accepted.id, 0, step, static_cast<int>(index)};
+    if (TrackedRun* const run = m_state.FindRun(name, tasks[index].attempt); run != nullptr) {
+      run->is_gang_broken = true;
+    }
+  }
+  StopStep(job, step, reason);
+}
+
 void LeaderSession::StopJob(TrackedJob& job, const std::string& reason) {
   for (std::size_t step = 0; step < job.progress.steps.size(); ++step) {
     StopStep(job, static_cast<int>(step), reason);
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -38,6 +38,8 @@
   /// The run is to be stopped. It may be set before the outcome of the start is known.
   bool stop_wanted = false;
   std::string stop_reason;
+  /// Another member of its gang has failed or was lost, so its minion has ended the run as well.
+  bool is_gang_broken = false;
   int orders_sent = 0;
   /// When the minion confirmed the run. Reports requested after this time must list it.
   std::optional<Milliseconds> answered_at;
--- a/tests/leader/crash_attribution_test.cc
+++ b/tests/leader/crash_attribution_test.cc
@@ -117,6 +117,18 @@
   cr_assert_not(fixture.Lose(AttributionFixture::RunOf("a", 3)), "it crashed long after the start");
 }
 
+// The other members of a gang end with the first that is lost, whatever becomes of their minions.
+Test(crash_attribution, member_of_a_gang_that_was_broken_before_is_no_suspect) {
+  AttributionFixture fixture;
+  fixture.EndProcess(0);
+  TrackedRun run = AttributionFixture::RunOf("a", 0);
+  run.is_gang_broken = true;
+  cr_assert_not(fixture.Lose(run));
+  run.running_since = kOrderedAt;
+  run.has_outlived_start = true;
+  cr_assert_not(fixture.LoseLate(run));
+}
+
 Test(crash_attribution, most_minions_of_a_zone_lost_without_cause_are_an_outage) {
   AttributionFixture fixture;
   for (int number = 0; number < 5; ++number) {
