Leader: Judge a crash once silent neighbours can't change it

Cause: the judgement waited for every minion of the zone, though an outage takes at least two others, or as many as are sound. Now it waits only while those not heard of could change it. What is said stays the same.

--- a/src/libraries/leader/crash_attribution.cc
+++ b/src/libraries/leader/crash_attribution.cc
@@ -137,7 +137,7 @@
       continue;
     }
     const ZoneHealth health = HealthAround(fates.at(crash.zone), crash);
-    const bool is_complete = health.unknown == 0 && !HasUnresolvedRuns(state, crash);
+    const bool is_complete = IsSettled(crash, health) && !HasUnresolvedRuns(state, crash);
     if (is_complete || now - crash.at >= kMaxJudgementDelay) {
       AppendSuspects(crash, CauseBesideStarts(state, crash, health), judged);
       crash.judged_suspects = crash.suspects.size();
@@ -283,6 +283,12 @@
   return health;
 }
 
+bool CrashAttribution::IsSettled(const Crash& crash, const ZoneHealth& health) {
+  const ZoneHealth if_vanished{health.vanished + health.unknown, health.sound, 0};
+  const ZoneHealth if_sound{health.vanished, health.sound + health.unknown, 0};
+  return IsOutage(crash, if_vanished) == IsOutage(crash, if_sound);
+}
+
 bool CrashAttribution::IsOutage(const Crash& crash, const ZoneHealth& health) {
   return health.vanished >= kMinOthersInOutage &&
          (!crash.was_host_up || health.vanished >= health.sound);
--- a/src/libraries/leader/crash_attribution.h
+++ b/src/libraries/leader/crash_attribution.h
@@ -132,6 +132,8 @@
   /// Whether runs of the crashed process are still tracked, and may become suspects.
   static bool HasUnresolvedRuns(const LeaderState& state, const Crash& crash);
   static bool IsOutage(const Crash& crash, const ZoneHealth& health);
+  /// Whether the minions that are neither lost nor heard from can't change what IsOutage() says.
+  static bool IsSettled(const Crash& crash, const ZoneHealth& health);
   /// What ended the process, as far as it does not depend on the suspect; nullopt if a start may
   /// have.
   static std::optional<CrashCause> CauseBesideStarts(const LeaderState& state, const Crash& crash,
