Leader: Name what a refused token leads to, and count no loss twice

IsSuperseded also steps down, so it is StepDownIfSuperseded now. A late loss that was counted at once is not kept open beside that.

--- a/src/libraries/leader/leader_session_crashes.cc
+++ b/src/libraries/leader/leader_session_crashes.cc
@@ -54,7 +54,9 @@
 
 void LeaderSession::ApplyJudgement(TrackedJob& job, TaskProgress& task, const JudgedRun& run) {
   if (run.cause == CrashCause::kOpen) {
-    KeepOpen(task, run);
+    if (!run.is_counted) {
+      KeepOpen(task, run);
+    }
   } else if (run.cause != CrashCause::kOutage) {
     RecordCrash(job, task, run);
   } else if (run.is_counted) {
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -123,7 +123,7 @@
 void RunSupervisor::OnStartAnswer(const StartOrder& order, const MinionId& minion_id,
                                   const OrderAnswer& answer) {
   TrackedMinion& minion = *m_state.FindMinion(minion_id);
-  if (answer.result == OrderResult::kFenced && IsSuperseded(minion, order.token)) {
+  if (answer.result == OrderResult::kFenced && StepDownIfSuperseded(minion, order.token)) {
     return;
   }
   TrackedRun* const run = FindRun(order.task, minion_id, order.attempt);
@@ -176,7 +176,7 @@
   LoseRun(minion_id, order.task, RunLoss::kNeverStarted, answer.detail);
 }
 
-bool RunSupervisor::IsSuperseded(const TrackedMinion& minion, FencingToken token) const {
+bool RunSupervisor::StepDownIfSuperseded(const TrackedMinion& minion, FencingToken token) const {
   if (m_leases.IsBarredByOwnToken(minion, token)) {
     return false;
   }
@@ -238,7 +238,7 @@
                                  const OrderAnswer& answer) {
   TrackedMinion& minion = *m_state.FindMinion(minion_id);
   m_leases.RecordStopAnswer(minion, answer);
-  if (answer.result == OrderResult::kFenced && IsSuperseded(minion, order.token)) {
+  if (answer.result == OrderResult::kFenced && StepDownIfSuperseded(minion, order.token)) {
     return;
   }
   TrackedRun* const run = FindRun(order.task, minion_id, order.attempt);
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -122,9 +122,9 @@
   void OnHoldAnswer(const MinionId& id, const SentHold& sent, const HoldAnswer& answer);
   void RecordOutcome(const MinionId& id);
   void OnHoldFailed(TrackedMinion& minion, const HoldAnswer& answer);
-  /// Steps down if a minion has refused the order for the token of another leader. Returns false if
-  /// it was a token of this leader's own.
-  bool IsSuperseded(const TrackedMinion& minion, FencingToken token) const;
+  /// A minion has refused an order with the token. Steps down if another leader has given it a
+  /// higher one; returns false if it was this leader.
+  bool StepDownIfSuperseded(const TrackedMinion& minion, FencingToken token) const;
   void ProcessReport(TrackedMinion& minion, const SentHold& sent, const HoldReport& report);
   void UpdateIncarnation(TrackedMinion& minion, MinionIncarnation incarnation);
   void ProcessEndedRuns(const MinionId& id, const HoldReport& report);
--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -144,7 +144,7 @@
     RequestNextFirstReports();
   }
   if (answer.result == OrderResult::kFenced) {
-    if (!IsSuperseded(minion, sent.token)) {
+    if (!StepDownIfSuperseded(minion, sent.token)) {
       RequestHold(minion);
     }
     return;
