Leader: Count an ended job's age from the leader's start again

Clocks jump by an hour there, and took the age of ended jobs from the wall clock, so a new leader removed their records at once.

--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -279,12 +279,7 @@
   // The key may already be deleted; deleting it again has no effect.
   job.has_waiting_key = !HasEnded(job.progress.state);
   if (HasEnded(job.progress.state)) {
-    // NOTE: the time for which it is kept is twice as long as it must be, so that a wall clock may
-    // jump by half of it. Older records do not say when the job ended.
-    const Milliseconds age = m_context.timers.clock().WallNow() - job.progress.ended_at;
-    const bool is_dated = job.progress.ended_at.count() > 0;
-    job.ended_since = Now() - (is_dated ? std::clamp(age, Milliseconds(0), m_settings.retention)
-                                        : Milliseconds(0));
+    job.ended_since = Now();
   }
   for (std::size_t step = 0; step < job.progress.steps.size(); ++step) {
     const std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
