Job requests: Let withdrawals age on steady clocks

Late writes were barred all the same, by the record's revision.

Now the record tells how old each withdrawal is at least, and each node lets what it knows age on its own steady clock. A stamp tells a withdrawal from others of its job. A node that believes a job withdrawn reads the record once before it refuses it, since another may have dropped the entry. The node that stored one drops it, several by one write.

--- a/src/libraries/job_requests/job_request_handler.cc
+++ b/src/libraries/job_requests/job_request_handler.cc
@@ -166,15 +166,29 @@
            std::string(work.status().message()));
     return;
   }
-  const QueueSpec& queue = context->queue;
-  if (queue.requires_external_placement) {
+  if (context->queue.requires_external_placement) {
     Refuse(context, JobReplyKind::kUnsupported, "the queue needs a recommendation service");
     return;
   }
-  if (m_withdrawals.IsWithdrawn(context->job, context->workspace)) {
-    Refuse(context, JobReplyKind::kWithdrawn, "the job was cancelled before it was stored");
+  if (!m_withdrawals.IsWithdrawn(context->job, context->workspace)) {
+    CommitSubmission(context, *work);
     return;
   }
+  // Another node may have dropped the withdrawal since this one has read it.
+  m_store.Read(WithdrawalStore::RecordKey(context->job),
+               WhenRead(context, [this, context, work = *work](const ReadAnswer& record) {
+                 m_withdrawals.Adopt(context->job, record.items);
+                 if (m_withdrawals.IsWithdrawn(context->job, context->workspace)) {
+                   RefuseWithdrawn(context);
+                 } else {
+                   CommitSubmission(context, work);
+                 }
+               }));
+}
+
+void JobRequestHandler::CommitSubmission(const RequestContextPointer& context,
+                                         const WorkSpec& work) {
+  const QueueSpec& queue = context->queue;
   AcceptedJob job;
   job.id = context->job;
   job.queue = queue.id;
@@ -185,7 +199,7 @@
   job.slack_factor = queue.slack_factor;
   job.latency_target = queue.latency_target;
   job.accepted_at = m_timers.clock().WallNow();
-  job.work = *work;
+  job.work = work;
   Transaction transaction;
   transaction.Expect(AcceptedKey(job.id), Revision(0))
       .Expect(CancelKey(job.id), Revision(0))
@@ -233,10 +247,14 @@
     return;
   }
   if (FindItem(result.items, CancelKey(context->job)) != nullptr) {
-    Refuse(context, JobReplyKind::kWithdrawn, "the job was cancelled before it was stored");
+    RefuseWithdrawn(context);
     return;
   }
   m_withdrawals.Adopt(context->job, result.items);
+  if (m_withdrawals.IsWithdrawn(context->job, context->workspace)) {
+    RefuseWithdrawn(context);
+    return;
+  }
   DispatchAfterConflict(context, result.items);
 }
 
@@ -415,6 +433,10 @@
   Finish(context, std::move(reply));
 }
 
+void JobRequestHandler::RefuseWithdrawn(const RequestContextPointer& context) {
+  Refuse(context, JobReplyKind::kWithdrawn, "the job was cancelled before it was stored");
+}
+
 void JobRequestHandler::Finish(const RequestContextPointer& context, JobReply reply) {
   context->is_answered = true;
   m_timers.Cancel(context->deadline_timer);
--- a/src/libraries/job_requests/job_request_handler.h
+++ b/src/libraries/job_requests/job_request_handler.h
@@ -48,6 +48,8 @@
               const std::string& written_key, JobReplyKind success);
   bool Authorize(const RequestContextPointer& context, const FleetManifest& manifest);
   void Submit(const RequestContextPointer& context);
+  void CommitSubmission(const RequestContextPointer& context, const WorkSpec& work);
+  void RefuseWithdrawn(const RequestContextPointer& context);
   /// Replies to a write that creates `written_key`, or dispatches the request again if what it
   /// compared has changed. Replies with `success` also if `written_key` existed before.
   void OnWriteFinished(const RequestContextPointer& context, const WriteResult& result,
--- a/src/libraries/job_requests/withdrawal_store.cc
+++ b/src/libraries/job_requests/withdrawal_store.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "libraries/base/hash.h"
@@ -13,29 +14,43 @@
 
 namespace {
 
-constexpr Milliseconds kTimeKept = kWithdrawalLifetime + kWithdrawalClockMargin;
+/// Withdrawals that expire within this time are dropped by one write.
+constexpr Milliseconds kMinPruneInterval{10'000};
 /// Nobody waits for a record to be written without what has expired.
 constexpr Milliseconds kPruneTimeout{5'000};
 
 }  // namespace
 
+WithdrawalStore::WithdrawalStore(Timers& timers, StorePort& store, Metrics& metrics)
+    : m_timers(timers), m_store(store), m_metrics(metrics) {
+  std::random_device random;
+  constexpr unsigned int kHalfBits = 32;
+  m_next_stamp = std::uint64_t{random()} << kHalfBits | random();
+}
+
 std::string WithdrawalStore::RecordKey(const JobId& job) {
   return fmt::format("{}{:02x}", kWithdrawalsPrefix, Hash64(job.text()) % kRecords);
 }
 
-const WithdrawalStore::KnownRecord& WithdrawalStore::RecordOf(const std::string& key) const {
-  static const KnownRecord kUnknown;
+WithdrawalStore::KnownRecord WithdrawalStore::RecordOf(const std::string& key) const {
   const auto found = m_records.find(key);
-  return found == m_records.end() ? kUnknown : found->second;
+  if (found == m_records.end()) {
+    return KnownRecord{};
+  }
+  KnownRecord known = found->second;
+  known.record.Advance(m_timers.clock().Now() - known.read_at);
+  known.read_at = m_timers.clock().Now();
+  return known;
 }
 
 void WithdrawalStore::ExpectNoWithdrawal(const JobId& job, Transaction& transaction) const {
   const std::string key = RecordKey(job);
-  transaction.Expect(key, RecordOf(key).revision);
+  const auto found = m_records.find(key);
+  transaction.Expect(key, found == m_records.end() ? Revision(0) : found->second.revision);
 }
 
 bool WithdrawalStore::IsWithdrawn(const JobId& job, const WorkspaceId& workspace) const {
-  return RecordOf(RecordKey(job)).record.Contains(job, workspace, m_timers.clock().WallNow());
+  return RecordOf(RecordKey(job)).record.Contains(job, workspace);
 }
 
 void WithdrawalStore::Adopt(const JobId& job, const std::vector<StoreItem>& items) {
@@ -61,16 +76,16 @@
         .Write();
   }
   known.record = record.ok() ? *std::move(record) : WithdrawalRecord();
+  known.read_at = m_timers.clock().Now();
 }
 
 void WithdrawalStore::Withdraw(const JobId& job, const WorkspaceId& workspace,
                                Transaction transaction, Milliseconds deadline,
                                std::function<void(const Result&)> callback) {
   const std::string key = RecordKey(job);
-  const KnownRecord& known = RecordOf(key);
-  const Withdrawal withdrawal = MakeWithdrawal(job, workspace, m_timers.clock().WallNow());
+  const KnownRecord known = RecordOf(key);
+  const Withdrawal withdrawal = MakeWithdrawal(job, workspace, m_next_stamp++);
   WithdrawalRecord record = known.record;
-  record.DropExpired(withdrawal.at);
   if (const std::optional<Milliseconds> wait = record.Add(withdrawal); wait.has_value()) {
     callback(Result{Outcome::kFull, *wait});
     return;
@@ -90,14 +105,16 @@
   switch (written.outcome) {
     case WriteOutcome::kStored:
       Adopt(key, written.revision, text);
-      RecordHeld(key);
+      RecordHeld();
+      SchedulePrune(key);
       callback(Result{Outcome::kStored});
       return;
     case WriteOutcome::kConflict:
       Adopt(withdrawal.job, written.items);
       if (RecordOf(key).record.Includes(withdrawal)) {
         // An earlier send of this write was applied.
-        RecordHeld(key);
+        RecordHeld();
+        SchedulePrune(key);
         callback(Result{Outcome::kStored});
       } else {
         callback(Result{Outcome::kConflict, Milliseconds(0), written.items});
@@ -112,13 +129,10 @@
   }
 }
 
-void WithdrawalStore::RecordHeld(const std::string& key) {
-  m_held_until.push_back(m_timers.clock().Now() + kTimeKept);
+void WithdrawalStore::RecordHeld() {
+  m_held_until.push_back(m_timers.clock().Now() + kWithdrawalLifetime);
   ExportHeld();
-  m_timers.After(kTimeKept, [this] { ExportHeld(); });
-  if (m_prunes_scheduled.insert(key).second) {
-    m_timers.After(kTimeKept, [this, key] { Prune(key); });
-  }
+  m_timers.After(kWithdrawalLifetime, [this] { ExportHeld(); });
 }
 
 void WithdrawalStore::ExportHeld() {
@@ -130,17 +144,21 @@
   m_metrics.SetGauge("papayalift_withdrawals_held", static_cast<double>(m_held_until.size()));
 }
 
+void WithdrawalStore::SchedulePrune(const std::string& key) {
+  const WithdrawalRecord record = RecordOf(key).record;
+  if (record.size() > 0 && m_prunes_scheduled.insert(key).second) {
+    m_timers.After(std::max(record.TimeUntilExpiry(), kMinPruneInterval),
+                   [this, key] { Prune(key); });
+  }
+}
+
 void WithdrawalStore::Prune(const std::string& key) {
   m_prunes_scheduled.erase(key);
-  const KnownRecord& known = RecordOf(key);
-  WithdrawalRecord record = known.record;
-  record.DropExpired(m_timers.clock().WallNow());
-  if (record.size() > 0) {
-    // The rest is dropped with the next withdrawal, or by this node after the same time.
-    m_prunes_scheduled.insert(key);
-    m_timers.After(kTimeKept, [this, key] { Prune(key); });
-  }
-  if (record.size() == known.record.size()) {
+  const std::size_t stored = m_records.at(key).record.size();
+  const KnownRecord known = RecordOf(key);
+  const WithdrawalRecord& record = known.record;
+  SchedulePrune(key);
+  if (record.size() == stored) {
     return;
   }
   const std::string text = record.Encode();
--- a/src/libraries/job_requests/withdrawal_store.h
+++ b/src/libraries/job_requests/withdrawal_store.h
@@ -21,15 +21,15 @@
 /// submission compares the revision of its job's record. A submission that was sent before the
 /// withdrawal can therefore never be carried out after it, however late the store does: the record
 /// is never removed, and its revision only rises. No lease has to last for that, and no clock to be
-/// right; these only say how long later submissions of the id are refused.
+/// right. The list in the record only says how long later submissions of the id are refused; each
+/// node lets the withdrawals that it knows age on its own steady clock.
 class WithdrawalStore {
  public:
   /// Records of all jobs together. Fewer make submissions of other jobs conflict more often, each
   /// once for each withdrawal; more make cancelled ids keep more state.
   static constexpr std::uint64_t kRecords = 64;
 
-  WithdrawalStore(Timers& timers, StorePort& store, Metrics& metrics)
-      : m_timers(timers), m_store(store), m_metrics(metrics) {}
+  WithdrawalStore(Timers& timers, StorePort& store, Metrics& metrics);
 
   /// Key of the record that holds the job's withdrawals.
   static std::string RecordKey(const JobId& job);
@@ -38,7 +38,8 @@
   /// after this call.
   void ExpectNoWithdrawal(const JobId& job, Transaction& transaction) const;
 
-  /// Whether the workspace's job is known to be withdrawn.
+  /// Whether the workspace's job is withdrawn, as far as this node knows. Another node may have
+  /// dropped the withdrawal since.
   bool IsWithdrawn(const JobId& job, const WorkspaceId& workspace) const;
 
   /// Takes over the job's record, if it is among the items that a conflict has shown.
@@ -67,14 +68,18 @@
   struct KnownRecord {
     Revision revision;
     WithdrawalRecord record;
+    /// When this node read it.
+    Milliseconds read_at{0};
   };
 
-  const KnownRecord& RecordOf(const std::string& key) const;
+  /// What this node knows of the record, aged until now.
+  KnownRecord RecordOf(const std::string& key) const;
   void Adopt(const std::string& key, Revision revision, const std::string& text);
   void OnWritten(const std::string& key, const Withdrawal& withdrawal, const std::string& text,
                  const WriteResult& written, const std::function<void(const Result&)>& callback);
-  void RecordHeld(const std::string& key);
+  void RecordHeld();
   void ExportHeld();
+  void SchedulePrune(const std::string& key);
   /// Writes the record without what has expired, so that an idle one does not stay large.
   void Prune(const std::string& key);
 
@@ -85,6 +90,8 @@
   std::set<std::string> m_prunes_scheduled;
   /// Until when each withdrawal that this node has stored is kept.
   std::deque<Milliseconds> m_held_until;
+  /// Of the next withdrawal. The first is drawn by chance, so that no two nodes share one.
+  std::uint64_t m_next_stamp;
 };
 
 }  // namespace papayalift
--- a/src/libraries/journal/withdrawal_record.cc
+++ b/src/libraries/journal/withdrawal_record.cc
@@ -1,7 +1,6 @@
 #include "libraries/journal/withdrawal_record.h"
 
 #include <algorithm>
-#include <limits>
 
 #include "libraries/base/hash.h"
 #include "libraries/model/json_document.h"
@@ -10,9 +9,6 @@
 
 namespace {
 
-/// After the latest time that a wall clock may show.
-constexpr std::int64_t kMaxTimeMs = 1LL << 53;
-
 constexpr char kListField[] = "withdrawals";
 
 bool IsSameJob(const Withdrawal& left, const Withdrawal& right) {
@@ -21,18 +17,19 @@
 
 }  // namespace
 
-Withdrawal MakeWithdrawal(const JobId& job, const WorkspaceId& workspace, Milliseconds now) {
-  return Withdrawal{job, Hash64(workspace.text()), now};
+Withdrawal MakeWithdrawal(const JobId& job, const WorkspaceId& workspace, std::uint64_t stamp) {
+  return Withdrawal{job, Hash64(workspace.text()), stamp, Milliseconds(0)};
 }
 
 absl::StatusOr<WithdrawalRecord> WithdrawalRecord::Decode(std::string_view text) {
   return DecodeRecord<WithdrawalRecord>(text, [](const Json& json) {
     WithdrawalRecord record;
-    // Each row is [job, hash of the workspace, time].
+    // Each row is [job, hash of the workspace, stamp, age].
     for (const Json& row : json.at(kListField)) {
-      record.m_withdrawals.push_back(Withdrawal{JobId(row.at(0).get<std::string>()),
-                                                row.at(1).get<std::uint64_t>(),
-                                                Milliseconds(IntegerOf(row.at(2), 0, kMaxTimeMs))});
+      record.m_withdrawals.push_back(
+          Withdrawal{JobId(row.at(0).get<std::string>()), row.at(1).get<std::uint64_t>(),
+                     row.at(2).get<std::uint64_t>(),
+                     Milliseconds(IntegerOf(row.at(3), 0, kWithdrawalLifetime.count()))});
     }
     return record;
   });
@@ -41,26 +38,21 @@
 std::string WithdrawalRecord::Encode() const {
   Json rows = Json::array();
   for (const Withdrawal& withdrawal : m_withdrawals) {
-    rows.push_back({withdrawal.job.text(), withdrawal.workspace_hash, withdrawal.at.count()});
+    rows.push_back({withdrawal.job.text(), withdrawal.workspace_hash, withdrawal.stamp,
+                    withdrawal.age.count()});
   }
   return Json{{kListField, std::move(rows)}}.dump();
 }
 
-bool WithdrawalRecord::HasExpired(const Withdrawal& withdrawal, Milliseconds now) {
-  return now - withdrawal.at >= kWithdrawalLifetime + kWithdrawalClockMargin;
-}
-
-bool WithdrawalRecord::Contains(const JobId& job, const WorkspaceId& workspace,
-                                Milliseconds now) const {
-  const Withdrawal wanted = MakeWithdrawal(job, workspace, now);
-  return std::any_of(m_withdrawals.begin(), m_withdrawals.end(), [&](const Withdrawal& one) {
-    return IsSameJob(one, wanted) && !HasExpired(one, now);
-  });
+bool WithdrawalRecord::Contains(const JobId& job, const WorkspaceId& workspace) const {
+  const Withdrawal wanted = MakeWithdrawal(job, workspace, 0);
+  return std::any_of(m_withdrawals.begin(), m_withdrawals.end(),
+                     [&wanted](const Withdrawal& one) { return IsSameJob(one, wanted); });
 }
 
 bool WithdrawalRecord::Includes(const Withdrawal& withdrawal) const {
   return std::any_of(m_withdrawals.begin(), m_withdrawals.end(), [&](const Withdrawal& one) {
-    return IsSameJob(one, withdrawal) && one.at >= withdrawal.at;
+    return IsSameJob(one, withdrawal) && one.stamp == withdrawal.stamp;
   });
 }
 
@@ -76,19 +68,28 @@
     m_withdrawals.push_back(withdrawal);
     return std::nullopt;
   }
-  Milliseconds oldest(std::numeric_limits<std::int64_t>::max());
+  Milliseconds oldest{0};
   for (const Withdrawal& one : m_withdrawals) {
     if (!is_workspace_full || is_of_workspace(one)) {
-      oldest = std::min(oldest, one.at);
+      oldest = std::max(oldest, one.age);
     }
   }
-  const Milliseconds room_at = oldest + kWithdrawalLifetime + kWithdrawalClockMargin;
-  return std::clamp(room_at - withdrawal.at, Milliseconds(1),
-                    kWithdrawalLifetime + kWithdrawalClockMargin);
+  return std::max(kWithdrawalLifetime - oldest, Milliseconds(1));
+}
+
+Milliseconds WithdrawalRecord::TimeUntilExpiry() const {
+  const auto oldest = std::max_element(
+      m_withdrawals.begin(), m_withdrawals.end(),
+      [](const Withdrawal& left, const Withdrawal& right) { return left.age < right.age; });
+  return kWithdrawalLifetime - oldest->age;
 }
 
-void WithdrawalRecord::DropExpired(Milliseconds now) {
-  std::erase_if(m_withdrawals, [now](const Withdrawal& one) { return HasExpired(one, now); });
+void WithdrawalRecord::Advance(Milliseconds time) {
+  for (Withdrawal& one : m_withdrawals) {
+    one.age += time;
+  }
+  std::erase_if(m_withdrawals,
+                [](const Withdrawal& one) { return one.age >= kWithdrawalLifetime; });
 }
 
 }  // namespace papayalift
--- a/src/libraries/journal/withdrawal_record.h
+++ b/src/libraries/journal/withdrawal_record.h
@@ -14,19 +14,20 @@
 
 namespace papayalift {
 
-/// How long a withdrawal is kept at least: for the longest budget of a request, as its consumer or
-/// the ingress may send it again, and while a node that stood still goes on. A write that the store
+/// How long a withdrawal is kept: for the longest budget of a request, as its consumer or the
+/// ingress may send it again, and while a node that stood still goes on. A write that the store
 /// carries out late is barred for ever by the record's revision.
-constexpr Milliseconds kWithdrawalLifetime{90'000};
-/// Withdrawals are kept this much longer, as they are dated by the wall clocks of nodes.
-constexpr Milliseconds kWithdrawalClockMargin{10'000};
+constexpr Milliseconds kWithdrawalLifetime{100'000};
 
 struct Withdrawal {
   JobId job;
   /// Hash of the workspace's name, which may be long.
   std::uint64_t workspace_hash = 0;
-  /// Wall clock of the node that stored it.
-  Milliseconds at{0};
+  /// Tells this withdrawal from others of the same job and workspace.
+  std::uint64_t stamp = 0;
+  /// At least so much time has passed since it was stored. No wall clock tells it: these may jump
+  /// by hours.
+  Milliseconds age{0};
 
   bool operator==(const Withdrawal&) const = default;
 };
@@ -43,23 +44,24 @@
   std::string Encode() const;
 
   /// Whether the workspace's job is withdrawn.
-  bool Contains(const JobId& job, const WorkspaceId& workspace, Milliseconds now) const;
-  /// Whether the withdrawal, or a later one of the same job and workspace, is in the record.
+  bool Contains(const JobId& job, const WorkspaceId& workspace) const;
+  /// Whether this very withdrawal is in the record.
   bool Includes(const Withdrawal& withdrawal) const;
   /// Adds the withdrawal in place of an earlier one of the same job and workspace. Without room
   /// nothing is added, and the time after which there will be some is returned.
   std::optional<Milliseconds> Add(const Withdrawal& withdrawal);
-  void DropExpired(Milliseconds now);
+  /// Lets all withdrawals age, and drops those that have been kept for long enough.
+  void Advance(Milliseconds time);
+  /// Time until the first withdrawal expires. The record must not be empty.
+  Milliseconds TimeUntilExpiry() const;
   std::size_t size() const { return m_withdrawals.size(); }
 
  private:
-  static bool HasExpired(const Withdrawal& withdrawal, Milliseconds now);
-
   /// In the order in which they were stored.
   std::vector<Withdrawal> m_withdrawals;
 };
 
-/// The withdrawal of the workspace's job.
-Withdrawal MakeWithdrawal(const JobId& job, const WorkspaceId& workspace, Milliseconds now);
+/// A new withdrawal of the workspace's job.
+Withdrawal MakeWithdrawal(const JobId& job, const WorkspaceId& workspace, std::uint64_t stamp);
 
 }  // namespace papayalift
--- a/tests/leader/withdrawn_job_test.cc
+++ b/tests/leader/withdrawn_job_test.cc
@@ -24,7 +24,7 @@
   return job;
 }
 
-constexpr Milliseconds kMaxTimeKept = kWithdrawalLifetime + kWithdrawalClockMargin;
+constexpr Milliseconds kMaxTimeKept = kWithdrawalLifetime + Milliseconds(10'000);
 
 /// The withdrawals in all records.
 std::size_t WithdrawalsIn(const TestCluster& cluster) {
@@ -186,6 +186,33 @@
   ExpectNeverStarted(cluster);
 }
 
+// No wall clock tells how long a withdrawal is kept.
+Test(withdrawal_record, is_encoded_without_times_of_day_and_ages_as_told) {
+  WithdrawalRecord record;
+  cr_assert_not(record.Add(MakeWithdrawal(kJob, WorkspaceId("shop"), 1)).has_value());
+  record.Advance(kWithdrawalLifetime - Milliseconds(1));
+  const absl::StatusOr<WithdrawalRecord> decoded = WithdrawalRecord::Decode(record.Encode());
+  cr_assert(decoded->Contains(kJob, WorkspaceId("shop")));
+  cr_assert_not(decoded->Contains(kJob, WorkspaceId("yard")));
+  record.Advance(Milliseconds(1));
+  cr_assert_eq(record.size(), 0);
+}
+
+Test(withdrawal_record, has_room_for_other_workspaces_and_tells_when_there_is_more) {
+  WithdrawalRecord record;
+  const auto add = [&record](int number, const std::string& workspace) {
+    return record.Add(MakeWithdrawal(MakeJobId(number), WorkspaceId(workspace), 1));
+  };
+  int stored = 0;
+  while (!add(stored, "shop").has_value()) {
+    ++stored;
+  }
+  cr_assert_eq(stored, static_cast<int>(WithdrawalRecord::kMaxWithdrawalsOfWorkspace));
+  cr_assert_not(add(stored, "yard").has_value());
+  record.Advance(Milliseconds(30'000));
+  cr_assert_eq(add(stored, "shop").value().count(), kWithdrawalLifetime.count() - 30'000);
+}
+
 // The record that a withdrawal shares with other jobs changes under their submissions.
 Test(withdrawn_job, fails_no_submission_of_another_job) {
   TestCluster cluster(2);
