Planner: Keep each workspace within its quota

A planning pass now counts what each workspace has running, from the decision until a run has certainly ended, and starts no more than its quota allows. A job that can never fit is refused at submission, unless it is stored already. In a full fleet, steps of workspaces over their weighted share are planned last within their priority. The log says `quota` for a step that waits, and gauges show running and quota.

Deployments without quotas and weights are planned as before.

--- a/src/libraries/job_requests/job_request.h
+++ b/src/libraries/job_requests/job_request.h
@@ -49,6 +49,8 @@
   kMalformed,
   /// The job or its queue needs a feature that is not supported; the job was not run.
   kUnsupported,
+  /// A step of the job can never fit the quota of its workspace; the job was not run.
+  kExceedsQuota,
   /// Nothing was stored, and this request has no later effect.
   kUnavailable,
   /// The request may have taken effect; repeating it gives the outcome.
--- a/src/libraries/job_requests/job_request_handler.cc
+++ b/src/libraries/job_requests/job_request_handler.cc
@@ -27,7 +27,7 @@
 constexpr Milliseconds kFirstReadRetryDelay{100};
 constexpr std::size_t kJobIdLength = 16;
 
-constexpr std::array<EnumName<JobReplyKind>, 14> kReplyNames{
+constexpr std::array<EnumName<JobReplyKind>, 15> kReplyNames{
     {{JobReplyKind::kAccepted, "accepted"},
      {JobReplyKind::kState, "state"},
      {JobReplyKind::kPending, "pending"},
@@ -40,6 +40,7 @@
      {JobReplyKind::kBadKey, "bad key"},
      {JobReplyKind::kMalformed, "malformed"},
      {JobReplyKind::kUnsupported, "unsupported"},
+     {JobReplyKind::kExceedsQuota, "exceeds quota"},
      {JobReplyKind::kUnavailable, "unavailable"},
      {JobReplyKind::kUnclear, "unclear"}}};
 
@@ -170,6 +171,10 @@
     Refuse(context, JobReplyKind::kUnsupported, "the queue needs a recommendation service");
     return;
   }
+  if (const std::string obstacle = QuotaObstacle(*work, context->workspace); !obstacle.empty()) {
+    RefuseUnlessStored(context, obstacle);
+    return;
+  }
   if (!m_withdrawals.IsWithdrawn(context->job, context->workspace)) {
     CommitSubmission(context, *work);
     return;
@@ -186,6 +191,37 @@
                }));
 }
 
+std::string JobRequestHandler::QuotaObstacle(const WorkSpec& work,
+                                             const WorkspaceId& workspace) const {
+  const ManifestWorkspace* const found = m_view.manifest()->FindWorkspace(workspace);
+  if (found == nullptr) {
+    return "";
+  }
+  for (std::size_t index = 0; index < work.steps.size(); ++index) {
+    if (!found->CanEverRun(work.steps[index])) {
+      return "step " + std::to_string(index) + " needs more at once than the quota of workspace " +
+             workspace.text() + " allows";
+    }
+  }
+  return "";
+}
+
+void JobRequestHandler::RefuseUnlessStored(const RequestContextPointer& context,
+                                           const std::string& obstacle) {
+  // An earlier send of the submission may be stored, under a manifest with a larger quota. One that
+  // is not stored by now fails, as it compares that manifest's revision.
+  m_store.Read(AcceptedKey(context->job),
+               WhenRead(context, [this, context, obstacle](const ReadAnswer& record) {
+                 if (record.items.empty()) {
+                   Refuse(context, JobReplyKind::kExceedsQuota, obstacle);
+                 } else if (MayAccessRecord(*context, record.items.front())) {
+                   Finish(context, JobReply{JobReplyKind::kAccepted, context->job});
+                 } else {
+                   Refuse(context, JobReplyKind::kIdTaken, "the id is in use");
+                 }
+               }));
+}
+
 void JobRequestHandler::CommitSubmission(const RequestContextPointer& context,
                                          const WorkSpec& work) {
   const QueueSpec& queue = context->queue;
--- a/src/libraries/job_requests/job_request_handler.h
+++ b/src/libraries/job_requests/job_request_handler.h
@@ -48,6 +48,10 @@
               const std::string& written_key, JobReplyKind success);
   bool Authorize(const RequestContextPointer& context, const FleetManifest& manifest);
   void Submit(const RequestContextPointer& context);
+  /// Why the job can never run under the quota of its workspace; empty if it can.
+  std::string QuotaObstacle(const WorkSpec& work, const WorkspaceId& workspace) const;
+  /// Refuses a job that can never run, unless it is stored already.
+  void RefuseUnlessStored(const RequestContextPointer& context, const std::string& obstacle);
   void CommitSubmission(const RequestContextPointer& context, const WorkSpec& work);
   void RefuseWithdrawn(const RequestContextPointer& context);
   /// Replies to a write that creates `written_key`, or dispatches the request again if what it
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -7,6 +7,7 @@
 #include "libraries/leader/lease_time.h"
 #include "libraries/leader/plan_snapshot_builder.h"
 #include "libraries/leader/task_isolation.h"
+#include "libraries/leader/workspace_load.h"
 #include "libraries/log/log_event.h"
 #include "libraries/planner/task_planner.h"
 
@@ -155,7 +156,8 @@
                         PlanSettings{m_settings.max_heartbeat_age, m_settings.remote_factor},
                         m_context.timers.clock());
   if (contents.snapshot.pending_steps.empty()) {
-    m_wait_monitor.Record(contents.waits_for_ends, contents.inputs, Now());
+    m_wait_monitor.Record(contents.waits_for_ends, contents.inputs, contents.snapshot.workspaces,
+                          Now());
     m_last_pass_at = began_at;
     return;
   }
@@ -169,7 +171,7 @@
   }
   plan.waits.insert(plan.waits.end(), contents.waits_for_ends.begin(),
                     contents.waits_for_ends.end());
-  m_wait_monitor.Record(plan.waits, contents.inputs, Now());
+  m_wait_monitor.Record(plan.waits, contents.inputs, contents.snapshot.workspaces, Now());
   m_last_plan_duration = Now() - began_at;
   m_context.metrics.Observe("papayalift_plan_ms",
                             static_cast<double>(m_last_plan_duration.count()));
@@ -271,6 +273,8 @@
   }
   m_supervisor->GiveUpLostRuns();
   ExportSilentRuns();
+  ExportWorkspaceLoads(MeasureWorkspaceLoads(m_state, *m_context.view.manifest()),
+                       m_context.metrics);
   m_lease_recorder->RemoveNeedless(kMinSilenceWithoutRuns);
   JudgeSuspects();
   ResolveOpenLosses();
--- a/src/libraries/leader/leader_state.cc
+++ b/src/libraries/leader/leader_state.cc
@@ -98,6 +98,9 @@
     job->runs_by_step.resize(job->progress.steps.size());
     ++job->runs_by_step[step];
   }
+  if (job != nullptr) {
+    run.workspace = job->accepted.workspace;
+  }
   const TaskName name = run.task;
   minion.runs.insert_or_assign(name, std::move(run));
 }
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -33,6 +33,8 @@
   AttemptNumber attempt;
   MinionId minion;
   MinionIncarnation incarnation;
+  /// Empty if the run's job is not known or has none.
+  WorkspaceId workspace;
   Resources needs;
   TrackedRunState state = TrackedRunState::kDecided;
   /// The run is to be stopped. It may be set before the outcome of the start is known.
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -8,6 +8,7 @@
 #include "libraries/leader/minion_usability.h"
 #include "libraries/leader/run_progress.h"
 #include "libraries/leader/task_isolation.h"
+#include "libraries/leader/workspace_load.h"
 #include "libraries/leader/workspace_usage.h"
 #include "libraries/planner/rack_wait.h"
 
@@ -50,7 +51,11 @@
  public:
   PlanSnapshotBuilder(LeaderState& state, const FleetManifest& manifest,
                       const PlanSettings& settings, const Clock& clock)
-      : m_state(state), m_usage(state, manifest), m_settings(settings), m_clock(clock) {}
+      : m_state(state),
+        m_manifest(manifest),
+        m_usage(state, manifest),
+        m_settings(settings),
+        m_clock(clock) {}
 
   PlanContents Build() {
     for (auto& [id, job] : m_state.jobs) {
@@ -68,6 +73,7 @@
     }
     if (!m_snapshot.pending_steps.empty()) {
       AddVictims();
+      m_snapshot.workspaces = MeasureWorkspaceLoads(m_state, m_manifest);
     }
     return std::move(m_contents);
   }
@@ -152,9 +158,9 @@
       return;
     }
     if (is_gang && (has_runs || pending.task_indexes.size() != tasks.size())) {
-      m_contents.waits_for_ends.push_back(PlannedWait{pending.job, pending.step, pending.service,
-                                                      static_cast<int>(pending.task_indexes.size()),
-                                                      WaitReason::kFormerRuns});
+      m_contents.waits_for_ends.push_back(
+          PlannedWait{pending.job, pending.step, pending.service, pending.workspace,
+                      static_cast<int>(pending.task_indexes.size()), WaitReason::kFormerRuns});
       return;
     }
     const Milliseconds now = m_clock.Now();
@@ -229,6 +235,7 @@
     PlanVictim victim;
     victim.job = job.accepted.id;
     victim.step = static_cast<int>(step);
+    victim.workspace = job.accepted.workspace;
     victim.priority = job.accepted.priority;
     victim.is_borrower = job.accepted.priority == kGuaranteedPriority;
     victim.needs_per_task = job.accepted.work.steps[step].needs;
@@ -253,6 +260,7 @@
   }
 
   LeaderState& m_state;
+  const FleetManifest& m_manifest;
   const WorkspaceUsage m_usage;
   const PlanSettings m_settings;
   const Clock& m_clock;
--- a/src/libraries/leader/wait_monitor.cc
+++ b/src/libraries/leader/wait_monitor.cc
@@ -11,10 +11,20 @@
 /// Shorter waits are not logged.
 constexpr Milliseconds kMinLoggedWait{1'000};
 
+void AddQuotaFields(const PlanWorkspace& workspace, LogEvent& event) {
+  event.Field("workspace", workspace.id.text())
+      .Field("running_cpu_milli", workspace.running.cpu_milli)
+      .Field("quota_cpu_milli", workspace.quota.cpu_milli)
+      .Field("running_memory_mb", workspace.running.memory_mb)
+      .Field("quota_memory_mb", workspace.quota.memory_mb)
+      .Field("running_accelerators", workspace.running.accelerators)
+      .Field("quota_accelerators", workspace.quota.accelerators);
+}
+
 }  // namespace
 
 void WaitMonitor::Record(const std::vector<PlannedWait>& waits, const PlanInputs& inputs,
-                         Milliseconds now) {
+                         const std::vector<PlanWorkspace>& workspaces, Milliseconds now) {
   std::map<StepName, StepWait> current;
   for (const PlannedWait& planned : waits) {
     const StepName name(planned.job, planned.step);
@@ -24,7 +34,7 @@
       wait.reason = planned.reason;
       wait.reason_since = now;
     }
-    LogIfLong(planned, wait, inputs, now);
+    LogIfLong(planned, wait, inputs, workspaces, now);
     current.insert_or_assign(name, wait);
   }
   m_waits = std::move(current);
@@ -37,7 +47,7 @@
 }
 
 void WaitMonitor::LogIfLong(const PlannedWait& planned, StepWait& wait, const PlanInputs& inputs,
-                            Milliseconds now) {
+                            const std::vector<PlanWorkspace>& workspaces, Milliseconds now) {
   bool& is_logged = wait.is_logged[static_cast<std::size_t>(wait.reason)];
   if (is_logged || now - wait.ready_since < kMinLoggedWait) {
     return;
@@ -46,8 +56,8 @@
   m_metrics.Increment("papayalift_step_waits_total{reason=\"" + WaitReasonText(wait.reason) +
                       "\"}");
   const ServiceInputs service = inputs.Of(planned.service);
-  LogEvent(LogLevel::kInfo, "leader", "a ready step waits")
-      .Job(planned.job)
+  LogEvent event(LogLevel::kInfo, "leader", "a ready step waits");
+  event.Job(planned.job)
       .Field("step", planned.step)
       .Field("tasks", planned.tasks)
       .Field("waited_ms", (now - wait.ready_since).count())
@@ -58,8 +68,14 @@
       .Field("free_accelerators", service.free.accelerators)
       .Field("capacity_cpu_milli", service.capacity.cpu_milli)
       .Field("capacity_accelerators", service.capacity.accelerators)
-      .Reason(WaitReasonText(wait.reason))
-      .Write();
+      .Reason(WaitReasonText(wait.reason));
+  const auto workspace = std::find_if(
+      workspaces.begin(), workspaces.end(),
+      [&planned](const PlanWorkspace& candidate) { return candidate.id == planned.workspace; });
+  if (wait.reason == WaitReason::kQuota && workspace != workspaces.end()) {
+    AddQuotaFields(*workspace, event);
+  }
+  event.Write();
 }
 
 void WaitMonitor::ExportGauges(Milliseconds now) {
--- a/src/libraries/leader/wait_monitor.h
+++ b/src/libraries/leader/wait_monitor.h
@@ -8,6 +8,7 @@
 #include "libraries/leader/plan_inputs.h"
 #include "libraries/metrics/metrics.h"
 #include "libraries/planner/plan.h"
+#include "libraries/planner/plan_snapshot.h"
 
 namespace papayalift {
 
@@ -28,7 +29,8 @@
   explicit WaitMonitor(Metrics& metrics) : m_metrics(metrics) {}
 
   /// Records the outcome of a planning pass. A step that is not among the waits waits no more.
-  void Record(const std::vector<PlannedWait>& waits, const PlanInputs& inputs, Milliseconds now);
+  void Record(const std::vector<PlannedWait>& waits, const PlanInputs& inputs,
+              const std::vector<PlanWorkspace>& workspaces, Milliseconds now);
 
   /// The wait that the last pass has shown for the step; nullptr if there is none.
   const StepWait* Find(const JobId& job, int step) const;
@@ -37,7 +39,7 @@
   using StepName = std::pair<JobId, int>;
 
   void LogIfLong(const PlannedWait& planned, StepWait& wait, const PlanInputs& inputs,
-                 Milliseconds now);
+                 const std::vector<PlanWorkspace>& workspaces, Milliseconds now);
   void ExportGauges(Milliseconds now);
 
   Metrics& m_metrics;
--- a/src/libraries/planner/plan.h
+++ b/src/libraries/planner/plan.h
@@ -32,6 +32,7 @@
   JobId job;
   int step = 0;
   ServiceId service;
+  WorkspaceId workspace;
   /// Number of the tasks that wait.
   int tasks = 0;
   WaitReason reason = WaitReason::kNoCapacity;
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -85,6 +85,19 @@
   Milliseconds max_isolation_wait_with_spare_capacity{0};
 };
 
+/// A workspace with a quota or a weight.
+struct PlanWorkspace {
+  WorkspaceId id;
+  /// What its runs may use together; 0 means no limit.
+  Resources quota;
+  /// Allocated to all its runs, those that are being stopped included.
+  Resources running;
+  /// Allocated to runs that are being stopped.
+  Resources being_freed;
+  /// Its share of a full fleet, relative to the weights of the others; 0 if none is set.
+  double weight = 0;
+};
+
 /// The minion chosen for the task with the index.
 struct PlannedPlacement {
   int index = 0;
@@ -95,6 +108,7 @@
 struct PlanVictim {
   JobId job;
   int step = 0;
+  WorkspaceId workspace;
   Priority priority;
   /// The job has guaranteed priority but exceeds its workspace's guarantee.
   bool is_borrower = false;
@@ -108,6 +122,7 @@
   std::vector<PlanMinion> minions;
   std::vector<PendingStep> pending_steps;
   std::vector<PlanVictim> victims;
+  std::vector<PlanWorkspace> workspaces;
 };
 
 }  // namespace papayalift
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -1,28 +1,39 @@
 #include "libraries/planner/task_planner.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 #include "libraries/planner/gang_reservation.h"
 #include "libraries/planner/isolation.h"
 #include "libraries/planner/placement_search.h"
 #include "libraries/planner/plan_capacity.h"
+#include "libraries/planner/quota_stops.h"
 #include "libraries/planner/rack_wait.h"
 #include "libraries/planner/reclaim_search.h"
+#include "libraries/planner/workspace_quotas.h"
+#include "libraries/planner/workspace_shares.h"
 
 namespace papayalift {
 
 namespace {
 
-/// Orders steps within their guarantee first, then by priority, then steps that can still be on
-/// time before late ones, then by least slack.
-bool PlansBefore(const PendingStep& left, const PendingStep& right) {
+/// Orders steps within their guarantee first, then by priority, then those of workspaces within
+/// their share, then steps that can still be on time before late ones, then by least slack.
+bool PlansBefore(const PendingStep& left, const PendingStep& right,
+                 const std::set<WorkspaceId>& over_share) {
   if (left.is_guaranteed != right.is_guaranteed) {
     return left.is_guaranteed;
   }
   if (left.priority != right.priority) {
     return left.priority < right.priority;
   }
+  const bool left_over_share = over_share.contains(left.workspace);
+  const bool right_over_share = over_share.contains(right.workspace);
+  if (left_over_share != right_over_share) {
+    return right_over_share;
+  }
   const bool left_late = left.slack < Milliseconds(0);
   const bool right_late = right.slack < Milliseconds(0);
   if (left_late != right_late) {
@@ -37,28 +48,92 @@
 class PlanningPass {
  public:
   explicit PlanningPass(const PlanSnapshot& snapshot)
-      : m_snapshot(snapshot), m_capacity(snapshot), m_is_stopped(snapshot.victims.size(), false) {}
+      : m_snapshot(snapshot),
+        m_capacity(snapshot),
+        m_quotas(snapshot),
+        m_is_stopped(snapshot.victims.size(), false) {}
 
   Plan Run() {
+    const std::vector<const PendingStep*> order = OrderedSteps();
+    ReserveForGangs(WithinQuota(order), m_capacity);
+    for (const PendingStep* const pending : order) {
+      PlanStep(*pending);
+    }
+    return std::move(m_plan);
+  }
+
+ private:
+  std::vector<const PendingStep*> OrderedSteps() const {
     std::vector<const PendingStep*> order;
     for (const PendingStep& pending : m_snapshot.pending_steps) {
       order.push_back(&pending);
     }
-    std::sort(order.begin(), order.end(), [](const PendingStep* left, const PendingStep* right) {
-      return PlansBefore(*left, *right);
-    });
-    ReserveForGangs(order, m_capacity);
-    for (const PendingStep* const pending : order) {
-      if (pending->spec.kind == WorkStepKind::kGang) {
-        PlanGang(*pending);
-      } else {
-        PlanIndependentTasks(*pending);
+    const std::set<WorkspaceId> over_share = FindWorkspacesOverShare(m_snapshot);
+    std::sort(order.begin(), order.end(),
+              [&over_share](const PendingStep* left, const PendingStep* right) {
+                return PlansBefore(*left, *right, over_share);
+              });
+    return order;
+  }
+
+  /// The steps that their quotas let start, for which it is worth to hold minions.
+  std::vector<const PendingStep*> WithinQuota(const std::vector<const PendingStep*>& steps) const {
+    std::vector<const PendingStep*> allowed;
+    std::copy_if(steps.begin(), steps.end(), std::back_inserter(allowed),
+                 [this](const PendingStep* step) { return m_quotas.TasksAllowed(*step) > 0; });
+    return allowed;
+  }
+
+  void PlanStep(const PendingStep& pending) {
+    const std::int64_t waiting = static_cast<std::int64_t>(pending.task_indexes.size());
+    const std::int64_t allowed = m_quotas.TasksAllowed(pending);
+    if (allowed == waiting) {
+      PlanWithinQuota(pending);
+    } else if (MayStopOthers(pending) && StopForQuota(pending)) {
+      if (!PlanWithStops(pending)) {
+        Wait(pending, pending.task_indexes.size(), WaitReason::kStops);
+      }
+    } else {
+      if (allowed > 0) {
+        PlanWithinQuota(FirstTasks(pending, allowed));
       }
+      Wait(pending, static_cast<std::size_t>(waiting - allowed), WaitReason::kQuota);
     }
-    return std::move(m_plan);
   }
 
- private:
+  void PlanWithinQuota(const PendingStep& pending) {
+    if (pending.spec.kind == WorkStepKind::kGang) {
+      PlanGang(pending);
+    } else {
+      PlanIndependentTasks(pending);
+    }
+  }
+
+  /// The step with the first of its waiting tasks only.
+  static PendingStep FirstTasks(const PendingStep& pending, std::int64_t tasks) {
+    PendingStep first = pending;
+    first.task_indexes.resize(static_cast<std::size_t>(tasks));
+    std::erase_if(first.isolated, [&first](int index) {
+      return std::find(first.task_indexes.begin(), first.task_indexes.end(), index) ==
+             first.task_indexes.end();
+    });
+    return first;
+  }
+
+  /// Stops runs of the step's own workspace until its quota has room for all waiting tasks. Returns
+  /// false if that does not help.
+  bool StopForQuota(const PendingStep& pending) {
+    const std::optional<std::vector<std::size_t>> victims =
+        FindQuotaStops(pending, m_quotas, m_snapshot.victims, m_is_stopped);
+    if (!victims.has_value()) {
+      return false;
+    }
+    for (const std::size_t index : *victims) {
+      StopVictim(index, pending.job);
+    }
+    return true;
+  }
+
   /// Starts the isolated tasks for which there are minions without runs. Returns the rest of the
   /// step, which has isolated tasks only if they have waited too long.
   PendingStep PlanIsolatedTasks(const PendingStep& pending) {
@@ -225,7 +300,9 @@
     if (!found.has_value()) {
       return false;
     }
-    if (found->victims.empty() && FitsFreeCapacity(pending, found->placements)) {
+    const std::int64_t tasks = static_cast<std::int64_t>(found->placements.size());
+    if (found->victims.empty() && m_quotas.TasksAllowed(pending) >= tasks &&
+        FitsFreeCapacity(pending, found->placements)) {
       Start(pending, FoundPlacements{found->placements, true});
       return true;
     }
@@ -237,6 +314,7 @@
     for (const PlannedPlacement& placement : found->placements) {
       m_capacity.Reserve(placement.minion, pending.spec.needs);
     }
+    m_quotas.Add(pending, tasks);
     Wait(pending, pending.task_indexes.size(),
          waits_for_rack ? WaitReason::kRack : WaitReason::kStops);
     return true;
@@ -260,18 +338,21 @@
     for (const PlannedPlacement& placement : victim.placements) {
       m_capacity.AddBeingFreed(placement.minion, victim.needs_per_task);
     }
+    m_quotas.AddBeingFreed(victim.workspace, victim.needs_per_task * static_cast<std::int64_t>(
+                                                                         victim.placements.size()));
     m_plan.stops.push_back(PlannedStop{victim.job, victim.step, victim.placements, beneficiary});
   }
 
   void Wait(const PendingStep& pending, std::size_t tasks, WaitReason reason) {
-    m_plan.waits.push_back(
-        PlannedWait{pending.job, pending.step, pending.service, static_cast<int>(tasks), reason});
+    m_plan.waits.push_back(PlannedWait{pending.job, pending.step, pending.service,
+                                       pending.workspace, static_cast<int>(tasks), reason});
   }
 
   void Start(const PendingStep& pending, const FoundPlacements& found) {
     for (const PlannedPlacement& placement : found.placements) {
       m_capacity.Allocate(placement.minion, pending.spec.needs, pending.spec.estimate);
     }
+    m_quotas.Add(pending, static_cast<std::int64_t>(found.placements.size()));
     m_plan.starts.push_back(PlannedStart{pending.job, pending.step, found.placements,
                                          found.meets_rack_preference
                                              ? "capacity on preferred racks"
@@ -280,6 +361,7 @@
 
   const PlanSnapshot& m_snapshot;
   PlanCapacity m_capacity;
+  WorkspaceQuotas m_quotas;
   std::vector<bool> m_is_stopped;
   bool m_has_reserved_minion = false;
   Plan m_plan;
--- a/src/libraries/planner/wait_reason.cc
+++ b/src/libraries/planner/wait_reason.cc
@@ -9,7 +9,7 @@
 
 std::string WaitReasonText(WaitReason reason) {
   static constexpr std::array<const char*, kWaitReasons> kTexts = {
-      "no_capacity", "rack", "reserved", "stops", "isolation", "former_runs"};
+      "no_capacity", "rack", "reserved", "stops", "isolation", "former_runs", "quota"};
   return kTexts[static_cast<std::size_t>(reason)];
 }
 
--- a/src/libraries/planner/wait_reason.h
+++ b/src/libraries/planner/wait_reason.h
@@ -21,9 +21,11 @@
   kIsolation,
   /// Runs of the gang's former attempt have not ended.
   kFormerRuns,
+  /// Its workspace has as much running as its quota allows.
+  kQuota,
 };
 
-constexpr std::size_t kWaitReasons = 6;
+constexpr std::size_t kWaitReasons = 7;
 
 /// As named in logs and metrics, such as "no_capacity".
 std::string WaitReasonText(WaitReason reason);
--- a/src/libraries/work/fleet_manifest.cc
+++ b/src/libraries/work/fleet_manifest.cc
@@ -4,6 +4,11 @@
 
 namespace papayalift {
 
+bool ManifestWorkspace::CanEverRun(const StepSpec& step) const {
+  const std::int64_t together = step.kind == WorkStepKind::kGang ? step.count : 1;
+  return (step.needs * together).Fits(QuotaLeft(quota, Resources{}));
+}
+
 const QueueSpec* FleetManifest::FindQueue(const QueueId& id) const {
   const auto found = std::find_if(queues.begin(), queues.end(),
                                   [&id](const QueueSpec& queue) { return queue.id == id; });
--- a/src/libraries/work/fleet_manifest.h
+++ b/src/libraries/work/fleet_manifest.h
@@ -7,6 +7,8 @@
 
 #include "libraries/base/ids.h"
 #include "libraries/base/units.h"
+#include "libraries/work/resources.h"
+#include "libraries/work/work_spec.h"
 
 namespace papayalift {
 
@@ -38,6 +40,14 @@
   WorkspaceId id;
   std::set<std::string> keys;
   AcceleratorCount guaranteed;
+  /// What its runs may use together, over all minions; 0 means no limit.
+  Resources quota;
+  /// Its share of a full fleet, relative to the weights of the others; 0 if none is set.
+  double weight = 0;
+
+  bool has_quota() const { return quota != Resources{}; }
+  /// Whether all tasks of the step that must run together fit the quota while nothing else runs.
+  bool CanEverRun(const StepSpec& step) const;
 };
 
 struct FleetManifest {
--- a/src/libraries/work/resources.cc
+++ b/src/libraries/work/resources.cc
@@ -1,6 +1,7 @@
 #include "libraries/work/resources.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace papayalift {
 
@@ -54,6 +55,16 @@
   return times;
 }
 
+Resources QuotaLeft(const Resources& quota, const Resources& used) {
+  constexpr std::int64_t kUnlimited = std::numeric_limits<std::int64_t>::max();
+  const auto left = [&](std::int64_t Resources::*member) {
+    return quota.*member == 0 ? kUnlimited
+                              : std::max<std::int64_t>(0, quota.*member - used.*member);
+  };
+  return Resources{left(&Resources::cpu_milli), left(&Resources::memory_mb),
+                   left(&Resources::accelerators)};
+}
+
 double WeightedCores(const Resources& resources) {
   constexpr double kMilliPerCore = 1'000;
   constexpr double kCoresPerAccelerator = 8;
--- a/src/libraries/work/resources.h
+++ b/src/libraries/work/resources.h
@@ -25,6 +25,10 @@
   std::int64_t MaxCountIn(const Resources& available, std::int64_t limit) const;
 };
 
+/// What a quota leaves: `quota` less `used` in each dimension, or as good as unlimited where the
+/// quota is 0. Never negative.
+Resources QuotaLeft(const Resources& quota, const Resources& used);
+
 /// Size in cores; an accelerator counts as eight cores, memory is ignored.
 double WeightedCores(const Resources& resources);
 
--- a/tests/leader/test_cluster.cc
+++ b/tests/leader/test_cluster.cc
@@ -136,6 +136,13 @@
                    {{"name", "yard"}, {"apiKeys", {"other"}}, {"guaranteed", {{"gpu", 16}}}}}));
 }
 
+void TestCluster::PutManifestWithQuota(int version, std::int64_t accelerators) {
+  PutManifestOf(version, Json::array({{{"name", "shop"},
+                                       {"apiKeys", {"key"}},
+                                       {"guaranteed", {{"gpu", 8}}},
+                                       {"maxCount", {{"gpu", accelerators}}}}}));
+}
+
 void TestCluster::PutManifestOf(int version, const Json& workspaces) {
   nlohmann::json manifest{{"version", version}, {"routes", nlohmann::json::array()}};
   for (int priority = 0; priority < 3; ++priority) {
--- a/tests/leader/test_cluster.h
+++ b/tests/leader/test_cluster.h
@@ -72,6 +72,8 @@
   /// Workspace "shop" with key "key" and "yard" with key "other", each with 16 guaranteed
   /// accelerators.
   void PutManifestOfTwoWorkspaces(int version);
+  /// Workspace "shop" with key "key", 8 guaranteed accelerators and a quota of them.
+  void PutManifestWithQuota(int version, std::int64_t accelerators);
   /// Submits to the queue with the priority through the first live node.
   JobReply Submit(const JobId& id, const RegisteredJob& job, Priority priority = Priority(1));
   WorkState StateOf(const JobId& id);
--- a/tests/leader/wait_monitor_test.cc
+++ b/tests/leader/wait_monitor_test.cc
@@ -15,7 +15,7 @@
   PlanInputs inputs;
 
   void Record(WaitReason reason, Milliseconds now) {
-    monitor.Record({PlannedWait{kJob, 0, kService, 2, reason}}, inputs, now);
+    monitor.Record({PlannedWait{kJob, 0, kService, WorkspaceId(), 2, reason}}, inputs, {}, now);
   }
 
   std::int64_t CountOf(const std::string& reason) const {
@@ -64,7 +64,7 @@
   fixture.Record(WaitReason::kStops, Milliseconds(0));
   fixture.Record(WaitReason::kStops, Milliseconds(2'500));
   cr_assert(fixture.Exports("papayalift_longest_step_wait_ms{reason=\"stops\"} 2500"));
-  fixture.monitor.Record({}, fixture.inputs, Milliseconds(3'000));
+  fixture.monitor.Record({}, fixture.inputs, {}, Milliseconds(3'000));
   cr_assert(fixture.Exports("papayalift_waiting_steps{reason=\"stops\"} 0"));
   cr_assert_null(fixture.monitor.Find(kJob, 0));
 }
