Services: Check a configuration before it is sent

Operators could not tell what a manifest would do before it was in force: a bad one was ignored with a line in the nodes' logs.

--- a/src/services/commands.h
+++ b/src/services/commands.h
@@ -14,6 +14,7 @@
 void AddPlatformCommands(CLI::App& app, CommandContext& context);
 void AddDemoCommand(CLI::App& app, CommandContext& context);
 void AddBundleCommands(CLI::App& app, CommandContext& context);
+void AddConfigCommands(CLI::App& app, CommandContext& context);
 void AddZoneCommands(CLI::App& app, CommandContext& context);
 void AddJobCommands(CLI::App& app, CommandContext& context);
 void AddCallCommand(CLI::App& app, CommandContext& context);
--- a/src/services/main.cc
+++ b/src/services/main.cc
@@ -29,6 +29,7 @@
   papayalift::AddPlatformCommands(app, context);
   papayalift::AddDemoCommand(app, context);
   papayalift::AddBundleCommands(app, context);
+  papayalift::AddConfigCommands(app, context);
   papayalift::AddZoneCommands(app, context);
   papayalift::AddJobCommands(app, context);
   papayalift::AddCallCommand(app, context);
