--- a/src/services/config_report.cc
+++ b/src/services/config_report.cc
@@ -30,10 +30,15 @@
   return text;
 }
 
+/// "1 error", "2 errors".
+std::string CountText(std::int64_t count, const std::string& noun) {
+  return fmt::format("{} {}{}", count, noun, count == 1 ? "" : "s");
+}
+
 std::string ResultText(const ConfigReport& report) {
   const std::string counts =
-      fmt::format("{} errors, {} warnings", report.Count(FindingSeverity::kError),
-                  report.Count(FindingSeverity::kWarning));
+      fmt::format("{}, {}", CountText(report.Count(FindingSeverity::kError), "error"),
+                  CountText(report.Count(FindingSeverity::kWarning), "warning"));
   if (report.has_errors() || !report.version.has_value()) {
     return fmt::format("{}: {}", report.file, counts);
   }
--- a/tests/services/config_command_test.cc
+++ b/tests/services/config_command_test.cc
@@ -80,6 +80,15 @@
   cr_assert_stdout_eq_str(expected.c_str());
 }
 
+// A file with faults in its syntax has no version, and a report without one must not be "ok".
+Test(config_command, file_that_is_not_json_is_reported_with_its_place, .init = Redirect) {
+  const std::string file = kFolder + "/../workspaces.toml";
+  cr_assert(RunCheck(file) == ExitCode::kUsage);
+  const std::string expected = "error: line 1, column 3: the text is not JSON from here on\n" +
+                               file + ": 1 error, 0 warnings\n";
+  cr_assert_stderr_eq_str(expected.c_str());
+}
+
 Test(config_command, file_that_is_missing_or_no_manifest_is_a_usage_error, .init = Redirect) {
   cr_expect(RunCheck(kFolder + "/none.json") == ExitCode::kUsage);
   cr_expect(RunCheck(kGood + " --against " + kFolder + "/none.json") == ExitCode::kUsage);
