HTTP: Bound the memory of request bodies by one budget

Callers saw a process end for want of memory: clients that send large bodies and stop just short of their end made it hold all of their bytes, up to 1,000 connections of 1 MB. Collect() in both servers knew only the limit of one body, cleared a body over it without giving the memory back, and each byte renewed the idle timeout.

BodyBudget judges the bytes of all bodies of a process. Over the budget the body with the largest product of bytes and age is closed, or the new one is refused with 503 and Retry-After; a part is kept for small bodies. A refused body holds nothing, is read up to four times the limit and then closed; one that is announced over that is refused before it is read. A body under a minimum rate is closed. AsyncHttpServer also ends requests whose headers come drop by drop, gives a body back when its handler returns, and finds its exchanges by key. The system's receive buffer of each connection is bounded too.

--- a/src/libraries/http/async_http_server.cc
+++ b/src/libraries/http/async_http_server.cc
@@ -7,23 +7,34 @@
 #include <algorithm>
 #include <cctype>
 #include <cstring>
+#include <unordered_map>
 #include <utility>
 
+#include "libraries/http/arriving_body.h"
+#include "libraries/http/connection_memory.h"
+#include "libraries/http/request_timeout_monitor.h"
+
 namespace papayalift {
 
 namespace {
 
 constexpr unsigned int kMillisecondsPerSecond = 1'000;
+constexpr Milliseconds kCheckInterval{1'000};
 
 /// State of one request until its response is sent.
 struct Exchange {
+  Exchange(BodyBudget& budget, std::size_t max_body_bytes, MHD_Connection* from)
+      : body(std::make_unique<ArrivingBody>(budget, max_body_bytes, ConnectionCloser(from))),
+        connection(from) {}
+
   HttpRequest request;
-  bool too_large = false;
+  /// Null after the handler has returned.
+  std::unique_ptr<ArrivingBody> body;
   bool dispatched = false;
   bool suspended = false;
   bool answered = false;
   HttpResponse response;
-  MHD_Connection* connection = nullptr;
+  MHD_Connection* const connection;
 };
 
 MHD_Result CollectQuery(void* context, MHD_ValueKind /*kind*/, const char* key, const char* value) {
@@ -63,20 +74,37 @@
   return response;
 }
 
+/// The response to a request whose body was not kept.
+HttpResponse RefusalOf(BodyVerdict verdict) {
+  if (verdict == BodyVerdict::kOverBudget) {
+    HttpResponse response =
+        ErrorResponse(HttpStatus::kUnavailable, "the bodies of other requests take up the memory");
+    response.headers["Retry-After"] = "1";
+    return response;
+  }
+  return ErrorResponse(HttpStatus::kPayloadTooLarge, "the request body is too large");
+}
+
 }  // namespace
 
 class AsyncHttpServer::Daemon {
  public:
   Daemon(EventLoop& loop, const HttpServerLimits& limits, AsyncHttpHandler handler)
-      : m_loop(loop), m_limits(limits), m_handler(std::move(handler)) {}
+      : m_loop(loop),
+        m_limits(limits),
+        m_handler(std::move(handler)),
+        m_own_budget(loop.clock(), BodyBudgetLimits{}),
+        m_budget(limits.body_budget == nullptr ? m_own_budget : *limits.body_budget),
+        m_timeout_monitor(limits.request_timeout) {}
 
   ~Daemon() {
     if (m_daemon == nullptr) {
       return;
     }
     m_loop.Cancel(m_timer);
+    m_loop.Cancel(m_check_timer);
     m_loop.Unwatch(m_descriptor);
-    for (const std::shared_ptr<Exchange>& exchange : m_exchanges) {
+    for (const auto& [address, exchange] : m_exchanges) {
       if (exchange->suspended) {
         MHD_resume_connection(exchange->connection);
       }
@@ -98,10 +126,13 @@
         MHD_OPTION_SOCK_ADDR, &endpoint, MHD_OPTION_CONNECTION_LIMIT, m_limits.connections,
         MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         m_limits.header_bytes, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
-        &Daemon::OnRequestCompleted, this, MHD_OPTION_END);
+        &Daemon::OnRequestCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
+        &Daemon::OnConnectionChange, this, MHD_OPTION_END);
     if (m_daemon == nullptr) {
       return absl::UnavailableError(fmt::format("can't listen on {}:{}", address, port));
     }
+    BoundReceiveBuffers(m_daemon);
+    CheckSlowRequests();
     m_port = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
     m_descriptor = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     return m_loop.Watch(m_descriptor, Readiness{.readable = true}, [this](Readiness) { Run(); });
@@ -123,23 +154,38 @@
                                                     state);
   }
 
-  static void OnRequestCompleted(void* context, MHD_Connection* /*connection*/, void** state,
+  static void OnRequestCompleted(void* context, MHD_Connection* connection, void** state,
                                  MHD_RequestTerminationCode /*code*/) {
+    Daemon& daemon = *static_cast<Daemon*>(context);
+    daemon.m_timeout_monitor.OnResponseSent(connection);
     if (*state == nullptr) {
       return;
     }
-    Daemon& daemon = *static_cast<Daemon*>(context);
-    const auto found = std::find_if(
-        daemon.m_exchanges.begin(), daemon.m_exchanges.end(),
-        [state](const std::shared_ptr<Exchange>& exchange) { return exchange.get() == *state; });
+    const auto found = daemon.m_exchanges.find(*state);
     if (found != daemon.m_exchanges.end()) {
       // A late response to this exchange is ignored.
-      (*found)->answered = true;
+      found->second->answered = true;
       daemon.m_exchanges.erase(found);
     }
     *state = nullptr;
   }
 
+  static void OnConnectionChange(void* context, MHD_Connection* connection, void** /*state*/,
+                                 MHD_ConnectionNotificationCode code) {
+    RequestTimeoutMonitor& monitor = static_cast<Daemon*>(context)->m_timeout_monitor;
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+      monitor.OnConnectionClosed(connection);
+    } else {
+      monitor.OnConnectionOpened(connection, DescriptorOf(connection));
+    }
+  }
+
+  void CheckSlowRequests() {
+    m_timeout_monitor.AbortLateRequests();
+    m_budget.EndSlowBodies();
+    m_check_timer = m_loop.After(kCheckInterval, [this] { CheckSlowRequests(); });
+  }
+
   /// Runs the daemon until it has no work left, then schedules its next timeout.
   void Run() {
     if (m_is_running) {
@@ -167,17 +213,18 @@
   MHD_Result OnRequest(MHD_Connection* connection, const char* url, const char* method,
                        const char* upload, std::size_t* upload_size, void** state) {
     if (*state == nullptr) {
-      const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>();
-      exchange->connection = connection;
-      m_exchanges.push_back(exchange);
+      const std::shared_ptr<Exchange> exchange =
+          std::make_shared<Exchange>(m_budget, m_limits.body_bytes, connection);
+      m_exchanges[exchange.get()] = exchange;
       *state = exchange.get();
-      return MHD_YES;
+      const BodyVerdict announced = exchange->body->Announce(AnnouncedBodyBytes(connection));
+      return announced == BodyVerdict::kClose ? Queue(connection, RefusalOf(announced)) : MHD_YES;
     }
     Exchange& exchange = *static_cast<Exchange*>(*state);
     if (*upload_size > 0) {
-      Collect(exchange, std::string_view(upload, *upload_size));
+      const BodyVerdict verdict = exchange.body->Append(std::string_view(upload, *upload_size));
       *upload_size = 0;
-      return MHD_YES;
+      return verdict == BodyVerdict::kClose ? MHD_NO : MHD_YES;
     }
     if (exchange.answered) {
       return Queue(connection, exchange.response);
@@ -189,16 +236,6 @@
     return Dispatch(connection, exchange, url, method);
   }
 
-  void Collect(Exchange& exchange, std::string_view bytes) const {
-    if (exchange.request.body.size() + bytes.size() > m_limits.body_bytes) {
-      exchange.too_large = true;
-      exchange.request.body.clear();
-    }
-    if (!exchange.too_large) {
-      exchange.request.body.append(bytes);
-    }
-  }
-
   MHD_Result Dispatch(MHD_Connection* connection, Exchange& exchange, const char* url,
                       const char* method) {
     const MethodEntry* const known = FindMethod(method);
@@ -206,21 +243,25 @@
       return Queue(connection,
                    ErrorResponse(HttpStatus::kMethodNotAllowed, "use GET, POST or DELETE"));
     }
-    if (exchange.too_large) {
-      return Queue(connection,
-                   ErrorResponse(HttpStatus::kPayloadTooLarge, "the request body is too large"));
+    const BodyVerdict verdict = exchange.body->Complete(exchange.request.body);
+    if (verdict == BodyVerdict::kClose) {
+      return MHD_NO;
+    }
+    if (verdict != BodyVerdict::kKept) {
+      return Queue(connection, RefusalOf(verdict));
     }
     exchange.request.method = known->method;
     exchange.request.path = url;
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, CollectQuery, &exchange.request);
     MHD_get_connection_values(connection, MHD_HEADER_KIND, CollectHeader, &exchange.request);
     exchange.dispatched = true;
-    const auto self = std::find_if(
-        m_exchanges.begin(), m_exchanges.end(),
-        [&exchange](const std::shared_ptr<Exchange>& other) { return other.get() == &exchange; });
-    const std::weak_ptr<Exchange> weak = *self;
+    m_timeout_monitor.OnRequestReceived(connection);
+    const std::weak_ptr<Exchange> weak = m_exchanges.at(&exchange);
     m_handler(exchange.request,
               [this, weak](HttpResponse response) { Answer(weak, std::move(response)); });
+    // The handler has decoded what it needs of the body.
+    exchange.request.body = std::string();
+    exchange.body.reset();
     if (exchange.answered) {
       return Queue(connection, exchange.response);
     }
@@ -266,6 +307,10 @@
   EventLoop& m_loop;
   const HttpServerLimits m_limits;
   const AsyncHttpHandler m_handler;
+  /// In use if the limits name no budget.
+  BodyBudget m_own_budget;
+  BodyBudget& m_budget;
+  RequestTimeoutMonitor m_timeout_monitor;
   bool m_is_closing = false;
   bool m_is_running = false;
   bool m_needs_rerun = false;
@@ -273,7 +318,8 @@
   std::uint16_t m_port = 0;
   int m_descriptor = -1;
   TimerId m_timer = 0;
-  std::vector<std::shared_ptr<Exchange>> m_exchanges;
+  TimerId m_check_timer = 0;
+  std::unordered_map<const void*, std::shared_ptr<Exchange>> m_exchanges;
 };
 
 AsyncHttpServer::AsyncHttpServer(std::unique_ptr<Daemon> daemon) : m_daemon(std::move(daemon)) {}
--- a/src/libraries/http/async_http_server.h
+++ b/src/libraries/http/async_http_server.h
@@ -17,7 +17,8 @@
 /// disconnected.
 using HttpResponder = std::function<void(HttpResponse)>;
 
-/// Handles one request; must ensure that `respond` is eventually called.
+/// Handles one request; must ensure that `respond` is eventually called. The request is valid only
+/// during the call.
 using AsyncHttpHandler = std::function<void(const HttpRequest&, HttpResponder respond)>;
 
 /// Must be used on the loop's thread only.
--- a/src/libraries/http/http_message.h
+++ b/src/libraries/http/http_message.h
@@ -40,7 +40,7 @@
   HttpStatus status = HttpStatus::kOk;
   std::string content_type = "application/json";
   std::string body;
-  /// In addition to those that the server sets by itself; only AsyncHttpServer sends them.
+  /// In addition to those that the server sets by itself.
   std::map<std::string, std::string> headers;
   /// If set, the body is streamed from here and `body` is ignored.
   BodySource stream;
--- a/src/libraries/http/http_server.cc
+++ b/src/libraries/http/http_server.cc
@@ -7,10 +7,12 @@
 
 #include <algorithm>
 #include <atomic>
-#include <charconv>
 #include <cstring>
 #include <utility>
 
+#include "libraries/base/boot_clock.h"
+#include "libraries/http/arriving_body.h"
+#include "libraries/http/connection_memory.h"
 #include "libraries/http/request_timeout_monitor.h"
 
 namespace papayalift {
@@ -22,10 +24,11 @@
 
 /// State of one request until its response is sent.
 struct Exchange {
+  Exchange(BodyBudget& budget, std::size_t max_body_bytes, MHD_Connection* connection)
+      : body(budget, max_body_bytes, ConnectionCloser(connection)) {}
+
   HttpRequest request;
-  bool too_large = false;
-  /// Received bytes of the body, including discarded ones.
-  std::uint64_t bytes = 0;
+  ArrivingBody body;
 };
 
 struct StreamBody {
@@ -77,6 +80,9 @@
                                             MHD_RESPMEM_MUST_COPY);
   }
   MHD_add_response_header(built, MHD_HTTP_HEADER_CONTENT_TYPE, response.content_type.c_str());
+  for (const auto& [name, value] : response.headers) {
+    MHD_add_response_header(built, name.c_str(), value.c_str());
+  }
   if (after == AfterResponse::kClose) {
     MHD_add_response_header(built, MHD_HTTP_HEADER_CONNECTION, "close");
   }
@@ -102,6 +108,17 @@
   return response;
 }
 
+/// The response to a request whose body was not kept.
+HttpResponse RefusalOf(BodyVerdict verdict) {
+  if (verdict == BodyVerdict::kOverBudget) {
+    HttpResponse response =
+        ErrorResponse(HttpStatus::kUnavailable, "the bodies of other requests take up the memory");
+    response.headers["Retry-After"] = "1";
+    return response;
+  }
+  return ErrorResponse(HttpStatus::kPayloadTooLarge, "the request body is too large");
+}
+
 }  // namespace
 
 class HttpServer::Daemon {
@@ -109,6 +126,8 @@
   Daemon(const HttpServerLimits& limits, HttpHandler handler)
       : m_limits(limits),
         m_handler(std::move(handler)),
+        m_own_budget(m_clock, BodyBudgetLimits{}),
+        m_budget(limits.body_budget == nullptr ? m_own_budget : *limits.body_budget),
         m_timeout_monitor(limits.request_timeout) {}
 
   ~Daemon() {
@@ -140,7 +159,8 @@
     if (m_daemon == nullptr) {
       return absl::UnavailableError(fmt::format("can't listen on {}:{}", address, port));
     }
-    m_timeout_monitor.Start();
+    BoundReceiveBuffers(m_daemon);
+    m_timeout_monitor.Start([this] { m_budget.EndSlowBodies(); });
     m_port = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
     return absl::OkStatus();
   }
@@ -193,53 +213,26 @@
   MHD_Result OnRequest(MHD_Connection* connection, const char* url, const char* method,
                        const char* upload, std::size_t* upload_size, void** state) {
     if (*state == nullptr) {
-      *state = new Exchange;
+      Exchange* const exchange = new Exchange(m_budget, m_limits.body_bytes, connection);
+      *state = exchange;
       ++m_in_flight;
-      return DeclaredBytes(connection) > MaxDiscardedBytes() ? QueueTooLarge(connection) : MHD_YES;
+      const BodyVerdict announced = exchange->body.Announce(AnnouncedBodyBytes(connection));
+      return announced == BodyVerdict::kClose ? Queue(connection, RefusalOf(announced)) : MHD_YES;
     }
     Exchange& exchange = *static_cast<Exchange*>(*state);
     if (*upload_size > 0) {
-      Collect(exchange, std::string_view(upload, *upload_size));
+      const BodyVerdict verdict = exchange.body.Append(std::string_view(upload, *upload_size));
       *upload_size = 0;
-      return exchange.bytes > MaxDiscardedBytes() ? MHD_NO : MHD_YES;
+      return verdict == BodyVerdict::kClose ? MHD_NO : MHD_YES;
     }
-    if (exchange.too_large) {
-      return QueueTooLarge(connection);
+    const BodyVerdict verdict = exchange.body.Complete(exchange.request.body);
+    if (verdict == BodyVerdict::kClose) {
+      return MHD_NO;
     }
-    return Answer(connection, exchange, url, method);
-  }
-
-  /// A body above the limit is read up to this size and discarded, so that the client reliably gets
-  /// the response 413; a larger body is not read.
-  std::uint64_t MaxDiscardedBytes() const {
-    constexpr std::uint64_t kBodyLimitMultiple = 4;
-    return kBodyLimitMultiple * m_limits.body_bytes;
-  }
-
-  static std::uint64_t DeclaredBytes(MHD_Connection* connection) {
-    const char* const text =
-        MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
-    std::uint64_t bytes = 0;
-    if (text != nullptr) {
-      std::from_chars(text, text + std::strlen(text), bytes);
-    }
-    return bytes;
-  }
-
-  static MHD_Result QueueTooLarge(MHD_Connection* connection) {
-    return Queue(connection,
-                 ErrorResponse(HttpStatus::kPayloadTooLarge, "the request body is too large"));
-  }
-
-  void Collect(Exchange& exchange, std::string_view bytes) const {
-    exchange.bytes += bytes.size();
-    if (exchange.request.body.size() + bytes.size() > m_limits.body_bytes) {
-      exchange.too_large = true;
-      exchange.request.body.clear();
-    }
-    if (!exchange.too_large) {
-      exchange.request.body.append(bytes);
+    if (verdict != BodyVerdict::kKept) {
+      return Queue(connection, RefusalOf(verdict));
     }
+    return Answer(connection, exchange, url, method);
   }
 
   MHD_Result Answer(MHD_Connection* connection, Exchange& exchange, const char* url,
@@ -260,6 +253,10 @@
 
   const HttpServerLimits m_limits;
   const HttpHandler m_handler;
+  const BootClock m_clock;
+  /// In use if the limits name no budget.
+  BodyBudget m_own_budget;
+  BodyBudget& m_budget;
   RequestTimeoutMonitor m_timeout_monitor;
   std::atomic<bool> m_is_closing{false};
   MHD_Daemon* m_daemon = nullptr;
--- a/src/libraries/http/http_server.h
+++ b/src/libraries/http/http_server.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/status/statusor.h"
+#include "libraries/http/body_budget.h"
 #include "libraries/http/http_message.h"
 
 namespace papayalift {
@@ -21,6 +22,8 @@
   /// A request that has not completely arrived within this time is aborted, even if it makes
   /// progress.
   Milliseconds request_timeout{60'000};
+  /// Bounds the memory of bodies; must outlive the server. Null: only the other limits apply.
+  BodyBudget* body_budget = nullptr;
 };
 
 /// Handles one request; called on the connection's own thread and may block.
--- a/src/libraries/http/request_timeout_monitor.cc
+++ b/src/libraries/http/request_timeout_monitor.cc
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include <utility>
+
 namespace papayalift {
 
 namespace {
@@ -10,10 +12,11 @@
 
 }  // namespace
 
-void RequestTimeoutMonitor::Start() {
-  m_thread.Start([this] {
+void RequestTimeoutMonitor::Start(std::function<void()> each_check) {
+  m_thread.Start([this, each_check = std::move(each_check)] {
     while (!m_stop.raised()) {
       AbortLateRequests();
+      each_check();
       m_stop.WaitFor(kCheckInterval);
     }
   });
--- a/src/libraries/http/request_timeout_monitor.h
+++ b/src/libraries/http/request_timeout_monitor.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <mutex>
 
@@ -19,7 +20,8 @@
   RequestTimeoutMonitor(const RequestTimeoutMonitor&) = delete;
   RequestTimeoutMonitor& operator=(const RequestTimeoutMonitor&) = delete;
 
-  void Start();
+  /// Aborts late requests on a thread, which also calls `each_check`.
+  void Start(std::function<void()> each_check);
   void Stop();
 
   void OnConnectionOpened(const void* connection, int socket);
@@ -30,6 +32,9 @@
   /// The response has been sent; the timeout of the next request begins.
   void OnResponseSent(const void* connection);
 
+  /// Aborts the requests that are late now; for users without the thread.
+  void AbortLateRequests();
+
  private:
   using Time = std::chrono::steady_clock::time_point;
   struct Entry {
@@ -38,8 +43,6 @@
     Time waiting_since;
   };
 
-  void AbortLateRequests();
-
   const Milliseconds m_timeout;
   std::mutex m_mutex;
   std::map<const void*, Entry> m_entries;
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "http/raw_connection.h"
+#include "libraries/base/boot_clock.h"
 #include "libraries/http/http_client.h"
 
 namespace papayalift {
@@ -108,6 +109,48 @@
   cr_expect(fixture.ServesFurtherCalls());
 }
 
+// The client must know that the request had no effect, and when to come back.
+Test(http_server, body_over_budget_gets_503_with_retry_after) {
+  const BootClock clock;
+  BodyBudgetLimits body_limits;
+  body_limits.total_bytes = 128UL * 1024;
+  body_limits.large_bytes = 64UL * 1024;
+  BodyBudget budget(clock, body_limits);
+  HttpServerLimits limits;
+  limits.body_budget = &budget;
+  ServerFixture fixture(limits);
+  constexpr std::size_t kBodyBytes = 100'000;
+  const RawConnection connection(fixture.server->port());
+  connection.Write("POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " +
+                   std::to_string(kBodyBytes) + "\r\n\r\n" + std::string(kBodyBytes, 'x'));
+  const std::string answer = connection.ReadToEnd();
+  cr_expect(answer.starts_with("HTTP/1.1 503"), "%s", answer.c_str());
+  cr_expect(answer.find("Retry-After: 1\r\n") != std::string::npos);
+  cr_expect(answer.find(R"("verdict":"not run")") != std::string::npos);
+  cr_expect(fixture.ServesFurtherCalls());
+}
+
+// Bodies that stop just short of their end and stay open must not keep others out.
+Test(http_server, body_that_stops_short_is_closed_to_make_room) {
+  const BootClock clock;
+  BodyBudgetLimits body_limits;
+  body_limits.total_bytes = 200UL * 1024;
+  body_limits.large_bytes = 150UL * 1024;
+  BodyBudget budget(clock, body_limits);
+  HttpServerLimits limits;
+  limits.body_budget = &budget;
+  ServerFixture fixture(limits);
+  const RawConnection stalled(fixture.server->port());
+  stalled.Write("POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 100001\r\n\r\n" +
+                std::string(100'000, 'x'));
+  while (budget.stats().held_bytes < 100'000) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  cr_expect(fixture.Post(std::string(100'000, 'y')).status == HttpStatus::kOk);
+  cr_expect(IsRefusedOrClosed(stalled.ReadToEnd()));
+  cr_expect_eq(budget.stats().evicted, 1);
+}
+
 Test(http_server, headers_above_limit_are_refused) {
   ServerFixture fixture;
   const std::string answer = fixture.SendAndReadToEnd(
--- a/tests/loop/async_http_test.cc
+++ b/tests/loop/async_http_test.cc
@@ -11,9 +11,9 @@
 
 /// A client and a server on one loop.
 struct AsyncFixture {
-  explicit AsyncFixture(AsyncHttpHandler handler) {
-    server = AsyncHttpServer::Create(*loop, "127.0.0.1", 0, HttpServerLimits{}, std::move(handler))
-                 .value();
+  explicit AsyncFixture(AsyncHttpHandler handler,
+                        const HttpServerLimits& limits = HttpServerLimits{}) {
+    server = AsyncHttpServer::Create(*loop, "127.0.0.1", 0, limits, std::move(handler)).value();
   }
 
   AsyncHttpCall Call(HttpMethod method, const std::string& path, const std::string& body = "") {
@@ -132,4 +132,74 @@
             HttpCallResult::kAnswered);
 }
 
+// A refusal promises that the request had no effect.
+Test(async_http, body_above_limit_gets_413_and_is_not_handled) {
+  int handled = 0;
+  HttpServerLimits limits;
+  limits.body_bytes = 1'000;
+  AsyncFixture fixture(
+      [&handled](const HttpRequest&, const HttpResponder& respond) {
+        ++handled;
+        respond(HttpResponse{});
+      },
+      limits);
+  for (const std::size_t bytes : {1'001UL, 4'000UL}) {
+    const HttpOutcome outcome =
+        fixture.Send(fixture.Call(HttpMethod::kPost, "/large", std::string(bytes, 'x')));
+    cr_expect(outcome.status == HttpStatus::kPayloadTooLarge);
+    cr_expect(outcome.body.find(R"("verdict":"not run")") != std::string::npos);
+  }
+  cr_expect_eq(handled, 0);
+  fixture.Send(fixture.Call(HttpMethod::kPost, "/fits", std::string(1'000, 'x')));
+  cr_expect_eq(handled, 1);
+}
+
+Test(async_http, body_over_budget_gets_503_and_is_not_handled) {
+  int handled = 0;
+  BootClock clock;
+  BodyBudgetLimits body_limits;
+  body_limits.total_bytes = 128UL * 1024;
+  body_limits.large_bytes = 64UL * 1024;
+  BodyBudget budget(clock, body_limits);
+  HttpServerLimits limits;
+  limits.body_budget = &budget;
+  AsyncFixture fixture(
+      [&handled](const HttpRequest&, const HttpResponder& respond) {
+        ++handled;
+        respond(HttpResponse{});
+      },
+      limits);
+  const HttpOutcome outcome =
+      fixture.Send(fixture.Call(HttpMethod::kPost, "/large", std::string(100'000, 'x')));
+  cr_expect(outcome.status == HttpStatus::kUnavailable);
+  cr_expect(outcome.body.find(R"("verdict":"not run")") != std::string::npos);
+  cr_expect_eq(handled, 0);
+  cr_expect_eq(budget.stats().over_budget, 1);
+  fixture.Send(fixture.Call(HttpMethod::kPost, "/small", std::string(20'000, 'x')));
+  cr_expect_eq(handled, 1);
+  cr_expect_eq(budget.stats().held_bytes, 0);
+}
+
+// A leader that keeps the bodies of requests it has decoded would hold them as long as the store
+// takes.
+Test(async_http, body_is_given_back_before_the_response) {
+  BootClock clock;
+  BodyBudget budget(clock, BodyBudgetLimits{});
+  HttpServerLimits limits;
+  limits.body_budget = &budget;
+  std::size_t held_bytes = 1;
+  AsyncFixture* fixture_pointer = nullptr;
+  AsyncFixture fixture(
+      [&](const HttpRequest&, const HttpResponder& respond) {
+        fixture_pointer->loop->After(Milliseconds(10), [&, respond] {
+          held_bytes = budget.stats().held_bytes;
+          respond(HttpResponse{});
+        });
+      },
+      limits);
+  fixture_pointer = &fixture;
+  fixture.Send(fixture.Call(HttpMethod::kPost, "/later", std::string(20'000, 'x')));
+  cr_expect_eq(held_bytes, 0);
+}
+
 }  // namespace papayalift
