Settings: Size bodies and connections by the machine's memory

limits.memoryMb and limits.bodyBytesPerS of papayalift edge, node.memory_mb and node.min_body_rate of papayalift serve size the budget of request bodies (a quarter of the memory) and the connections of the consumers' address. Readiness and metrics of edge have limits of their own, 64 connections and bodies of 4 KB, so that they answer beside a full consumer address. The channels between nodes have a fixed part of the memory, as callers must not crowd out heartbeats.

--- a/src/libraries/node/entry_node.cc
+++ b/src/libraries/node/entry_node.cc
@@ -8,6 +8,8 @@
 #include "libraries/base/boot_clock.h"
 #include "libraries/base/hash.h"
 #include "libraries/base/try.h"
+#include "libraries/http/body_budget.h"
+#include "libraries/http/body_budget_report.h"
 #include "libraries/log/log_event.h"
 #include "libraries/membership/vm_list_follower.h"
 #include "libraries/node/api_server.h"
@@ -42,6 +44,23 @@
 /// before then would cut them.
 constexpr Milliseconds kDrainIdleTime{1'500};
 
+constexpr std::size_t kBytesPerMegabyte = 1024UL * 1024;
+/// Resident part of the stack of a connection's thread, and what the connection holds beside its
+/// headers.
+constexpr std::size_t kConnectionOverheadBytes = 32UL * 1024;
+
+std::size_t MemoryOf(const NodeSettings& settings) {
+  return static_cast<std::size_t>(settings.memory_megabytes) * kBytesPerMegabyte;
+}
+
+BodyBudgetLimits BodyLimitsOf(const NodeSettings& settings) {
+  // Callers must not crowd out heartbeats, so the channels between nodes have a fixed part.
+  BodyBudgetLimits limits =
+      BodyBudgetLimits::ForMemory(MemoryOf(settings) - PeerLimits{}.MaxBytes());
+  limits.min_bytes_per_second = static_cast<std::size_t>(settings.min_body_rate);
+  return limits;
+}
+
 NodeRecord RecordOf(const NodeSettings& settings, const Clock& clock,
                     const std::string& incarnation, const std::string& peer_address) {
   NodeRecord record;
@@ -65,6 +84,8 @@
         m_incarnation(NewIncarnation()),
         m_own_clock(std::move(clock)),
         m_clock(*m_own_clock),
+        m_body_budget(m_clock, BodyLimitsOf(settings)),
+        m_body_report(m_clock, m_body_budget, m_metrics),
         m_client(std::make_shared<HttpClient>()),
         m_store(settings.store_address, settings.store_limit, m_client),
         m_workers(settings.worker_limit, m_client),
@@ -104,7 +125,10 @@
   absl::Status Start() {
     const IpAddress address = TRY(ParseIpAddress(m_settings.api_address));
     HttpServerLimits limits;
-    limits.connections = static_cast<unsigned int>(m_settings.max_connections);
+    limits.connections =
+        ConnectionsForMemory(MemoryOf(m_settings), limits.header_bytes + kConnectionOverheadBytes,
+                             static_cast<unsigned int>(m_settings.max_connections));
+    limits.body_budget = &m_body_budget;
     const ApiDependencies parts{m_settings.id, m_clock,      m_state,   m_store,
                                 m_jobs,        m_zones,      m_bundles, m_calls,
                                 m_scheduler,   m_membership, m_metrics, m_settings.call_limit};
@@ -231,6 +255,7 @@
   }
 
   void UpdateGauges(const FleetView& view) {
+    m_body_report.Update();
     m_metrics.SetGauge("papayalift_store_calls_total", static_cast<double>(m_store.calls()));
     m_metrics.SetGauge("papayalift_peer_sent_bytes_total",
                        static_cast<double>(m_mesh->bytes_sent()));
@@ -260,6 +285,8 @@
   const std::unique_ptr<BootClock> m_own_clock;
   const Clock& m_clock;
   Metrics m_metrics;
+  BodyBudget m_body_budget;
+  BodyBudgetReport m_body_report;
   const std::shared_ptr<HttpClient> m_client;
   EtcdGatewayClient m_store;
   HttpWorkerGateway m_workers;
--- a/src/libraries/peers/peer_limits.h
+++ b/src/libraries/peers/peer_limits.h
@@ -20,6 +20,11 @@
   Milliseconds heartbeat_interval{500};
   /// A connection that delivers no complete message for this long is closed.
   Milliseconds silence_timeout{2'500};
+
+  /// Most bytes of messages that all incoming connections hold together.
+  constexpr std::size_t MaxBytes() const {
+    return connections * (open_streams * message_bytes + output_bytes);
+  }
 };
 
 }  // namespace papayalift
--- a/src/libraries/settings/node_settings.cc
+++ b/src/libraries/settings/node_settings.cc
@@ -17,6 +17,9 @@
 constexpr Milliseconds kMaxZoneOutDelay{3'000};
 constexpr int kMaxConnections = 10'000;
 constexpr int kMaxStartThreads = 64;
+constexpr int kMinMegabytes = 32;
+constexpr int kMaxMegabytes = 1'048'576;
+constexpr int kMaxBodyRate = 1'000'000;
 
 void ReadNode(ConfigSection& node, NodeSettings& settings) {
   settings.id = NodeId(node.RequiredText("name"));
@@ -27,6 +30,10 @@
       static_cast<int>(node.Number("connections", settings.max_connections, 1, kMaxConnections));
   settings.start_threads =
       static_cast<int>(node.Number("start_threads", settings.start_threads, 1, kMaxStartThreads));
+  settings.memory_megabytes = static_cast<int>(
+      node.Number("memory_mb", settings.memory_megabytes, kMinMegabytes, kMaxMegabytes));
+  settings.min_body_rate =
+      static_cast<int>(node.Number("min_body_rate", settings.min_body_rate, 1, kMaxBodyRate));
   settings.call_limit = node.Duration("call_limit", settings.call_limit, kMinTimeout, kMaxTimeout);
   settings.stop_limit = node.Duration("stop_limit", settings.stop_limit, kMinTimeout, kMaxTimeout);
 }
--- a/src/libraries/settings/node_settings.h
+++ b/src/libraries/settings/node_settings.h
@@ -34,6 +34,10 @@
   Milliseconds stop_limit{20'000};
   int max_connections = 256;
   int start_threads = 4;
+  /// Memory of the machine, in megabytes; bounds connections and unfinished request bodies.
+  int memory_megabytes = 120;
+  /// A request body that arrives more slowly is ended, in bytes a second.
+  int min_body_rate = 500;
 };
 
 /// Returns kInvalidArgument with all problems, one per line.
--- a/src/services/edge_process.cc
+++ b/src/services/edge_process.cc
@@ -9,6 +9,8 @@
 #include "libraries/base/try.h"
 #include "libraries/http/async_http_client.h"
 #include "libraries/http/async_http_server.h"
+#include "libraries/http/body_budget.h"
+#include "libraries/http/body_budget_report.h"
 #include "libraries/job_requests/job_request_handler.h"
 #include "libraries/leader/leader_session.h"
 #include "libraries/log/json_log_sink.h"
@@ -47,6 +49,25 @@
 constexpr Milliseconds kExitMargin{400};
 constexpr Milliseconds kStopPollInterval{100};
 
+constexpr std::size_t kBytesPerMegabyte = 1024UL * 1024;
+constexpr std::size_t kHeaderBytes = 24UL * 1024;
+/// What a connection holds beside the pool for its headers.
+constexpr std::size_t kConnectionOverheadBytes = 4UL * 1024;
+constexpr unsigned int kMaxConsumerConnections = 1'000;
+/// Readiness and metrics are asked by a few clients, with empty bodies.
+constexpr unsigned int kMaxProbeConnections = 64;
+constexpr std::size_t kMaxProbeBodyBytes = 4UL * 1024;
+
+std::size_t MemoryOf(const platform::EdgeSettings& settings) {
+  return static_cast<std::size_t>(settings.memory_megabytes) * kBytesPerMegabyte;
+}
+
+BodyBudgetLimits BodyLimitsOf(const platform::EdgeSettings& settings) {
+  BodyBudgetLimits limits = BodyBudgetLimits::ForMemory(MemoryOf(settings));
+  limits.min_bytes_per_second = static_cast<std::size_t>(settings.min_body_rate);
+  return limits;
+}
+
 LogBuffer& StandardOutputBuffer() {
   static LogBuffer buffer(STDOUT_FILENO, kLogBufferBytes);
   return buffer;
@@ -59,6 +80,8 @@
       : m_settings(settings),
         m_settings_watcher(settings, path),
         m_loop(std::move(loop)),
+        m_body_budget(m_loop->clock(), BodyLimitsOf(settings)),
+        m_body_report(m_loop->clock(), m_body_budget, m_metrics),
         m_store_http(*m_loop, kMaxIdleStoreConnections, Urgency::kUrgent),
         m_minion_http(*m_loop, std::max(kMinIdleConnections,
                                         settings.max_descriptors - kReservedDescriptors)),
@@ -72,19 +95,20 @@
                           WithdrawalLimits::ForStore(settings.store_writes_per_second)) {}
 
   absl::Status Run() {
-    m_consumer_server = TRY(Listen(
-        m_settings.consumer_address, [this](const HttpRequest& request, HttpResponder respond) {
-          m_last_request_at = m_loop->clock().Now();
-          m_request_handler.Handle(platform::DecodeJobRequest(request),
-                                   [respond = std::move(respond)](const JobReply& reply) {
-                                     respond(platform::EncodeJobReply(reply));
-                                   });
-        }));
+    m_consumer_server = TRY(Listen(m_settings.consumer_address, ConsumerLimits(),
+                                   [this](const HttpRequest& request, HttpResponder respond) {
+                                     m_last_request_at = m_loop->clock().Now();
+                                     m_request_handler.Handle(
+                                         platform::DecodeJobRequest(request),
+                                         [respond = std::move(respond)](const JobReply& reply) {
+                                           respond(platform::EncodeJobReply(reply));
+                                         });
+                                   }));
     m_ready_server = TRY(Listen(
-        m_settings.ready_address,
+        m_settings.ready_address, ProbeLimits(),
         [this](const HttpRequest&, const HttpResponder& respond) { respond(ReadyResponse()); }));
     m_metrics_server = TRY(Listen(
-        m_settings.metrics_address,
+        m_settings.metrics_address, ProbeLimits(),
         [this](const HttpRequest&, const HttpResponder& respond) { respond(MetricsResponse()); }));
     ProcessSignals::Install();
     ProcessSignals::SetWakeDescriptor(m_loop->wake_descriptor());
@@ -114,12 +138,26 @@
     return election;
   }
 
+  HttpServerLimits ConsumerLimits() {
+    HttpServerLimits limits;
+    limits.header_bytes = kHeaderBytes;
+    limits.connections = ConnectionsForMemory(
+        MemoryOf(m_settings), kHeaderBytes + kConnectionOverheadBytes, kMaxConsumerConnections);
+    limits.body_budget = &m_body_budget;
+    return limits;
+  }
+
+  HttpServerLimits ProbeLimits() {
+    HttpServerLimits limits = ConsumerLimits();
+    limits.connections = kMaxProbeConnections;
+    limits.body_bytes = kMaxProbeBodyBytes;
+    return limits;
+  }
+
   absl::StatusOr<std::unique_ptr<AsyncHttpServer>> Listen(const std::string& address,
+                                                          const HttpServerLimits& limits,
                                                           AsyncHttpHandler handler) {
     const IpAddress parsed = TRY(ParseIpAddress(address));
-    HttpServerLimits limits;
-    limits.connections = 1'000;
-    limits.header_bytes = 24UL * 1024;
     return AsyncHttpServer::Create(*m_loop, parsed.host, parsed.port, limits, std::move(handler));
   }
 
@@ -158,6 +196,8 @@
   }
 
   HttpResponse MetricsResponse() {
+    m_body_report.Update();
+    m_metrics.SetGauge("papayalift_connections", m_consumer_server->connections());
     m_metrics.SetGauge("papayalift_leader", m_election.is_leader() ? 1 : 0);
     m_metrics.SetGauge("papayalift_manifest_age_ms", static_cast<double>(m_view.age().count()));
     m_metrics.SetGauge("papayalift_store_contact_age_ms",
@@ -187,6 +227,7 @@
     }
     m_settings_watcher.ReloadIfChanged();
     ReportTimerDelay();
+    m_body_report.Update();
     WriteSuppressedLines();
     StandardOutputBuffer().Flush();
     m_loop->After(kHousekeepingInterval, [this] { RunHousekeeping(); });
@@ -231,6 +272,8 @@
   EdgeSettingsWatcher m_settings_watcher;
   std::unique_ptr<EventLoop> m_loop;
   Metrics m_metrics;
+  BodyBudget m_body_budget;
+  BodyBudgetReport m_body_report;
   /// Apart from the calls to minions, so that a leader with thousands of minions to hear from still
   /// notices at once that its term is confirmed or lost.
   AsyncHttpClient m_store_http;
--- a/tests/platform/edge_settings_test.cc
+++ b/tests/platform/edge_settings_test.cc
@@ -19,6 +19,8 @@
 [limits]
 cpuShare = 0.25
 maxFds = 8192
+memoryMb = 160
+bodyBytesPerS = 700
 [bounds]
 drainMs = 4000
 graceS = 6.5
@@ -50,6 +52,8 @@
   cr_assert_eq(settings.drain_bound.count(), 4'000);
   cr_assert_eq(settings.heartbeat_interval.count(), 1'200);
   cr_assert_eq(settings.max_descriptors, 8'192);
+  cr_assert_eq(settings.memory_megabytes, 160);
+  cr_assert_eq(settings.min_body_rate, 700);
   cr_assert_eq(settings.remote_factor, 2.5);
   cr_assert(settings.is_first_start);
 }
--- a/tests/settings/node_settings_test.cc
+++ b/tests/settings/node_settings_test.cc
@@ -31,6 +31,15 @@
   cr_assert(settings->store_address == "127.0.0.1:3");
 }
 
+Test(node_settings, memory_and_body_rate_are_read) {
+  const absl::StatusOr<NodeSettings> settings = ParseNodeSettings(
+      std::string(kNodeSection) + "memory_mb = 160\nmin_body_rate = 700\n" + kPlatformSection,
+      "node.toml");
+  cr_assert(settings.ok());
+  cr_assert_eq(settings->memory_megabytes, 160);
+  cr_assert_eq(settings->min_body_rate, 700);
+}
+
 Test(node_settings, missing_keys_are_all_reported) {
   const std::string problems = ProblemsOf("");
   for (const char* const key : {"node.name", "node.zone", "node.api_address", "node.peer_address",
