Planner: Place steps by the learned speed of machines

On a deployment whose machines run at 0.7 : 0.7 : 1.7 of the usual speed, urgent jobs were answered but late (62 on time, 96 late), because a minion's speed was measured against the estimate of each run, forgotten after six seconds, and compared last.

The leader now compares the progress of tasks of one step, and of members of a gang, with each other, corrected by what is known of their machines (HostSpeeds). Where the fastest third of a service's machines is 1.9 times as fast as the slowest, a step that would be late on slow minions gets ones that are fast enough (PendingStep::min_speed), a gang all its members; other work takes slow minions while they have room. Other services are placed as before. Where the estimates of a queue are off by more than 1.5 times, its typical duration replaces them.

--- a/src/libraries/leader/critical_path.cc
+++ b/src/libraries/leader/critical_path.cc
@@ -19,6 +19,13 @@
   return paths;
 }
 
+std::vector<StepSpec> WithDurations(std::vector<StepSpec> steps, Milliseconds duration) {
+  for (StepSpec& step : steps) {
+    step.estimate = duration;
+  }
+  return steps;
+}
+
 Milliseconds TotalCriticalPath(const std::vector<StepSpec>& steps) {
   const std::vector<Milliseconds> paths =
       RemainingPaths(steps, std::vector<bool>(steps.size(), false));
--- a/src/libraries/leader/critical_path.h
+++ b/src/libraries/leader/critical_path.h
@@ -14,6 +14,9 @@
 std::vector<Milliseconds> RemainingPaths(const std::vector<StepSpec>& steps,
                                          const std::vector<bool>& is_done);
 
+/// The steps with the duration in place of all estimates.
+std::vector<StepSpec> WithDurations(std::vector<StepSpec> steps, Milliseconds duration);
+
 /// The longest of these paths of a job of which nothing is done.
 Milliseconds TotalCriticalPath(const std::vector<StepSpec>& steps);
 
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -273,6 +273,7 @@
   }
   m_supervisor->GiveUpLostRuns();
   ExportSilentRuns();
+  LearnSpeeds();
   ExportWorkspaceLoads(MeasureWorkspaceLoads(m_state, *m_context.view.manifest()),
                        m_context.metrics);
   m_lease_recorder->RemoveNeedless(kMinSilenceWithoutRuns);
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -21,6 +21,8 @@
 
 namespace papayalift {
 
+class HostSpeedRecorder;
+
 /// Dependencies of a session. All of them outlive it.
 struct LeaderContext {
   Timers& timers;
@@ -191,6 +193,12 @@
   void ApplyStop(const PlannedStop& stop);
   void Tick();
   void ExportSilentRuns();
+  /// Learns the speed of machines from the progress of the runs since the last time.
+  void LearnSpeeds();
+  /// Learns from a run that is half done how long the tasks of its queue take.
+  void RecordDuration(const TrackedJob& job, TrackedRun& run);
+  /// Speed of the task's machine, or of the slowest of its gang; 1 if it is not known.
+  double SpeedOfStep(const TrackedJob& job, const TaskName& task);
 
   // Removal of jobs that ended long ago.
   void RemoveExpiredJobs();
@@ -224,11 +232,13 @@
   bool m_is_registry_read_in_flight = false;
   /// No silence of the watches is answered by reading all anew before.
   Milliseconds m_next_reread_at{0};
+  Milliseconds m_gone_hosts_dropped_at{0};
   Milliseconds m_last_plan_duration{0};
   WaitMonitor m_wait_monitor;
   Milliseconds m_last_pass_at{0};
   std::shared_ptr<JobJournal> m_journal;
   std::shared_ptr<LeaseRecorder> m_lease_recorder;
+  std::shared_ptr<HostSpeedRecorder> m_speed_recorder;
   std::shared_ptr<RunSupervisor> m_supervisor;
 };
 
--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -170,6 +170,8 @@
   minion.is_draining = entry->state == MinionState::kDraining;
   minion.address = entry->address;
   minion.entry = *std::move(entry);
+  minion.host = HostIdentityOf(*minion.entry);
+  m_state.host_speeds.Confirm(minion.host);
   minion.entry_revision = item.revision;
   minion.entry_hash = hash;
   minion.entry_heard_at = Now();
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -206,6 +206,7 @@
     }
     RecordCheckpoint(*job, run.task, active.checkpoint);
     ForgetLateCrashesIfOutlived(*job, run);
+    RecordDuration(*job, run);
     StopIfStalled(*job, run);
   }
 }
--- /dev/null
+++ b/src/libraries/leader/leader_session_speeds.cc
@@ -0,0 +1,106 @@
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <set>
+
+#include "libraries/leader/host_rates.h"
+#include "libraries/leader/leader_session.h"
+#include "libraries/log/log_event.h"
+
+namespace papayalift {
+
+namespace {
+
+constexpr Milliseconds kDropInterval{10'000};
+/// Half of a task shows how long it takes.
+constexpr int kMinPercentsOfDuration = 50;
+
+void SetSpeed(TrackedMinion& minion, const HostSpeeds& speeds, Milliseconds now) {
+  const SpeedSpread spread = speeds.SpreadOf(minion.entry->service);
+  minion.health.learned_speed.reset();
+  minion.health.is_fast = false;
+  if (spread.is_uneven) {
+    const double speed = speeds.SpeedOf(minion.host, spread, now);
+    minion.health.learned_speed = speed;
+    minion.health.is_fast = speed >= spread.fast_from;
+  }
+}
+
+void LogSpread(const ServiceId& service, const SpeedSpread& spread) {
+  constexpr double kPercent = 100;
+  LogEvent(LogLevel::kInfo, "speeds",
+           spread.is_uneven ? "placement regards the speeds of machines"
+                            : "placement no longer regards the speeds of machines")
+      .Field("service", service.text())
+      .Field("machines", spread.machines)
+      .Field("slowest_third_percent", static_cast<std::int64_t>(spread.slowest_third * kPercent))
+      .Field("fastest_third_percent", static_cast<std::int64_t>(spread.fastest_third * kPercent))
+      .Write();
+}
+
+void ExportSpread(const ServiceId& service, const SpeedSpread& spread, Metrics& metrics) {
+  const std::string labels = "{service=\"" + service.text() + "\"}";
+  metrics.SetGauge("papayalift_machines_with_speed" + labels, spread.machines);
+  metrics.SetGauge("papayalift_slowest_third_speed" + labels, spread.slowest_third);
+  metrics.SetGauge("papayalift_fastest_third_speed" + labels, spread.fastest_third);
+}
+
+}  // namespace
+
+void LeaderSession::LearnSpeeds() {
+  HostSpeeds& speeds = m_state.host_speeds;
+  for (const std::vector<HostRate>& group : MeasureHostRates(m_state, Now())) {
+    speeds.Observe(group, Now());
+  }
+  const std::map<ServiceId, SpeedSpread> former = speeds.spreads();
+  speeds.UpdateSpreads(Now());
+  for (const auto& [service, spread] : speeds.spreads()) {
+    const auto before = former.find(service);
+    if (spread.is_uneven != (before != former.end() && before->second.is_uneven)) {
+      LogSpread(service, spread);
+    }
+    ExportSpread(service, spread, m_context.metrics);
+  }
+  std::set<std::string> listed;
+  for (auto& [id, minion] : m_state.minions) {
+    if (minion.entry.has_value()) {
+      SetSpeed(minion, speeds, Now());
+      listed.insert(minion.address);
+    }
+  }
+  if (Now() - m_gone_hosts_dropped_at >= kDropInterval) {
+    m_gone_hosts_dropped_at = Now();
+    speeds.DropGone(listed, Now());
+  }
+}
+
+void LeaderSession::RecordDuration(const TrackedJob& job, TrackedRun& run) {
+  const StepSpec& step = job.accepted.work.steps[static_cast<std::size_t>(run.task.step)];
+  const int percents = run.percent - run.initial_percent.value_or(run.percent);
+  const bool shows_step = step.kind != WorkStepKind::kGang || run.task.index == 0;
+  if (run.is_duration_recorded || !shows_step || percents < kMinPercentsOfDuration) {
+    return;
+  }
+  constexpr int kFullPercent = 100;
+  run.is_duration_recorded = true;
+  m_state.queue_durations.Record(job.accepted.queue, step.estimate,
+                                 (Now() - run.initial_percent_at) * kFullPercent / percents,
+                                 SpeedOfStep(job, run.task));
+}
+
+double LeaderSession::SpeedOfStep(const TrackedJob& job, const TaskName& task) {
+  const std::size_t step = static_cast<std::size_t>(task.step);
+  double slowest = std::numeric_limits<double>::infinity();
+  for (std::size_t index = 0; index < job.progress.steps[step].tasks.size(); ++index) {
+    const TaskProgress& member = job.progress.steps[step].tasks[index];
+    const bool counts = job.accepted.work.steps[step].kind == WorkStepKind::kGang ||
+                        static_cast<int>(index) == task.index;
+    const TrackedMinion* const minion = counts ? m_state.FindMinion(member.minion) : nullptr;
+    if (minion != nullptr) {
+      slowest = std::min(slowest, minion->health.learned_speed.value_or(1));
+    }
+  }
+  return std::isinf(slowest) ? 1 : slowest;
+}
+
+}  // namespace papayalift
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -10,7 +10,9 @@
 
 #include "libraries/journal/accepted_job.h"
 #include "libraries/journal/job_progress.h"
+#include "libraries/leader/host_speeds.h"
 #include "libraries/leader/leader_election.h"
+#include "libraries/leader/queue_durations.h"
 #include "libraries/work/run_messages.h"
 
 namespace papayalift {
@@ -27,6 +29,12 @@
   kStopping,
 };
 
+/// Where the measurement of a run's rate has begun.
+struct RateWindow {
+  int percent = 0;
+  Milliseconds began_at{0};
+};
+
 /// One attempt of one task on one minion, from the decision until it has certainly ended.
 struct TrackedRun {
   TaskName task;
@@ -71,6 +79,13 @@
   /// `percent` in the first report; not 0 for a run that started from a checkpoint.
   std::optional<int> initial_percent;
   Milliseconds initial_percent_at{0};
+  /// When `percent` was last reported, risen or not.
+  Milliseconds reported_at{0};
+  /// Empty before the run is first measured.
+  std::optional<RateWindow> rate_window;
+  /// How often its rate was measured.
+  int rates_measured = 0;
+  bool is_duration_recorded = false;
 };
 
 /// The end of a run that a minion has reported and that is not stored yet.
@@ -169,6 +184,11 @@
   /// Work per second relative to the estimates of the steps.
   double speed = 1;
   Milliseconds speed_measured_at{0};
+  /// Speed of its machine relative to the usual one of the service; empty if the machines of the
+  /// service differ little.
+  std::optional<double> learned_speed;
+  /// It is among the fast minions of its service.
+  bool is_fast = false;
 };
 
 /// A time without answers from a minion.
@@ -198,6 +218,8 @@
   /// When a write that was conditional on the entry's revision last found it in the store.
   Milliseconds entry_confirmed_at{0};
   std::string address;
+  /// The machine that the latest entry shows.
+  HostIdentity host;
   /// The incarnation that last answered a call of this term; 0 before the first answer.
   MinionIncarnation incarnation;
   /// A report was received in this term.
@@ -289,6 +311,9 @@
   /// An entry has a new revision but is unchanged, so minions write theirs again and again, and one
   /// that is not received has not been written.
   bool has_heartbeats = false;
+  /// What is known of the speed of the machines.
+  HostSpeeds host_speeds;
+  QueueDurations queue_durations;
 
   TrackedJob* FindJob(const JobId& id);
   TrackedMinion* FindMinion(const MinionId& id);
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -7,6 +7,7 @@
 #include "libraries/leader/critical_path.h"
 #include "libraries/leader/minion_usability.h"
 #include "libraries/leader/run_progress.h"
+#include "libraries/leader/step_speed.h"
 #include "libraries/leader/task_isolation.h"
 #include "libraries/leader/workspace_load.h"
 #include "libraries/leader/workspace_usage.h"
@@ -38,7 +39,8 @@
   planned.free = minion.entry->capacity - minion.allocated;
   planned.is_idle = minion.runs.empty();
   const bool is_recent = now - minion.health.speed_measured_at < kSpeedMaxAge;
-  planned.speed = is_recent ? minion.health.speed : 1;
+  planned.speed = minion.health.learned_speed.value_or(is_recent ? minion.health.speed : 1);
+  planned.is_fast = minion.health.is_fast;
   for (const auto& [task, run] : minion.runs) {
     if (run.stop_wanted) {
       planned.being_freed += run.needs;
@@ -115,7 +117,17 @@
   }
 
   void AddJob(TrackedJob& job) {
-    const std::vector<StepSpec>& steps = job.accepted.work.steps;
+    const std::optional<Milliseconds> typical =
+        m_state.queue_durations.TypicalDuration(job.accepted.queue);
+    if (typical.has_value()) {
+      AddStepsOf(job, WithDurations(job.accepted.work.steps, *typical));
+    } else {
+      AddStepsOf(job, job.accepted.work.steps);
+    }
+  }
+
+  /// `steps` are those of the job, with the durations to be expected.
+  void AddStepsOf(TrackedJob& job, const std::vector<StepSpec>& steps) {
     job.ready_since.resize(steps.size());
     job.rack_holds.resize(steps.size());
     if (!job.critical_path.has_value()) {
@@ -178,7 +190,10 @@
         Milliseconds(static_cast<std::int64_t>(job.accepted.slack_factor *
                                                static_cast<double>(job.critical_path->count()))) +
         job.accepted.latency_target;
-    pending.slack = job.known_since + objective - now - remaining_path;
+    const Milliseconds time_left = job.known_since + objective - now;
+    pending.slack = time_left - remaining_path;
+    pending.min_speed =
+        MinSpeedFor(remaining_path, time_left, m_state.host_speeds.SpreadOf(pending.service));
     pending.max_lost_work = MaxLostWork(pending);
     IsolateSuspects(m_state, job, step, pending);
     if (!pending.task_indexes.empty()) {
--- a/src/libraries/leader/run_progress.cc
+++ b/src/libraries/leader/run_progress.cc
@@ -46,6 +46,7 @@
 
 void RecordProgress(TrackedRun& run, int percent, Milliseconds now) {
   run.running_since = run.running_since.value_or(now);
+  run.reported_at = now;
   if (!run.initial_percent.has_value()) {
     run.initial_percent = percent;
     run.initial_percent_at = now;
--- a/src/libraries/planner/placement_search.cc
+++ b/src/libraries/planner/placement_search.cc
@@ -1,7 +1,9 @@
 #include "libraries/planner/placement_search.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
+#include <span>
 
 #include "libraries/planner/rack_wait.h"
 #include "libraries/planner/room_forecast.h"
@@ -27,18 +29,63 @@
       std::min(waiting, TaskSlotsOn(pending, capacity.minion->id)));
 }
 
+bool IsLastResort(const PendingStep& pending, const PlanMinion& minion) {
+  return minion.is_avoided || minion.speed < kSlowSpeed || pending.failed_on.contains(minion.id);
+}
+
+/// How well the speed of a minion suits the step. Fast minions are left to steps that need them.
+enum class SpeedFit { kEnough, kFasterThanNeeded, kTooSlow };
+
+SpeedFit SpeedFitOf(const PendingStep& pending, const PlanMinion& minion) {
+  if (minion.speed < pending.min_speed) {
+    return SpeedFit::kTooSlow;
+  }
+  return minion.is_fast ? SpeedFit::kFasterThanNeeded : SpeedFit::kEnough;
+}
+
+/// Which minions all members of a gang are placed on. A gang is as slow as its slowest member, so
+/// that fast minions beside one that is too slow gain nothing.
+struct GangTier {
+  bool allows_fast = true;
+  bool allows_too_slow = true;
+  bool allows_last_resort = true;
+
+  bool Allows(const PendingStep& pending, const PlanMinion& minion) const {
+    return (allows_fast || !minion.is_fast) &&
+           (allows_too_slow || minion.speed >= pending.min_speed) &&
+           (allows_last_resort || !IsLastResort(pending, minion));
+  }
+};
+
+/// In order of preference: minions that are fast enough without being fast, all that are fast
+/// enough, the slow ones, and all.
+constexpr std::array<GangTier, 4> kTiersBySpeed{GangTier{false, false, false},
+                                                GangTier{true, false, false},
+                                                GangTier{false, true, false}, GangTier{}};
+constexpr std::array<GangTier, 1> kTiersOfEvenMinions{GangTier{}};
+
+/// If no minion of the service counts as fast, all are one tier.
+std::span<const GangTier> GangTiersFor(const PendingStep& pending, const PlanCapacity& capacity) {
+  const bool regards_speed = capacity.HasFastMinions(pending.service);
+  return regards_speed ? std::span<const GangTier>(kTiersBySpeed)
+                       : std::span<const GangTier>(kTiersOfEvenMinions);
+}
+
 /// Prefers minions that are not avoided or slow and have not failed a task of this job, then those
-/// with the fewest free accelerators (best fit), so that large free blocks are kept.
+/// whose speed suits the step, then those with the fewest free accelerators (best fit), so that
+/// large free blocks are kept.
 bool IsPreferred(const PendingStep& pending, CapacityMember member, const Candidate& left,
                  const Candidate& right) {
-  const auto is_avoided = [&pending](const PlanMinion& minion) {
-    return minion.is_avoided || minion.speed < kSlowSpeed || pending.failed_on.contains(minion.id);
-  };
-  const bool left_avoided = is_avoided(*left.capacity->minion);
-  const bool right_avoided = is_avoided(*right.capacity->minion);
+  const bool left_avoided = IsLastResort(pending, *left.capacity->minion);
+  const bool right_avoided = IsLastResort(pending, *right.capacity->minion);
   if (left_avoided != right_avoided) {
     return right_avoided;
   }
+  const SpeedFit left_fit = SpeedFitOf(pending, *left.capacity->minion);
+  const SpeedFit right_fit = SpeedFitOf(pending, *right.capacity->minion);
+  if (left_fit != right_fit) {
+    return left_fit < right_fit;
+  }
   if (pending.is_guaranteed) {
     const std::int64_t left_after_reclaim = left.capacity->free_after_reclaim.accelerators;
     const std::int64_t right_after_reclaim = right.capacity->free_after_reclaim.accelerators;
@@ -66,10 +113,14 @@
 }
 
 std::int64_t TotalTasksOn(const PendingStep& pending, const PlanCapacity& capacity,
-                          CapacityMember member, const std::vector<std::size_t>& minions) {
+                          CapacityMember member, const std::vector<std::size_t>& minions,
+                          const GangTier& tier) {
   std::int64_t sum = 0;
   for (const std::size_t index : minions) {
-    sum += FittingTasksOn(pending, capacity.minions()[index], member);
+    const MinionCapacity& minion = capacity.minions()[index];
+    if (tier.Allows(pending, *minion.minion)) {
+      sum += FittingTasksOn(pending, minion, member);
+    }
   }
   return sum;
 }
@@ -77,10 +128,14 @@
 /// Candidates among the minions, in order of preference.
 std::vector<Candidate> CandidatesAmong(const PendingStep& pending, const PlanCapacity& capacity,
                                        CapacityMember member,
-                                       const std::vector<std::size_t>& minions) {
+                                       const std::vector<std::size_t>& minions,
+                                       const GangTier& tier = GangTier{}) {
   std::vector<Candidate> candidates;
   for (const std::size_t index : minions) {
     const MinionCapacity& minion = capacity.minions()[index];
+    if (!tier.Allows(pending, *minion.minion)) {
+      continue;
+    }
     const std::int64_t max_tasks = FittingTasksOn(pending, minion, member);
     if (max_tasks > 0) {
       candidates.push_back(Candidate{&minion, max_tasks});
@@ -106,15 +161,23 @@
   return placements;
 }
 
-/// Places a gang on the rack that has the least capacity left afterwards.
-std::optional<FoundPlacements> FindGangOnSingleRack(const PendingStep& pending,
-                                                    const PlanCapacity& capacity,
-                                                    CapacityMember member) {
+std::vector<PlannedPlacement> AssignGang(const PendingStep& pending, const PlanCapacity& capacity,
+                                         CapacityMember member,
+                                         const std::vector<std::size_t>& minions,
+                                         const GangTier& tier) {
+  return AssignTasks(pending, CandidatesAmong(pending, capacity, member, minions, tier));
+}
+
+/// The rack that has the least capacity left after the gang is placed on minions of the tier;
+/// nullptr if no rack has room for it.
+const std::vector<std::size_t>* FindRackForGang(const PendingStep& pending,
+                                                const PlanCapacity& capacity, CapacityMember member,
+                                                const GangTier& tier) {
   const std::int64_t count = static_cast<std::int64_t>(pending.task_indexes.size());
   const std::vector<std::size_t>* best = nullptr;
   std::int64_t best_sum = 0;
   const auto consider = [&](const std::vector<std::size_t>& minions) {
-    const std::int64_t sum = TotalTasksOn(pending, capacity, member, minions);
+    const std::int64_t sum = TotalTasksOn(pending, capacity, member, minions, tier);
     if (sum >= count && (best == nullptr || sum < best_sum)) {
       best_sum = sum;
       best = &minions;
@@ -127,11 +190,34 @@
       consider(minions);
     }
   }
-  if (best == nullptr) {
-    return std::nullopt;
+  return best;
+}
+
+/// Places a gang on one rack.
+std::optional<FoundPlacements> FindGangOnSingleRack(const PendingStep& pending,
+                                                    const PlanCapacity& capacity,
+                                                    CapacityMember member) {
+  for (const GangTier& tier : GangTiersFor(pending, capacity)) {
+    const std::vector<std::size_t>* const rack = FindRackForGang(pending, capacity, member, tier);
+    if (rack != nullptr) {
+      return FoundPlacements{AssignGang(pending, capacity, member, *rack, tier), true};
+    }
   }
-  return FoundPlacements{AssignTasks(pending, CandidatesAmong(pending, capacity, member, *best)),
-                         true};
+  return std::nullopt;
+}
+
+/// Places a gang that fits somewhere, on whatever racks.
+std::vector<PlannedPlacement> PlaceGangAnywhere(const PendingStep& pending,
+                                                const PlanCapacity& capacity,
+                                                CapacityMember member) {
+  std::vector<PlannedPlacement> placements;
+  for (const GangTier& tier : GangTiersFor(pending, capacity)) {
+    placements = AssignGang(pending, capacity, member, capacity.everywhere(), tier);
+    if (placements.size() == pending.task_indexes.size()) {
+      break;
+    }
+  }
+  return placements;
 }
 
 }  // namespace
@@ -191,9 +277,28 @@
       return std::nullopt;
     }
   }
-  return FoundPlacements{
-      AssignTasks(pending, CandidatesAmong(pending, capacity, member, capacity.everywhere())),
-      !HasRackPreference(pending)};
+  return FoundPlacements{PlaceGangAnywhere(pending, capacity, member), !HasRackPreference(pending)};
+}
+
+std::string SpeedReasonOf(const PendingStep& pending, const PlanCapacity& capacity,
+                          const std::vector<PlannedPlacement>& placements) {
+  if (!capacity.HasFastMinions(pending.service)) {
+    return "";
+  }
+  bool any_fast = false;
+  bool all_enough = true;
+  for (const PlannedPlacement& placement : placements) {
+    const PlanMinion& minion = *capacity.CapacityOf(placement.minion).minion;
+    any_fast = any_fast || minion.is_fast;
+    all_enough = all_enough && minion.speed >= pending.min_speed;
+  }
+  if (!all_enough) {
+    return "no room on minions that are fast enough";
+  }
+  if (pending.min_speed > 0) {
+    return "minions that are fast enough";
+  }
+  return any_fast ? "no room on slow minions" : "slow minions";
 }
 
 FoundPlacements FindTaskPlacements(const PendingStep& pending, const PlanCapacity& capacity,
--- a/src/libraries/planner/placement_search.h
+++ b/src/libraries/planner/placement_search.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "libraries/planner/plan_capacity.h"
@@ -30,6 +31,11 @@
 FoundPlacements FindTaskPlacements(const PendingStep& pending, const PlanCapacity& capacity,
                                    CapacityMember member);
 
+/// How the speeds of minions have decided the placements, such as "fast minions"; empty if they
+/// have no part in it.
+std::string SpeedReasonOf(const PendingStep& pending, const PlanCapacity& capacity,
+                          const std::vector<PlannedPlacement>& placements);
+
 /// Whether a gang, or one independent task, fits into the capacity, on whatever rack.
 bool FitsAnywhere(const PendingStep& pending, const PlanCapacity& capacity, CapacityMember member);
 
--- a/src/libraries/planner/plan_capacity.cc
+++ b/src/libraries/planner/plan_capacity.cc
@@ -48,6 +48,9 @@
     capacity.free_after_reclaim = capacity.free_after_stops;
     capacity.is_idle = minion.is_idle;
     m_free_accelerators += FreeAcceleratorsOf(capacity);
+    if (minion.is_fast) {
+      m_services_with_fast_minions.insert(minion.service);
+    }
     ServiceLoad& load = m_loads[minion.service];
     load.capacity += WeightedCores(minion.capacity);
     load.used += WeightedCores(minion.capacity - minion.free);
--- a/src/libraries/planner/plan_capacity.h
+++ b/src/libraries/planner/plan_capacity.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -70,6 +71,10 @@
 
   const std::vector<MinionCapacity>& minions() const { return m_minions; }
   MinionCapacity* Find(const MinionId& id);
+  /// The capacity of a minion of the snapshot.
+  const MinionCapacity& CapacityOf(const MinionId& id) const {
+    return m_minions[m_index_by_minion.at(id)];
+  }
 
   /// Allocates capacity to a task that starts now and is expected to take as long as `estimate`.
   void Allocate(const MinionId& id, const Resources& needs, Milliseconds estimate);
@@ -103,6 +108,10 @@
   double WeightedCapacityOf(const ServiceId& service) const;
   /// Forecasts that were made in this pass.
   RackForecasts& rack_forecasts() const { return m_rack_forecasts; }
+  /// Whether the service has fast minions that are kept for steps that need them.
+  bool HasFastMinions(const ServiceId& service) const {
+    return m_services_with_fast_minions.contains(service);
+  }
   /// Whether capacity was reserved in this pass.
   bool has_reservations() const { return m_has_reservations; }
   /// Accelerators available at once, on all minions together.
@@ -125,6 +134,7 @@
   std::int64_t m_free_accelerators = 0;
   std::map<ServiceId, ServiceLoad> m_loads;
   mutable RackForecasts m_rack_forecasts;
+  std::set<ServiceId> m_services_with_fast_minions;
   bool m_has_reservations = false;
 };
 
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -38,8 +38,11 @@
   std::vector<PlanRun> runs;
   /// Tasks have failed or stood still on it lately. It only gets work as a last resort.
   bool is_avoided = false;
-  /// Work per second relative to a healthy minion.
+  /// Work per second relative to the usual minion of its service.
   double speed = 1;
+  /// It is among the fast minions of a service whose minions differ so much that fast ones are kept
+  /// for steps that need them.
+  bool is_fast = false;
 };
 
 /// One step of a job that has waiting tasks.
@@ -71,6 +74,9 @@
   Milliseconds waited{0};
   /// Time left until the step must start for the job to be on time; negative if the job is late.
   Milliseconds slack{0};
+  /// The least speed with which the step can still be on time; 0 if it needs none, or if none is
+  /// enough.
+  double min_speed = 0;
   /// How much longer the step takes away from its preferred rack; 0 if it is never held for it.
   Milliseconds remote_penalty{0};
   /// How long the step has been held back for its preferred rack so far, over all its starts.
--- a/src/libraries/planner/reclaim_search.cc
+++ b/src/libraries/planner/reclaim_search.cc
@@ -18,6 +18,8 @@
   const std::vector<PlanVictim>& victims;
   const std::vector<bool>& is_stopped;
   VictimScope scope;
+  /// Slower minions are left out.
+  double min_speed = 0;
 
   bool MayStop(std::size_t victim) const {
     return !is_stopped[victim] &&
@@ -67,7 +69,8 @@
   Candidate MakeCandidate(std::size_t index) const {
     const MinionCapacity& minion = m_request.capacity.minions()[index];
     Candidate candidate;
-    if (IsEligible(m_request.pending, *minion.minion)) {
+    if (IsEligible(m_request.pending, *minion.minion) &&
+        minion.minion->speed >= m_request.min_speed) {
       candidate.capacity = minion.free_after_stops;
       candidate.slots = SlotsOn(minion);
       candidate.option = OptionOn(index, candidate);
@@ -229,16 +232,28 @@
   return best;
 }
 
+/// Prefers to stop runs on minions that are fast enough for the step: on others it would be late.
+std::optional<FoundReclaim> FindInScope(ReclaimRequest request) {
+  if (request.pending.min_speed > 0) {
+    request.min_speed = request.pending.min_speed;
+    if (std::optional<FoundReclaim> found = FindAmong(request)) {
+      return found;
+    }
+    request.min_speed = 0;
+  }
+  return FindAmong(request);
+}
+
 }  // namespace
 
 std::optional<FoundReclaim> FindReclaim(const PendingStep& pending, const PlanCapacity& capacity,
                                         const std::vector<PlanVictim>& victims,
                                         const std::vector<bool>& is_stopped) {
-  const ReclaimRequest lower{pending, capacity, victims, is_stopped, VictimScope::kLowerPriorities};
-  std::optional<FoundReclaim> found = FindAmong(lower);
+  std::optional<FoundReclaim> found = FindInScope(
+      ReclaimRequest{pending, capacity, victims, is_stopped, VictimScope::kLowerPriorities});
   if (!found.has_value() && pending.may_stop_borrowers) {
-    const ReclaimRequest all{pending, capacity, victims, is_stopped, VictimScope::kBorrowersToo};
-    found = FindAmong(all);
+    found = FindInScope(
+        ReclaimRequest{pending, capacity, victims, is_stopped, VictimScope::kBorrowersToo});
   }
   return found;
 }
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -353,10 +353,14 @@
       m_capacity.Allocate(placement.minion, pending.spec.needs, pending.spec.estimate);
     }
     m_quotas.Add(pending, static_cast<std::int64_t>(found.placements.size()));
-    m_plan.starts.push_back(PlannedStart{pending.job, pending.step, found.placements,
-                                         found.meets_rack_preference
-                                             ? "capacity on preferred racks"
-                                             : "no capacity on the preferred rack"});
+    std::string reason = found.meets_rack_preference ? "capacity on preferred racks"
+                                                     : "no capacity on the preferred rack";
+    if (const std::string speed = SpeedReasonOf(pending, m_capacity, found.placements);
+        !speed.empty()) {
+      reason += "; " + speed;
+    }
+    m_plan.starts.push_back(
+        PlannedStart{pending.job, pending.step, found.placements, std::move(reason)});
   }
 
   const PlanSnapshot& m_snapshot;
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -134,6 +134,9 @@
   void SetCutOffFromCallers(const MinionId& id, std::optional<OutageKind> kind);
   /// The platform removes the entry of a minion that has been silent for three heartbeat intervals.
   void RemoveSilentEntries();
+  /// Work per second on the minion's machine, 1 being usual, of runs that begin from now on. A gang
+  /// is as slow as its slowest member.
+  void SetSpeed(const MinionId& id, double speed);
   void SetRack(const MinionId& id, const RackId& rack);
   void SetDraining(const MinionId& id);
   /// Kills all runs on the minion and starts a new incarnation under the same id at once.
@@ -212,6 +215,7 @@
     MinionId id;
     RackId rack;
     ZoneId zone;
+    double speed = 1;
     Resources capacity;
     std::string address;
     Milliseconds started_at{0};
--- a/src/stand_ins/fleet/fleet_minions_crashes.cc
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -36,6 +36,7 @@
   fresh.id = old.id;
   fresh.rack = old.rack;
   fresh.zone = old.zone;
+  fresh.speed = old.speed;
   fresh.capacity = old.capacity;
   fresh.address = old.address;
   fresh.is_reachable = old.is_reachable;
--- a/src/stand_ins/fleet/fleet_minions_room.cc
+++ b/src/stand_ins/fleet/fleet_minions_room.cc
@@ -43,6 +43,8 @@
   }
 }
 
+void FleetMinions::SetSpeed(const MinionId& id, double speed) { m_minions.at(id).speed = speed; }
+
 void FleetMinions::SetRack(const MinionId& id, const RackId& rack) {
   m_minions.at(id).rack = rack;
   Publish(m_minions.at(id));
--- a/src/stand_ins/fleet/fleet_minions_runs.cc
+++ b/src/stand_ins/fleet/fleet_minions_runs.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 #include "stand_ins/fleet/fleet_minions.h"
@@ -32,6 +34,7 @@
 void FleetMinions::BeginIfGangComplete(const TaskName& task, AttemptNumber attempt) {
   const StepSpec* const step = StepOf(task);
   std::vector<Run*> members;
+  double slowest = std::numeric_limits<double>::infinity();
   for (auto& [id, minion] : m_minions) {
     for (auto& [name, run] : minion.runs) {
       const bool is_member = step != nullptr && step->kind == WorkStepKind::kGang
@@ -39,6 +42,7 @@
                                  : name == task;
       if (is_member && run.attempt == attempt) {
         members.push_back(&run);
+        slowest = std::min(slowest, minion.speed);
       }
     }
   }
@@ -49,10 +53,11 @@
     return;
   }
   const auto job = m_jobs.find(task.job);
+  const Milliseconds work = job == m_jobs.end() ? Milliseconds(1'000) : job->second.duration;
+  const Milliseconds duration(std::llround(static_cast<double>(work.count()) / slowest));
   for (Run* const run : members) {
     run->began_at = m_timers.clock().Now();
-    run->ends_at =
-        m_timers.clock().Now() + (job == m_jobs.end() ? Milliseconds(1'000) : job->second.duration);
+    run->ends_at = m_timers.clock().Now() + duration;
   }
 }
 
--- a/tests/planner/fleet_simulation.cc
+++ b/tests/planner/fleet_simulation.cc
@@ -1,7 +1,11 @@
 #include "planner/fleet_simulation.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
+#include <numeric>
+
+#include "libraries/leader/step_speed.h"
 
 namespace papayalift {
 
@@ -10,9 +14,9 @@
 constexpr Milliseconds kInterval{100};
 constexpr std::int64_t kAccelerators = 8;
 constexpr Resources kMinionCapacity{32'000, 128'000, kAccelerators};
-/// Jobs are on time within this many times their length and a second.
-constexpr int kSlackFactor = 2;
-constexpr Milliseconds kLatencyTarget{1'000};
+/// A run shows its rate after this time.
+constexpr Milliseconds kMinMeasurement{600};
+constexpr double kWeightOfLaterRates = 0.2;
 /// After a tenth of its duration a run shows when it will end.
 constexpr int kShareThatShowsRate = 10;
 
@@ -26,9 +30,19 @@
 
 }  // namespace
 
+bool SimulatedOutcome::is_on_time() const {
+  const Milliseconds objective(
+      std::llround(step.slack_factor * static_cast<double>(step.duration.count())) +
+      step.latency_target.count());
+  return ended_at.has_value() && *ended_at - arrived_at <= objective;
+}
+
 FleetSimulation::FleetSimulation(const SimulationSettings& settings) : m_settings(settings) {}
 
 void FleetSimulation::Submit(const SimulatedStep& step) {
+  std::vector<int>& tasks = m_waiting_tasks[m_outcomes.size()];
+  tasks.resize(static_cast<std::size_t>(step.width));
+  std::iota(tasks.begin(), tasks.end(), 0);
   m_waiting.push_back(m_outcomes.size());
   m_outcomes.push_back(SimulatedOutcome{step, m_now, std::nullopt, std::nullopt});
 }
@@ -40,6 +54,9 @@
 
 void FleetSimulation::Advance() {
   EndRuns();
+  if (m_settings.learns_speeds) {
+    LearnSpeeds();
+  }
   if (m_now >= m_paused_until) {
     for (const PlannedStart& start : PlanTasks(Snapshot()).starts) {
       Start(start);
@@ -72,6 +89,11 @@
     minion.capacity = kMinionCapacity;
     minion.free = kMinionCapacity;
     minion.is_idle = true;
+    const SpeedSpread spread = m_host_speeds.SpreadOf(minion.service);
+    if (spread.is_uneven) {
+      minion.speed = m_host_speeds.SpeedOf(HostOf(static_cast<std::size_t>(number)), spread, m_now);
+      minion.is_fast = minion.speed >= spread.fast_from;
+    }
   }
   for (const Run& run : m_running) {
     PlanMinion& minion = snapshot.minions[run.minion];
@@ -87,7 +109,7 @@
 }
 
 Milliseconds FleetSimulation::RemainingOf(const Run& run) const {
-  const Milliseconds duration = m_outcomes[run.outcome].step.duration;
+  const Milliseconds duration = run.duration;
   const Milliseconds elapsed = m_now - run.began_at;
   const bool shows_rate = elapsed * kShareThatShowsRate >= duration;
   const Milliseconds left = (shows_rate ? duration : EstimateOf(run.outcome)) - elapsed;
@@ -104,33 +126,99 @@
   pending.spec.count = known.step.width;
   pending.spec.needs = NeedsOf(known.step);
   pending.spec.estimate = EstimateOf(outcome);
-  for (int index = 0; index < known.step.width; ++index) {
-    pending.task_indexes.push_back(index);
-  }
-  pending.priority = Priority(1);
+  pending.task_indexes = m_waiting_tasks.at(outcome);
+  pending.priority = known.step.priority;
   const Milliseconds since = std::max(known.arrived_at, m_leader_since);
   pending.waited = m_settings.hides_waits ? Milliseconds(0) : m_now - since;
-  pending.slack = pending.spec.estimate * (kSlackFactor - 1) + kLatencyTarget - (m_now - since);
+  const Milliseconds objective(
+      std::llround(known.step.slack_factor * static_cast<double>(pending.spec.estimate.count())) +
+      known.step.latency_target.count());
+  const Milliseconds time_left = objective - (m_now - since);
+  pending.slack = time_left - pending.spec.estimate;
+  pending.min_speed =
+      MinSpeedFor(pending.spec.estimate, time_left, m_host_speeds.SpreadOf(pending.service));
   return pending;
 }
 
 void FleetSimulation::EndRuns() {
   std::erase_if(m_running, [this](const Run& run) {
-    SimulatedOutcome& outcome = m_outcomes[run.outcome];
-    const bool has_ended = m_now - run.began_at >= outcome.step.duration;
+    const bool has_ended = m_now - run.began_at >= run.duration;
     if (has_ended) {
-      outcome.ended_at = m_now;
+      m_outcomes[run.outcome].ended_at = m_now;
     }
     return has_ended;
   });
+  for (const Run& run : m_running) {
+    m_outcomes[run.outcome].ended_at.reset();
+  }
+  for (const std::size_t outcome : m_waiting) {
+    m_outcomes[outcome].ended_at.reset();
+  }
+}
+
+double FleetSimulation::SpeedOf(std::size_t minion) const {
+  return m_settings.speeds.empty() ? 1 : m_settings.speeds[minion % m_settings.speeds.size()];
+}
+
+double FleetSimulation::DrawWork() {
+  std::uniform_real_distribution<double> work(1 - m_settings.work_variation,
+                                              1 + m_settings.work_variation);
+  std::bernoulli_distribution is_straggler(m_settings.straggler_share);
+  const double drawn = m_settings.work_variation > 0 ? work(m_random) : 1;
+  return m_settings.straggler_share > 0 && is_straggler(m_random) ? drawn * kStragglerFactor
+                                                                  : drawn;
+}
+
+HostIdentity FleetSimulation::HostOf(std::size_t minion) const {
+  return HostIdentity{"10.0.0.1:" + std::to_string(minion), 1};
+}
+
+void FleetSimulation::LearnSpeeds() {
+  std::map<std::size_t, std::vector<HostRate>> groups;
+  for (Run& run : m_running) {
+    const Milliseconds ran = m_now - run.began_at;
+    const bool is_alike = m_outcomes[run.outcome].step.kind == WorkStepKind::kIndependentTasks;
+    if (is_alike && ran > Milliseconds(0) && ran.count() % kMinMeasurement.count() == 0) {
+      HostRate rate;
+      rate.host = HostOf(run.minion);
+      rate.service = ServiceId("pool");
+      rate.run = run.outcome * 1'000 + static_cast<std::size_t>(run.index);
+      rate.rate = 1 / static_cast<double>(run.duration.count());
+      rate.weight = run.was_measured ? kWeightOfLaterRates : 1;
+      run.was_measured = true;
+      groups[run.outcome].push_back(rate);
+    }
+  }
+  for (const auto& [outcome, group] : groups) {
+    m_host_speeds.Observe(group, m_now);
+  }
+  m_host_speeds.UpdateSpreads(m_now);
 }
 
 void FleetSimulation::Start(const PlannedStart& start) {
   const std::size_t outcome = std::stoul(start.job.text().substr(1)) - 1'000'000;
-  m_outcomes[outcome].started_at = m_now;
-  std::erase(m_waiting, outcome);
+  SimulatedOutcome& known = m_outcomes[outcome];
+  known.started_at = known.started_at.value_or(m_now);
+  std::vector<int>& waiting = m_waiting_tasks[outcome];
+  std::vector<Run> started;
+  Milliseconds longest{0};
   for (const PlannedPlacement& placement : start.placements) {
-    m_running.push_back(Run{outcome, std::stoul(placement.minion.text().substr(1)) - 1'000, m_now});
+    const std::size_t minion = std::stoul(placement.minion.text().substr(1)) - 1'000;
+    const double work = static_cast<double>(known.step.duration.count()) * DrawWork();
+    const Milliseconds duration(std::llround(work / SpeedOf(minion)));
+    longest = std::max(longest, duration);
+    started.push_back(Run{outcome, minion, m_now, duration, placement.index});
+    std::erase(waiting, placement.index);
+  }
+  for (Run& run : started) {
+    if (known.step.kind == WorkStepKind::kGang) {
+      run.duration = longest;
+    }
+    m_running.push_back(run);
+  }
+  if (waiting.empty()) {
+    m_waiting_tasks.erase(outcome);
+    std::erase(m_waiting, outcome);
   }
 }
 
