Leader: Keep learned speeds of machines in the store

A new leader had to learn the speeds anew, for half a minute in which urgent jobs were late again.

Gang members that make progress together are recognized by their rates, since their reports come at different times, and tasks away from the rack of their data are not compared.

--- a/src/libraries/journal/journal_keys.h
+++ b/src/libraries/journal/journal_keys.h
@@ -12,6 +12,8 @@
 constexpr char kTermKey[] = "papayalift/term";
 /// The lease record. It lies below the term's key, so that one watch brings both.
 constexpr char kLeaseRecordKey[] = "papayalift/term/leases";
+/// The record of the speeds of machines. Its further parts have this key as their prefix.
+constexpr char kSpeedsKey[] = "papayalift/speeds";
 constexpr char kAcceptedPrefix[] = "papayalift/accepted/";
 constexpr char kProgressPrefix[] = "papayalift/progress/";
 /// Prefix of the records of cancelled jobs that were not stored. A submission that is under way
--- a/src/libraries/leader/host_rates.cc
+++ b/src/libraries/leader/host_rates.cc
@@ -1,6 +1,7 @@
 #include "libraries/leader/host_rates.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <utility>
 
@@ -18,9 +19,9 @@
 constexpr int kMinMedianPercents = 8;
 /// Progress that a run may have made without showing it.
 constexpr double kHiddenPercents = 0.5;
-/// The members of a gang whose percentages differ by no more have one common progress, which says
-/// nothing of each.
-constexpr int kMaxLockstepDifference = 2;
+/// The members of a gang whose percentages are within this of one common rate make progress
+/// together, which says nothing of each.
+constexpr double kMaxLockstepDifference = 2;
 /// Later measurements of a run show the same work again.
 constexpr double kWeightOfLaterRates = 0.2;
 constexpr int kFullPercent = 100;
@@ -61,6 +62,29 @@
   return groups;
 }
 
+double SecondsOf(const MeasuredRun& measured) {
+  const Milliseconds time = measured.run->reported_at - measured.run->rate_window->began_at;
+  return static_cast<double>(time.count()) / kMillisecondsPerSecond;
+}
+
+/// Whether all runs have the rate of the middle one, as far as whole percentages show it.
+bool HaveOneRate(const MeasuredRuns& runs) {
+  const MeasuredRun& middle = runs[runs.size() / 2];
+  const double rate = PercentsOf(middle) / SecondsOf(middle);
+  return std::all_of(runs.begin(), runs.end(), [rate](const MeasuredRun& run) {
+    return std::abs(PercentsOf(run) - rate * SecondsOf(run)) <= kMaxLockstepDifference;
+  });
+}
+
+/// Tasks away from the rack of their data are slower, whatever their machine.
+void DropRunsAwayFromData(MeasuredRuns& runs, const StepSpec& step) {
+  if (!step.data_rack.empty()) {
+    std::erase_if(runs, [&step](const MeasuredRun& run) {
+      return run.minion->entry->rack != step.data_rack;
+    });
+  }
+}
+
 bool ShowsRates(MeasuredRuns& runs, WorkStepKind kind) {
   if (runs.size() < 2) {
     return false;
@@ -68,22 +92,17 @@
   std::sort(runs.begin(), runs.end(), [](const MeasuredRun& left, const MeasuredRun& right) {
     return PercentsOf(left) < PercentsOf(right);
   });
-  const bool is_lockstep =
-      kind == WorkStepKind::kGang &&
-      PercentsOf(runs.back()) - PercentsOf(runs.front()) <= kMaxLockstepDifference;
-  return !is_lockstep && PercentsOf(runs[runs.size() / 2]) >= kMinMedianPercents;
+  return PercentsOf(runs[runs.size() / 2]) >= kMinMedianPercents &&
+         (kind != WorkStepKind::kGang || !HaveOneRate(runs));
 }
 
 HostRate RateOf(const MeasuredRun& measured) {
   const TrackedRun& run = *measured.run;
-  const double seconds =
-      static_cast<double>((run.reported_at - run.rate_window->began_at).count()) /
-      kMillisecondsPerSecond;
   HostRate rate;
   rate.host = measured.minion->host;
   rate.service = measured.minion->entry->service;
   rate.run = Hash64(FormatTaskName(run.task) + ' ' + std::to_string(run.attempt.value()));
-  rate.rate = std::max<double>(PercentsOf(measured), kHiddenPercents) / seconds;
+  rate.rate = std::max<double>(PercentsOf(measured), kHiddenPercents) / SecondsOf(measured);
   rate.weight = run.rates_measured == 0 ? 1 : kWeightOfLaterRates;
   return rate;
 }
@@ -94,6 +113,9 @@
   std::vector<std::vector<HostRate>> measured;
   for (auto& [key, runs] : GroupRuns(state)) {
     const StepSpec* const step = state.FindStep(runs.front().run->task);
+    if (step != nullptr) {
+      DropRunsAwayFromData(runs, *step);
+    }
     if (step != nullptr && ShowsRates(runs, step->kind)) {
       std::vector<HostRate>& group = measured.emplace_back();
       for (const MeasuredRun& run : runs) {
--- a/src/libraries/leader/host_speeds.cc
+++ b/src/libraries/leader/host_speeds.cc
@@ -14,9 +14,6 @@
 
 /// Bounds the state. Machines that were observed longest ago are dropped first.
 constexpr std::size_t kMaxHosts = 4'096;
-/// A new observation counts at least 1 / (kMaxSpeedWeight + 1). The work of like tasks differs by
-/// up to 30 %, which leaves an error of some 7 % in the speed.
-constexpr double kMaxSpeedWeight = 7;
 /// A machine counts in the spread of its service from this many observations on.
 constexpr double kMinKnownWeight = 3.5;
 /// A speed is taken to be nearer to the usual one by this many observations of it, until there are
@@ -234,9 +231,8 @@
       speed.listed_at = now;
     }
   }
-  std::erase_if(m_hosts, [now](const auto& entry) {
-    return now - entry.second.listed_at >= kGoneAfter;
-  });
+  std::erase_if(m_hosts,
+                [now](const auto& entry) { return now - entry.second.listed_at >= kGoneAfter; });
 }
 
 void HostSpeeds::Confirm(const HostIdentity& host) {
--- a/src/libraries/leader/host_speeds.h
+++ b/src/libraries/leader/host_speeds.h
@@ -73,6 +73,10 @@
   double logged_log_speed = 0;
 };
 
+/// A new observation counts at least 1 / (kMaxSpeedWeight + 1). The work of like tasks differs by
+/// up to 30 %, which leaves an error of some 7 % in the speed.
+constexpr double kMaxSpeedWeight = 7;
+
 class HostSpeeds {
  public:
   /// Records the rates of runs of like work that were observed at the same time. Groups of fewer
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libraries/journal/journal_keys.h"
+#include "libraries/leader/host_speed_recorder.h"
 #include "libraries/leader/lease_time.h"
 #include "libraries/leader/plan_snapshot_builder.h"
 #include "libraries/leader/task_isolation.h"
@@ -50,7 +51,10 @@
   CreateJournal();
   CreateLeaseRecorder();
   CreateSupervisor();
+  m_speed_recorder =
+      std::make_shared<HostSpeedRecorder>(m_context.timers, m_context.store, m_state);
   m_lease_recorder->Load();
+  m_speed_recorder->Load();
   LoadProgress();
   for (std::size_t index = 0; index < m_watched_prefixes.size(); ++index) {
     LoadPrefix(index);
@@ -127,6 +131,7 @@
   m_is_closed = true;
   m_journal->Close();
   m_lease_recorder->Close();
+  m_speed_recorder->Close();
   m_supervisor->Close();
 }
 
@@ -274,6 +279,7 @@
   m_supervisor->GiveUpLostRuns();
   ExportSilentRuns();
   LearnSpeeds();
+  m_speed_recorder->WriteIfDue();
   ExportWorkspaceLoads(MeasureWorkspaceLoads(m_state, *m_context.view.manifest()),
                        m_context.metrics);
   m_lease_recorder->RemoveNeedless(kMinSilenceWithoutRuns);
--- a/src/libraries/leader/leader_session_speeds.cc
+++ b/src/libraries/leader/leader_session_speeds.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <set>
 
@@ -90,17 +89,19 @@
 
 double LeaderSession::SpeedOfStep(const TrackedJob& job, const TaskName& task) {
   const std::size_t step = static_cast<std::size_t>(task.step);
+  const auto speed_of = [this](const TaskProgress& member) {
+    const TrackedMinion* const minion = m_state.FindMinion(member.minion);
+    return minion == nullptr ? 1 : minion->health.learned_speed.value_or(1);
+  };
+  const std::vector<TaskProgress>& tasks = job.progress.steps[step].tasks;
+  if (job.accepted.work.steps[step].kind != WorkStepKind::kGang) {
+    return speed_of(tasks[static_cast<std::size_t>(task.index)]);
+  }
   double slowest = std::numeric_limits<double>::infinity();
-  for (std::size_t index = 0; index < job.progress.steps[step].tasks.size(); ++index) {
-    const TaskProgress& member = job.progress.steps[step].tasks[index];
-    const bool counts = job.accepted.work.steps[step].kind == WorkStepKind::kGang ||
-                        static_cast<int>(index) == task.index;
-    const TrackedMinion* const minion = counts ? m_state.FindMinion(member.minion) : nullptr;
-    if (minion != nullptr) {
-      slowest = std::min(slowest, minion->health.learned_speed.value_or(1));
-    }
+  for (const TaskProgress& member : tasks) {
+    slowest = std::min(slowest, speed_of(member));
   }
-  return std::isinf(slowest) ? 1 : slowest;
+  return slowest;
 }
 
 }  // namespace papayalift
--- a/src/libraries/leader/queue_durations.cc
+++ b/src/libraries/leader/queue_durations.cc
@@ -43,6 +43,13 @@
        known.weight);
 }
 
+void QueueDurations::Restore(const QueueId& queue, const QueueDuration& known) {
+  if (m_queues.size() < kMaxQueues || m_queues.contains(queue)) {
+    QueueDuration& current = m_queues[queue];
+    current = current.weight < known.weight ? known : current;
+  }
+}
+
 std::optional<Milliseconds> QueueDurations::TypicalDuration(const QueueId& queue) const {
   const auto found = m_queues.find(queue);
   if (found == m_queues.end() || found->second.weight < kMinWeight) {
--- a/src/libraries/leader/queue_durations.h
+++ b/src/libraries/leader/queue_durations.h
@@ -27,6 +27,9 @@
   /// Records a task that has taken as long as `duration` on a machine of the speed, 1 being usual.
   void Record(const QueueId& queue, Milliseconds estimate, Milliseconds duration, double speed);
 
+  /// Takes over what a former leader has learned of a queue, unless more is known.
+  void Restore(const QueueId& queue, const QueueDuration& known);
+
   /// The typical duration of the queue's tasks on a usual machine, where that is far nearer to what
   /// tasks take than their estimates are; nullopt where estimates are to be used.
   std::optional<Milliseconds> TypicalDuration(const QueueId& queue) const;
