Planner: Stop fewer and cheaper runs for other jobs

The cause: a step that could stop others did so at once, also for runs that would have ended by themselves as soon; victims were ordered by unsaved work alone, and those that later choices made needless were stopped too.

delay_cost.h is one pure decision on both. Steps that may stop others wait for runs that show that they end soon, for at most half of their time to spare and until 1.2 s after acceptance. Beyond a guarantee, others are stopped only if the step can then be on time. A stop costs more for a run that was stopped before in this term, or whose job turns late by it. Each stop is logged with its cost and counted with the work that it loses.

--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -1,6 +1,7 @@
 #include "libraries/leader/leader_session.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "libraries/journal/journal_keys.h"
@@ -245,15 +246,29 @@
 }
 
 void LeaderSession::ApplyStop(const PlannedStop& stop) {
+  TrackedJob& job = *m_state.FindJob(stop.job);
+  int stopped = 0;
   for (const PlannedPlacement& placement : stop.placements) {
-    TrackedJob& job = *m_state.FindJob(stop.job);
     const TaskName name{stop.job, 0, stop.step, placement.index};
     const TaskProgress& task = job.progress.steps[static_cast<std::size_t>(stop.step)]
                                    .tasks[static_cast<std::size_t>(placement.index)];
     if (TrackedRun* const run = m_state.FindRun(name, task.attempt); run != nullptr) {
       m_supervisor->Stop(*run, "its capacity is reclaimed for job " + stop.beneficiary.text());
+      ++job.reclaims[name];
+      ++stopped;
     }
   }
+  m_context.metrics.Increment("papayalift_runs_reclaimed_total", stopped);
+  m_context.metrics.Increment("papayalift_reclaimed_core_seconds_total",
+                              std::llround(stop.lost_work));
+  LogEvent(LogLevel::kInfo, "leader", "stopping tasks for another job")
+      .Job(stop.job)
+      .Field("step", stop.step)
+      .Field("tasks", stopped)
+      .Field("beneficiary", stop.beneficiary.text())
+      .Field("lost_core_seconds", std::llround(stop.lost_work))
+      .Field("cost_core_seconds", std::llround(stop.cost))
+      .Write();
 }
 
 void LeaderSession::ExportSilentRuns() {
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -146,6 +146,8 @@
   std::set<MinionId> failed_on;
   /// How often tasks were stopped in this term because they stood still.
   std::map<TaskName, int> stalls;
+  /// How often tasks were stopped in this term to make room for others.
+  std::map<TaskName, int> reclaims;
 
   bool has_runs() const;
   /// It was cancelled, and is not stored: a node of a former version has stored the withdrawal
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -10,6 +10,7 @@
 #include "libraries/leader/task_isolation.h"
 #include "libraries/leader/workspace_load.h"
 #include "libraries/leader/workspace_usage.h"
+#include "libraries/planner/delay_cost.h"
 #include "libraries/planner/rack_wait.h"
 
 namespace papayalift {
@@ -19,12 +20,6 @@
 /// Borrowed capacity often becomes free by itself within this time. After it, borrowers are stopped
 /// for jobs within their guarantee.
 constexpr Milliseconds kBorrowerGracePeriod{1'200};
-/// A step with guaranteed priority, but beyond its guarantee, that must start within this time to
-/// be on time may stop runs of lower priority. Load that it answers: a burst of short jobs beyond
-/// the guarantees, while long ones of low priority fill the fleet.
-constexpr Milliseconds kUrgentSlack{2'000};
-/// Work that such a step may make others lose, relative to its own.
-constexpr double kMaxLostWorkShare = 0.5;
 /// Older speed measurements are ignored: a minion that was slow may have recovered.
 constexpr Milliseconds kSpeedMaxAge{6'000};
 
@@ -63,11 +58,12 @@
         AddJob(job);
       }
     }
-    m_needs_run_ends =
-        std::any_of(m_snapshot.pending_steps.begin(), m_snapshot.pending_steps.end(),
-                    [](const PendingStep& pending) {
-                      return pending.spec.kind == WorkStepKind::kGang || HasRackPreference(pending);
-                    });
+    m_needs_run_ends = std::any_of(m_snapshot.pending_steps.begin(), m_snapshot.pending_steps.end(),
+                                   [](const PendingStep& pending) {
+                                     return pending.spec.kind == WorkStepKind::kGang ||
+                                            HasRackPreference(pending) ||
+                                            pending.max_wait_for_ends > Milliseconds(0);
+                                   });
     if (!m_snapshot.pending_steps.empty() || !m_contents.waits_for_ends.empty()) {
       AddMinions();
     }
@@ -108,7 +104,8 @@
     std::vector<PlanRun> runs;
     for (const auto& [task, run] : minion.runs) {
       if (const StepSpec* const step = m_state.FindStep(task); step != nullptr) {
-        runs.push_back(PlanRun{run.needs, EstimateRemaining(run, *step, m_clock.Now())});
+        runs.push_back(PlanRun{run.needs, EstimateRemaining(run, *step, m_clock.Now()),
+                               !run.stop_wanted && ShowsRate(run)});
       }
     }
     return runs;
@@ -125,7 +122,8 @@
     for (std::size_t step = 0; step < steps.size(); ++step) {
       is_done[step] = AllTasksInPhase(job.progress.steps[step], TaskPhase::kDone);
     }
-    const std::vector<Milliseconds> paths = RemainingPaths(steps, is_done);
+    const std::vector<Milliseconds>& paths =
+        m_paths.insert_or_assign(&job, RemainingPaths(steps, is_done)).first->second;
     for (std::size_t step = 0; step < steps.size(); ++step) {
       const bool is_ready = std::all_of(
           steps[step].after.begin(), steps[step].after.end(),
@@ -174,28 +172,38 @@
         (m_settings.remote_factor - 1) * static_cast<double>(pending.spec.estimate.count())));
     pending.held_for_rack = job.rack_holds[step].total;
     pending.job_has_runs = job.has_runs();
-    const Milliseconds objective =
-        Milliseconds(static_cast<std::int64_t>(job.accepted.slack_factor *
-                                               static_cast<double>(job.critical_path->count()))) +
-        job.accepted.latency_target;
-    pending.slack = job.known_since + objective - now - remaining_path;
-    pending.max_lost_work = MaxLostWork(pending);
+    pending.slack = DueAt(job) - now - remaining_path;
+    LimitStops(job, pending);
     IsolateSuspects(m_state, job, step, pending);
     if (!pending.task_indexes.empty()) {
       m_snapshot.pending_steps.push_back(std::move(pending));
     }
   }
 
-  static double MaxLostWork(const PendingStep& pending) {
-    const bool is_urgent = pending.slack >= Milliseconds(0) && pending.slack < kUrgentSlack;
-    if (pending.priority != kGuaranteedPriority || pending.is_guaranteed || !is_urgent) {
-      return 0;
-    }
+  /// The latest end with which the job is on time.
+  static Milliseconds DueAt(const TrackedJob& job) {
+    const double critical_path = static_cast<double>(job.critical_path->count());
+    return job.known_since +
+           Milliseconds(static_cast<std::int64_t>(job.accepted.slack_factor * critical_path)) +
+           job.accepted.latency_target;
+  }
+
+  /// Weighted core-seconds of one task of the step.
+  static double WorkOfTask(const StepSpec& step) {
     constexpr double kMillisecondsPerSecond = 1'000;
-    const double seconds =
-        static_cast<double>(pending.spec.estimate.count()) / kMillisecondsPerSecond;
-    return kMaxLostWorkShare * seconds * WeightedCores(pending.spec.needs) *
-           static_cast<double>(pending.task_indexes.size());
+    return static_cast<double>(step.estimate.count()) / kMillisecondsPerSecond *
+           WeightedCores(step.needs);
+  }
+
+  void LimitStops(const TrackedJob& job, PendingStep& pending) const {
+    const double work = WorkOfTask(pending.spec) * static_cast<double>(pending.task_indexes.size());
+    const ReclaimLimits limits = LimitReclaim(
+        ReclaimFacts{pending.is_guaranteed, pending.priority, m_clock.Now() - job.known_since,
+                     job.known_since >= m_state.elected_at, pending.slack, work},
+        m_snapshot.policy);
+    pending.max_lost_work = limits.max_lost_work;
+    pending.max_wait_for_ends = limits.max_wait_for_ends;
+    pending.may_only_await_stops = limits.may_only_await_stops;
   }
 
   /// Adds all runs that may be stopped: the members of a gang as one victim, others singly.
@@ -218,6 +226,7 @@
         PlanVictim& victim = m_snapshot.victims[index];
         victim.placements.push_back(PlannedPlacement{name.index, id});
         victim.unsaved_work += UnsavedWork(*job, step, run);
+        AddRunTo(victim, *job, step, run);
       }
     }
   }
@@ -242,6 +251,41 @@
     return victim;
   }
 
+  /// Adds what the cost of stopping the run depends on.
+  void AddRunTo(PlanVictim& victim, const TrackedJob& job, std::size_t step,
+                const TrackedRun& run) const {
+    const StepSpec& spec = job.accepted.work.steps[step];
+    const Milliseconds now = m_clock.Now();
+    const Milliseconds remaining = EstimateRemaining(run, spec, now);
+    const bool is_first = victim.placements.size() == 1;
+    const bool shows_end = ShowsRate(run);
+    if (shows_end) {
+      victim.first_end = std::min(victim.first_end.value_or(remaining), remaining);
+    }
+    if (is_first) {
+      victim.last_end = Milliseconds(0);
+    }
+    victim.last_end = shows_end && victim.last_end.has_value()
+                          ? std::optional(std::max(*victim.last_end, remaining))
+                          : std::nullopt;
+    victim.work += WorkOfTask(spec);
+    const auto reclaims = job.reclaims.find(run.task);
+    if (reclaims != job.reclaims.end()) {
+      victim.times_stopped = std::max(victim.times_stopped, reclaims->second);
+    }
+    const auto paths = m_paths.find(&job);
+    if (paths == m_paths.end()) {
+      return;
+    }
+    const Milliseconds after_step = paths->second[step] - spec.estimate;
+    const Milliseconds slack = DueAt(job) - now - after_step - remaining;
+    const Milliseconds done = std::max(Milliseconds(0), spec.estimate - remaining);
+    const Milliseconds lost = spec.saves_checkpoints ? Milliseconds(0) : done;
+    const Milliseconds if_stopped = slack - lost - kStopTime - kStartTime;
+    victim.slack = is_first ? slack : std::min(victim.slack, slack);
+    victim.slack_if_stopped = is_first ? if_stopped : std::min(victim.slack_if_stopped, if_stopped);
+  }
+
   /// Weighted core-seconds that stopping the run would lose.
   double UnsavedWork(const TrackedJob& job, std::size_t step, const TrackedRun& run) const {
     constexpr double kMillisecondsPerSecond = 1'000;
@@ -266,6 +310,8 @@
   const Clock& m_clock;
   /// The expected ends of runs are only filled if a step may wait for them.
   bool m_needs_run_ends = false;
+  /// RemainingPaths() of the jobs that have not ended.
+  std::map<const TrackedJob*, std::vector<Milliseconds>> m_paths;
   PlanContents m_contents;
   PlanSnapshot& m_snapshot = m_contents.snapshot;
 };
--- a/src/libraries/leader/run_progress.cc
+++ b/src/libraries/leader/run_progress.cc
@@ -67,12 +67,16 @@
   return expected < kMinObservedShare ? std::optional<double>() : done / expected;
 }
 
+bool ShowsRate(const TrackedRun& run) {
+  return run.percent - run.initial_percent.value_or(run.percent) >= kMinPercentsOfForecast;
+}
+
 Milliseconds EstimateRemaining(const TrackedRun& run, const StepSpec& step, Milliseconds now) {
   if (run.stop_wanted) {
     return Milliseconds(0);
   }
-  const int percents = run.percent - run.initial_percent.value_or(run.percent);
-  if (percents >= kMinPercentsOfForecast) {
+  if (ShowsRate(run)) {
+    const int percents = run.percent - *run.initial_percent;
     return (now - run.initial_percent_at) * (kFullPercent - run.percent) / percents;
   }
   const Milliseconds elapsed = now - run.running_since.value_or(now);
--- a/src/libraries/leader/run_progress.h
+++ b/src/libraries/leader/run_progress.h
@@ -25,6 +25,9 @@
 /// observed for too short a time, measured by the estimate.
 std::optional<double> MeasureSpeed(const TrackedRun& run, const StepSpec& step, Milliseconds now);
 
+/// Whether the run's percentages show a rate, by which its end can be told.
+bool ShowsRate(const TrackedRun& run);
+
 /// The time until the run is expected to end, by the rate that it has shown or else its step's
 /// estimate. A run past its estimate is expected to take as long again as it is late.
 Milliseconds EstimateRemaining(const TrackedRun& run, const StepSpec& step, Milliseconds now);
--- /dev/null
+++ b/src/libraries/planner/delay_cost.h
@@ -0,0 +1,53 @@
+/// What it costs callers to delay a step or to stop a run. The order of planning, the search for
+/// runs to stop and the leader's limits on stops all ask here.
+#pragma once
+
+#include "libraries/base/units.h"
+#include "libraries/planner/plan_snapshot.h"
+
+namespace papayalift {
+
+/// Stopping a run until its capacity is free.
+constexpr Milliseconds kStopTime{400};
+/// From the decision to start a task until it works.
+constexpr Milliseconds kStartTime{300};
+/// A guarantee that is not met by capacity that becomes free by itself is met by stops that are
+/// decided this long after the job's acceptance. Reclaim limits are 2,700 ms and more, and a stop
+/// and a start take 700 ms of that.
+constexpr Milliseconds kLastReclaimDecision{1'200};
+
+/// A step that may make others give way, as the leader knows it.
+struct ReclaimFacts {
+  bool is_guaranteed = false;
+  Priority priority;
+  /// Since its job was accepted.
+  Milliseconds age{0};
+  /// The job was accepted under this leader, so that `age` is all of its waiting.
+  bool is_age_certain = false;
+  /// PendingStep::slack.
+  Milliseconds slack{0};
+  /// Weighted core-seconds of the waiting tasks.
+  double work = 0;
+};
+
+/// What such a step may do to others.
+struct ReclaimLimits {
+  /// PendingStep::max_lost_work.
+  double max_lost_work = 0;
+  /// PendingStep::max_wait_for_ends.
+  Milliseconds max_wait_for_ends{0};
+  /// PendingStep::may_only_await_stops.
+  bool may_only_await_stops = false;
+};
+
+/// A step within its guarantee may always stop others, but first waits for runs that are about to
+/// end while that endangers neither its objective nor the guarantee. Beyond the guarantee, steps of
+/// guaranteed priority may stop others if they must start soon and can then still be on time.
+ReclaimLimits LimitReclaim(const ReclaimFacts& facts, DelayPolicy policy);
+
+/// Weighted core-seconds that stopping the victim costs: its unsaved work, more for each time that
+/// it was stopped before, and the value that its job loses by being late. Never less than
+/// PlanVictim::unsaved_work.
+double CostOfStop(const PlanVictim& victim, DelayPolicy policy);
+
+}  // namespace papayalift
--- a/src/libraries/planner/plan.h
+++ b/src/libraries/planner/plan.h
@@ -25,6 +25,10 @@
   std::vector<PlannedPlacement> placements;
   /// The job that receives the capacity.
   JobId beneficiary;
+  /// Weighted core-seconds that are lost.
+  double lost_work = 0;
+  /// What the stop was judged by, in weighted core-seconds.
+  double cost = 0;
 };
 
 /// A ready step of which tasks are not started in this pass.
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,6 +20,9 @@
   Resources needs;
   /// Until its expected end; 0 if it is being stopped.
   Milliseconds remaining{0};
+  /// Its progress shows when it will end. False if `remaining` is no more than an estimate, or if
+  /// the run is being stopped.
+  bool shows_end = false;
 };
 
 /// A minion that can be given work, if only as a last resort.
@@ -68,6 +72,10 @@
   /// Beyond its guarantee the step may stop lower priorities if that loses less work than this, in
   /// weighted core-seconds.
   double max_lost_work = 0;
+  /// A step that may stop others rather waits for runs that show that they end within this time.
+  Milliseconds max_wait_for_ends{0};
+  /// More stops would come too late for the step. It waits for room that is being freed.
+  bool may_only_await_stops = false;
   Milliseconds waited{0};
   /// Time left until the step must start for the job to be on time; negative if the job is late.
   Milliseconds slack{0};
@@ -116,9 +124,29 @@
   std::vector<PlannedPlacement> placements;
   /// Weighted core-seconds of work that are lost if the runs are stopped.
   double unsaved_work = 0;
+  /// Weighted core-seconds of all of its runs, from start to end.
+  double work = 0;
+  /// How often it was stopped for others in this term.
+  int times_stopped = 0;
+  /// Time to spare until the job can't be on time: if its runs go on, and if they are stopped.
+  Milliseconds slack{0};
+  Milliseconds slack_if_stopped{0};
+  /// Until the first expected end of its runs that show when they will end.
+  std::optional<Milliseconds> first_end;
+  /// Until the last; empty if not all of its runs show it.
+  std::optional<Milliseconds> last_end;
+};
+
+/// How steps are ordered and runs chosen to be stopped when capacity is short.
+enum class DelayPolicy {
+  /// By priority and slack alone, and by unsaved work. Kept to compare with.
+  kBySlack,
+  /// By what the delay or the stop costs callers (delay_cost.h).
+  kByCost,
 };
 
 struct PlanSnapshot {
+  DelayPolicy policy = DelayPolicy::kByCost;
   std::vector<PlanMinion> minions;
   std::vector<PendingStep> pending_steps;
   std::vector<PlanVictim> victims;
--- a/src/libraries/planner/quota_stops.cc
+++ b/src/libraries/planner/quota_stops.cc
@@ -2,16 +2,23 @@
 
 #include <algorithm>
 
+#include "libraries/planner/delay_cost.h"
+
 namespace papayalift {
 
 namespace {
 
 bool MayStop(const PendingStep& pending, const PlanVictim& victim) {
-  return victim.workspace == pending.workspace &&
+  return victim.workspace == pending.workspace && !pending.may_only_await_stops &&
          (victim.priority > pending.priority ||
           (victim.is_borrower && pending.may_stop_borrowers && victim.job != pending.job));
 }
 
+/// Whether its capacity becomes free by itself while the step can wait.
+bool EndsSoon(const PendingStep& pending, const PlanVictim& victim) {
+  return victim.last_end.has_value() && *victim.last_end < pending.max_wait_for_ends;
+}
+
 Resources NeedsOf(const PlanVictim& victim) {
   return victim.needs_per_task * static_cast<std::int64_t>(victim.placements.size());
 }
@@ -20,18 +27,26 @@
 
 std::optional<std::vector<std::size_t>> FindQuotaStops(const PendingStep& pending,
                                                        const WorkspaceQuotas& quotas,
-                                                       const std::vector<PlanVictim>& victims,
+                                                       const PlanSnapshot& snapshot,
                                                        const std::vector<bool>& is_stopped) {
+  const std::vector<PlanVictim>& victims = snapshot.victims;
+  const auto cost = [&snapshot](std::size_t victim) {
+    return CostOfStop(snapshot.victims[victim], snapshot.policy);
+  };
+  WorkspaceQuotas after_stops = quotas;
   std::vector<std::size_t> candidates;
   for (std::size_t index = 0; index < victims.size(); ++index) {
-    if (!is_stopped[index] && MayStop(pending, victims[index])) {
+    if (is_stopped[index] || victims[index].workspace != pending.workspace) {
+      continue;
+    }
+    if (EndsSoon(pending, victims[index])) {
+      after_stops.AddBeingFreed(pending.workspace, NeedsOf(victims[index]));
+    } else if (MayStop(pending, victims[index])) {
       candidates.push_back(index);
     }
   }
-  std::sort(candidates.begin(), candidates.end(), [&victims](std::size_t left, std::size_t right) {
-    return victims[left].unsaved_work < victims[right].unsaved_work;
-  });
-  WorkspaceQuotas after_stops = quotas;
+  std::sort(candidates.begin(), candidates.end(),
+            [&cost](std::size_t left, std::size_t right) { return cost(left) < cost(right); });
   const std::int64_t wanted = static_cast<std::int64_t>(pending.task_indexes.size());
   std::vector<std::size_t> chosen;
   double lost_work = 0;
@@ -41,7 +56,7 @@
       return std::nullopt;
     }
     after_stops.AddBeingFreed(pending.workspace, NeedsOf(victims[*candidate]));
-    lost_work += victims[*candidate].unsaved_work;
+    lost_work += cost(*candidate);
     chosen.push_back(*candidate++);
   }
   const bool loses_too_much = !pending.is_guaranteed && lost_work >= pending.max_lost_work;
--- a/src/libraries/planner/reclaim_search.cc
+++ b/src/libraries/planner/reclaim_search.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "libraries/planner/delay_cost.h"
 #include "libraries/planner/placement_search.h"
 
 namespace papayalift {
@@ -16,14 +17,36 @@
   const PendingStep& pending;
   const PlanCapacity& capacity;
   const std::vector<PlanVictim>& victims;
+  /// CostOfStop() of each victim.
+  const std::vector<double>& costs;
   const std::vector<bool>& is_stopped;
   VictimScope scope;
+  DelayPolicy policy;
 
   bool MayStop(std::size_t victim) const {
-    return !is_stopped[victim] &&
+    return !is_stopped[victim] && !pending.may_only_await_stops && !EndsSoon(victim) &&
            (victims[victim].priority > pending.priority ||
             (victims[victim].is_borrower && scope == VictimScope::kBorrowersToo));
   }
+
+  /// Whether stopping it would free capacity that is counted as freed by itself.
+  bool EndsSoon(std::size_t victim) const {
+    return victims[victim].first_end.has_value() &&
+           *victims[victim].first_end < pending.max_wait_for_ends;
+  }
+
+  /// Capacity of the runs on the minion that show that they end while the step can wait.
+  Resources FreedSoonOn(std::size_t minion) const {
+    Resources freed;
+    if (pending.max_wait_for_ends > Milliseconds(0)) {
+      for (const PlanRun& run : capacity.minions()[minion].minion->runs) {
+        if (run.shows_end && run.remaining < pending.max_wait_for_ends) {
+          freed += run.needs;
+        }
+      }
+    }
+    return freed;
+  }
 };
 
 /// One attempt to place all tasks on some of the minions.
@@ -39,13 +62,16 @@
     }
   }
 
-  /// Empty if the tasks do not all fit, or if that loses `max_lost_work` or more.
-  std::optional<FoundReclaim> Run(double max_lost_work) {
+  /// Empty if the tasks do not all fit, or if that costs `max_cost` or more.
+  std::optional<FoundReclaim> Run(double max_cost) {
     for (const int index : m_request.pending.task_indexes) {
-      if (!PlaceTask(index) || m_found.lost_work >= max_lost_work) {
+      if (!PlaceTask(index) || m_found.cost >= max_cost) {
         return std::nullopt;
       }
     }
+    if (m_request.policy == DelayPolicy::kByCost) {
+      DropNeedlessGangs();
+    }
     return std::move(m_found);
   }
 
@@ -53,13 +79,14 @@
   /// The victims that must be stopped to fit one task on a minion.
   struct ReclaimOption {
     std::vector<std::size_t> victims;
-    double lost_work = 0;
+    double cost = 0;
     std::int64_t leftover = 0;
   };
 
   struct Candidate {
     Resources capacity;
     int slots = 0;
+    bool has_task = false;
     /// Empty if not even stopping all permitted victims makes room for a task.
     std::optional<ReclaimOption> option;
   };
@@ -68,7 +95,7 @@
     const MinionCapacity& minion = m_request.capacity.minions()[index];
     Candidate candidate;
     if (IsEligible(m_request.pending, *minion.minion)) {
-      candidate.capacity = minion.free_after_stops;
+      candidate.capacity = minion.free_after_stops + m_request.FreedSoonOn(index);
       candidate.slots = SlotsOn(minion);
       candidate.option = OptionOn(index, candidate);
     }
@@ -103,11 +130,12 @@
     }
     ReclaimOption option;
     Resources capacity = candidate.capacity;
-    if (!needs.Fits(capacity)) {
-      for (const std::size_t victim : CheapestVictimsOn(minion)) {
+    const std::vector<std::size_t> cheapest =
+        needs.Fits(capacity) ? std::vector<std::size_t>() : CheapestVictimsOn(minion);
+    if (!cheapest.empty()) {
+      for (const std::size_t victim : cheapest) {
         capacity += FreedOn(minion, victim);
         option.victims.push_back(victim);
-        option.lost_work += m_request.victims[victim].unsaved_work;
         if (needs.Fits(capacity)) {
           break;
         }
@@ -116,10 +144,35 @@
     if (!needs.Fits(capacity)) {
       return std::nullopt;
     }
+    if (m_request.policy == DelayPolicy::kByCost) {
+      DropNeedless(minion, capacity, option.victims);
+    }
+    option.cost = CostOf(option.victims);
     option.leftover = (capacity - needs).accelerators;
     return option;
   }
 
+  double CostOf(const std::vector<std::size_t>& victims) const {
+    double cost = 0;
+    for (const std::size_t victim : victims) {
+      cost += m_request.costs[victim];
+    }
+    return cost;
+  }
+
+  /// Drops victims without which a task fits as well, the dearest first. `capacity` is what all of
+  /// them leave.
+  void DropNeedless(std::size_t minion, Resources& capacity,
+                    std::vector<std::size_t>& victims) const {
+    for (std::size_t position = victims.size(); position > 0; --position) {
+      const Resources without = capacity - FreedOn(minion, victims[position - 1]);
+      if (m_request.pending.spec.needs.Fits(without)) {
+        capacity = without;
+        victims.erase(victims.begin() + static_cast<std::ptrdiff_t>(position - 1));
+      }
+    }
+  }
+
   std::vector<std::size_t> CheapestVictimsOn(std::size_t minion) const {
     std::vector<std::size_t> cheapest;
     for (const std::size_t victim : m_request.capacity.minions()[minion].victims) {
@@ -128,19 +181,63 @@
       }
     }
     std::sort(cheapest.begin(), cheapest.end(), [this](std::size_t left, std::size_t right) {
-      return m_request.victims[left].unsaved_work < m_request.victims[right].unsaved_work;
+      return m_request.costs[left] < m_request.costs[right];
     });
     return cheapest;
   }
 
+  /// A gang that is stopped for one task makes room for others too, which may leave former choices
+  /// without need.
+  void DropNeedlessGangs() {
+    std::vector<std::size_t> dearest_first = m_found.victims;
+    std::stable_sort(dearest_first.begin(), dearest_first.end(),
+                     [this](std::size_t left, std::size_t right) {
+                       return m_request.costs[left] > m_request.costs[right];
+                     });
+    for (const std::size_t victim : dearest_first) {
+      if (!IsNeeded(victim)) {
+        AddFreed(victim, -1);
+        m_found.cost -= m_request.costs[victim];
+        std::erase(m_found.victims, victim);
+      }
+    }
+  }
+
+  /// Whether a minion that was given a task has too little capacity without the victim's.
+  bool IsNeeded(std::size_t victim) const {
+    const std::vector<std::size_t>& freed = m_request.capacity.MinionsOfVictim(victim);
+    return std::any_of(freed.begin(), freed.end(), [this, victim](std::size_t minion) {
+      const auto found = std::lower_bound(m_minions.begin(), m_minions.end(), minion);
+      if (found == m_minions.end() || *found != minion) {
+        return false;
+      }
+      const Candidate& candidate =
+          m_candidates[static_cast<std::size_t>(found - m_minions.begin())];
+      return candidate.has_task && !Resources{}.Fits(candidate.capacity - FreedOn(minion, victim));
+    });
+  }
+
+  /// Adds what the victim's runs free to their minions, or takes it away if `times` is -1. Returns
+  /// the positions of these minions.
+  std::vector<std::size_t> AddFreed(std::size_t victim, std::int64_t times) {
+    std::vector<std::size_t> changed;
+    for (const std::size_t minion : m_request.capacity.MinionsOfVictim(victim)) {
+      const auto found = std::lower_bound(m_minions.begin(), m_minions.end(), minion);
+      if (found != m_minions.end() && *found == minion) {
+        changed.push_back(static_cast<std::size_t>(found - m_minions.begin()));
+        m_candidates[changed.back()].capacity += m_request.victims[victim].needs_per_task * times;
+      }
+    }
+    return changed;
+  }
+
   bool PlaceTask(int index) {
     const Candidate* best = nullptr;
     for (const Candidate& candidate : m_candidates) {
-      const bool is_better =
-          candidate.option.has_value() &&
-          (best == nullptr || candidate.option->lost_work < best->option->lost_work ||
-           (candidate.option->lost_work == best->option->lost_work &&
-            candidate.option->leftover < best->option->leftover));
+      const bool is_better = candidate.option.has_value() &&
+                             (best == nullptr || candidate.option->cost < best->option->cost ||
+                              (candidate.option->cost == best->option->cost &&
+                               candidate.option->leftover < best->option->leftover));
       if (is_better) {
         best = &candidate;
       }
@@ -158,20 +255,16 @@
     std::vector<std::size_t> changed{position};
     for (const std::size_t victim : option.victims) {
       m_found.victims.push_back(victim);
-      for (const std::size_t minion : m_request.capacity.MinionsOfVictim(victim)) {
-        const auto found = std::lower_bound(m_minions.begin(), m_minions.end(), minion);
-        if (found != m_minions.end() && *found == minion) {
-          changed.push_back(static_cast<std::size_t>(found - m_minions.begin()));
-          m_candidates[changed.back()].capacity += m_request.victims[victim].needs_per_task;
-        }
-      }
+      const std::vector<std::size_t> freed = AddFreed(victim, 1);
+      changed.insert(changed.end(), freed.begin(), freed.end());
     }
-    m_found.lost_work += option.lost_work;
+    m_found.cost += option.cost;
     const std::size_t minion = m_minions[position];
     m_found.placements.push_back(
         PlannedPlacement{index, m_request.capacity.minions()[minion].minion->id});
     m_candidates[position].capacity -= m_request.pending.spec.needs;
     --m_candidates[position].slots;
+    m_candidates[position].has_task = true;
     for (const std::size_t other : changed) {
       m_candidates[other].option = OptionOn(m_minions[other], m_candidates[other]);
     }
@@ -189,7 +282,8 @@
   std::int64_t fitting = 0;
   for (const std::size_t minion : minions) {
     fitting += request.pending.spec.needs.MaxCountIn(
-        request.capacity.minions()[minion].free_after_reclaim, wanted);
+        request.capacity.minions()[minion].free_after_reclaim + request.FreedSoonOn(minion),
+        wanted);
     if (fitting >= wanted) {
       return true;
     }
@@ -206,8 +300,8 @@
     }
     const double allowed = request.pending.is_guaranteed ? std::numeric_limits<double>::infinity()
                                                          : request.pending.max_lost_work;
-    const double max_lost_work = best.has_value() ? best->lost_work : allowed;
-    if (std::optional<FoundReclaim> found = ReclaimAttempt(request, minions).Run(max_lost_work)) {
+    const double max_cost = best.has_value() ? best->cost : allowed;
+    if (std::optional<FoundReclaim> found = ReclaimAttempt(request, minions).Run(max_cost)) {
       best = std::move(found);
     }
   };
@@ -215,7 +309,7 @@
     try_minions(request.capacity.OnRack(pending.spec.data_rack));
   } else if (pending.spec.prefers_one_rack) {
     for (const auto& [rack, minions] : request.capacity.racks()) {
-      if (best.has_value() && best->lost_work <= 0) {
+      if (best.has_value() && best->cost <= 0) {
         break;
       }
       try_minions(minions);
@@ -232,12 +326,21 @@
 }  // namespace
 
 std::optional<FoundReclaim> FindReclaim(const PendingStep& pending, const PlanCapacity& capacity,
-                                        const std::vector<PlanVictim>& victims,
+                                        const PlanSnapshot& snapshot,
                                         const std::vector<bool>& is_stopped) {
-  const ReclaimRequest lower{pending, capacity, victims, is_stopped, VictimScope::kLowerPriorities};
+  const std::vector<PlanVictim>& victims = snapshot.victims;
+  std::vector<double> costs;
+  costs.reserve(victims.size());
+  for (const PlanVictim& victim : victims) {
+    costs.push_back(CostOfStop(victim, snapshot.policy));
+  }
+  const ReclaimRequest lower{pending,        capacity,   victims,
+                             costs,          is_stopped, VictimScope::kLowerPriorities,
+                             snapshot.policy};
   std::optional<FoundReclaim> found = FindAmong(lower);
   if (!found.has_value() && pending.may_stop_borrowers) {
-    const ReclaimRequest all{pending, capacity, victims, is_stopped, VictimScope::kBorrowersToo};
+    const ReclaimRequest all{
+        pending, capacity, victims, costs, is_stopped, VictimScope::kBorrowersToo, snapshot.policy};
     found = FindAmong(all);
   }
   return found;
--- a/src/libraries/planner/reclaim_search.h
+++ b/src/libraries/planner/reclaim_search.h
@@ -12,15 +12,17 @@
   std::vector<PlannedPlacement> placements;
   /// Indexes into the snapshot's victims.
   std::vector<std::size_t> victims;
-  double lost_work = 0;
+  /// What the stops cost (CostOfStop), in weighted core-seconds.
+  double cost = 0;
 };
 
-/// Searches for placements and victims that lose little work, on one rack if the step prefers that
-/// and a rack can hold it. Borrowers of the same priority are only chosen if the step may stop them
+/// Searches for placements and victims that cost little, on one rack if the step prefers that and a
+/// rack can hold it. Room of runs that end within PendingStep::max_wait_for_ends costs nothing, and
+/// these are not stopped. Borrowers of the same priority are only chosen if the step may stop them
 /// and stopping lower priorities does not suffice. Empty if stopping all permitted victims does not
-/// free capacity for all waiting tasks, or if a step beyond its guarantee would lose too much work.
+/// free capacity for all waiting tasks, or if a step beyond its guarantee would cost too much.
 std::optional<FoundReclaim> FindReclaim(const PendingStep& pending, const PlanCapacity& capacity,
-                                        const std::vector<PlanVictim>& victims,
+                                        const PlanSnapshot& snapshot,
                                         const std::vector<bool>& is_stopped);
 
 }  // namespace papayalift
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "libraries/planner/delay_cost.h"
 #include "libraries/planner/gang_reservation.h"
 #include "libraries/planner/isolation.h"
 #include "libraries/planner/placement_search.h"
@@ -124,7 +125,7 @@
   /// false if that does not help.
   bool StopForQuota(const PendingStep& pending) {
     const std::optional<std::vector<std::size_t>> victims =
-        FindQuotaStops(pending, m_quotas, m_snapshot.victims, m_is_stopped);
+        FindQuotaStops(pending, m_quotas, m_snapshot, m_is_stopped);
     if (!victims.has_value()) {
       return false;
     }
@@ -296,13 +297,13 @@
   /// are being stopped, and stops more if necessary. Returns false if that does not help.
   bool PlanWithStops(const PendingStep& pending) {
     const std::optional<FoundReclaim> found =
-        FindReclaim(pending, m_capacity, m_snapshot.victims, m_is_stopped);
+        FindReclaim(pending, m_capacity, m_snapshot, m_is_stopped);
     if (!found.has_value()) {
       return false;
     }
     const std::int64_t tasks = static_cast<std::int64_t>(found->placements.size());
     if (found->victims.empty() && m_quotas.TasksAllowed(pending) >= tasks &&
-        FitsFreeCapacity(pending, found->placements)) {
+        FitsCapacity(pending, found->placements, &MinionCapacity::free)) {
       Start(pending, FoundPlacements{found->placements, true});
       return true;
     }
@@ -311,24 +312,28 @@
     for (const std::size_t index : found->victims) {
       StopVictim(index, pending.job);
     }
+    const bool waits_for_ends =
+        !FitsCapacity(pending, found->placements, &MinionCapacity::free_after_stops);
     for (const PlannedPlacement& placement : found->placements) {
       m_capacity.Reserve(placement.minion, pending.spec.needs);
     }
     m_quotas.Add(pending, tasks);
     Wait(pending, pending.task_indexes.size(),
-         waits_for_rack ? WaitReason::kRack : WaitReason::kStops);
+         waits_for_rack   ? WaitReason::kRack
+         : waits_for_ends ? WaitReason::kNoCapacity
+                          : WaitReason::kStops);
     return true;
   }
 
-  /// Whether placements found in the capacity after stops also fit the capacity available at once.
-  bool FitsFreeCapacity(const PendingStep& pending,
-                        const std::vector<PlannedPlacement>& placements) {
+  /// Whether placements that were found in the capacity after stops and ends also fit another.
+  bool FitsCapacity(const PendingStep& pending, const std::vector<PlannedPlacement>& placements,
+                    CapacityMember member) {
     std::map<MinionId, std::int64_t> counts;
     for (const PlannedPlacement& placement : placements) {
       ++counts[placement.minion];
     }
-    return std::all_of(counts.begin(), counts.end(), [this, &pending](const auto& entry) {
-      return (pending.spec.needs * entry.second).Fits(m_capacity.Find(entry.first)->free);
+    return std::all_of(counts.begin(), counts.end(), [this, &pending, member](const auto& entry) {
+      return (pending.spec.needs * entry.second).Fits(m_capacity.Find(entry.first)->*member);
     });
   }
 
@@ -340,7 +345,8 @@
     }
     m_quotas.AddBeingFreed(victim.workspace, victim.needs_per_task * static_cast<std::int64_t>(
                                                                          victim.placements.size()));
-    m_plan.stops.push_back(PlannedStop{victim.job, victim.step, victim.placements, beneficiary});
+    m_plan.stops.push_back(PlannedStop{victim.job, victim.step, victim.placements, beneficiary,
+                                       victim.unsaved_work, CostOfStop(victim, m_snapshot.policy)});
   }
 
   void Wait(const PendingStep& pending, std::size_t tasks, WaitReason reason) {
