--- a/src/libraries/leader/host_speeds.cc
+++ b/src/libraries/leader/host_speeds.cc
@@ -40,10 +40,10 @@
 /// the slowest third is at most about a quarter slower than usual, and work of usual variation is
 /// on time there within 1.5 times its length. It lies between fleets of 0.8 : 1 : 1.25 and of
 /// 0.7 : 0.7 : 1.7.
-constexpr double kUnevenRatio = 1.9;
+constexpr double kUnevenRatio = 1.75;
 /// Placement goes on regarding them until the ratio falls below this, so that it does not change
 /// with each observation.
-constexpr double kNoLongerUnevenRatio = 1.7;
+constexpr double kNoLongerUnevenRatio = 1.6;
 /// A change of the learned speed by this factor is logged.
 const double kLoggedChangeLog = std::log(1.3);
 
@@ -249,6 +249,12 @@
   return is_known ? std::exp(CurrentLog(found->second, now)) / spread.usual : 1;
 }
 
+bool HostSpeeds::IsKnown(const HostIdentity& host, Milliseconds now) const {
+  const auto found = m_hosts.find(host.address);
+  return found != m_hosts.end() && found->second.shape == host.shape &&
+         AgedWeight(found->second, now) >= kMinKnownWeight;
+}
+
 void HostSpeeds::UpdateSpreads(Milliseconds now) {
   std::map<ServiceId, std::vector<double>> speeds;
   for (const auto& [address, speed] : m_hosts) {
--- a/src/libraries/leader/host_speeds.h
+++ b/src/libraries/leader/host_speeds.h
@@ -96,6 +96,9 @@
   /// Speed of the machine relative to `spread.usual`; 1 if it is not known.
   double SpeedOf(const HostIdentity& host, const SpeedSpread& spread, Milliseconds now) const;
 
+  /// Whether the machine has been observed often enough to rely on its speed.
+  bool IsKnown(const HostIdentity& host, Milliseconds now) const;
+
   /// Computes the spreads anew.
   void UpdateSpreads(Milliseconds now);
 
--- a/src/libraries/leader/leader_session_speeds.cc
+++ b/src/libraries/leader/leader_session_speeds.cc
@@ -18,10 +18,13 @@
   const SpeedSpread spread = speeds.SpreadOf(minion.entry->service);
   minion.health.learned_speed.reset();
   minion.health.is_fast = false;
+  minion.health.needs_measurement = false;
   if (spread.is_uneven) {
     const double speed = speeds.SpeedOf(minion.host, spread, now);
+    const bool is_known = speeds.IsKnown(minion.host, now);
     minion.health.learned_speed = speed;
-    minion.health.is_fast = speed >= spread.fast_from;
+    minion.health.is_fast = is_known && speed >= spread.fast_from;
+    minion.health.needs_measurement = !is_known;
   }
 }
 
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -161,6 +161,8 @@
   std::set<MinionId> failed_on;
   /// How often tasks were stopped in this term because they stood still.
   std::map<TaskName, int> stalls;
+  /// How often tasks were stopped in this term to make room for others.
+  std::map<TaskName, int> reclaims;
 
   bool has_runs() const;
   /// It was cancelled, and is not stored: a node of a former version has stored the withdrawal
@@ -189,6 +191,9 @@
   std::optional<double> learned_speed;
   /// It is among the fast minions of its service.
   bool is_fast = false;
+  /// The service's machines differ so much that placement regards it, and this one's speed is not
+  /// known.
+  bool needs_measurement = false;
 };
 
 /// A time without answers from a minion.
--- a/src/libraries/planner/placement_search.cc
+++ b/src/libraries/planner/placement_search.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <limits>
 #include <span>
+#include <utility>
 
 #include "libraries/planner/rack_wait.h"
 #include "libraries/planner/room_forecast.h"
@@ -33,11 +34,17 @@
   return minion.is_avoided || minion.speed < kSlowSpeed || pending.failed_on.contains(minion.id);
 }
 
+/// Whether the step can still be on time there. A minion of unknown speed is taken to be slow, as
+/// most are where speeds differ.
+bool IsFastEnough(const PendingStep& pending, const PlanMinion& minion) {
+  return pending.min_speed <= 0 || (minion.speed >= pending.min_speed && !minion.needs_measurement);
+}
+
 /// How well the speed of a minion suits the step. Fast minions are left to steps that need them.
 enum class SpeedFit { kEnough, kFasterThanNeeded, kTooSlow };
 
 SpeedFit SpeedFitOf(const PendingStep& pending, const PlanMinion& minion) {
-  if (minion.speed < pending.min_speed) {
+  if (!IsFastEnough(pending, minion)) {
     return SpeedFit::kTooSlow;
   }
   return minion.is_fast ? SpeedFit::kFasterThanNeeded : SpeedFit::kEnough;
@@ -51,8 +58,7 @@
   bool allows_last_resort = true;
 
   bool Allows(const PendingStep& pending, const PlanMinion& minion) const {
-    return (allows_fast || !minion.is_fast) &&
-           (allows_too_slow || minion.speed >= pending.min_speed) &&
+    return (allows_fast || !minion.is_fast) && (allows_too_slow || IsFastEnough(pending, minion)) &&
            (allows_last_resort || !IsLastResort(pending, minion));
   }
 };
@@ -161,6 +167,31 @@
   return placements;
 }
 
+/// Puts single tasks on minions whose speed is not known, ahead of the others. At most half of the
+/// tasks, as their progress is compared with that of the rest.
+std::vector<Candidate> WithMeasurements(const PendingStep& pending,
+                                        std::vector<Candidate> candidates) {
+  std::vector<Candidate> measured;
+  for (Candidate& candidate : candidates) {
+    const PlanMinion& minion = *candidate.capacity->minion;
+    if (measured.size() >= pending.task_indexes.size() / 2) {
+      break;
+    }
+    if (minion.needs_measurement && !IsLastResort(pending, minion)) {
+      measured.push_back(Candidate{candidate.capacity, 1});
+      --candidate.max_tasks;
+    }
+  }
+  measured.insert(measured.end(), candidates.begin(), candidates.end());
+  return measured;
+}
+
+/// Whether the step's tasks may be spread to learn the speed of minions: it can wait, and there is
+/// room beside it.
+bool MayMeasureMinions(const PendingStep& pending, const PlanCapacity& capacity) {
+  return pending.min_speed <= 0 && capacity.HasSpareCapacity(pending.service);
+}
+
 std::vector<PlannedPlacement> AssignGang(const PendingStep& pending, const PlanCapacity& capacity,
                                          CapacityMember member,
                                          const std::vector<std::size_t>& minions,
@@ -290,7 +321,7 @@
   for (const PlannedPlacement& placement : placements) {
     const PlanMinion& minion = *capacity.CapacityOf(placement.minion).minion;
     any_fast = any_fast || minion.is_fast;
-    all_enough = all_enough && minion.speed >= pending.min_speed;
+    all_enough = all_enough && IsFastEnough(pending, minion);
   }
   if (!all_enough) {
     return "no room on minions that are fast enough";
@@ -304,7 +335,11 @@
 FoundPlacements FindTaskPlacements(const PendingStep& pending, const PlanCapacity& capacity,
                                    CapacityMember member) {
   const auto place_among = [&](const std::vector<std::size_t>& minions) {
-    return AssignTasks(pending, CandidatesAmong(pending, capacity, member, minions));
+    std::vector<Candidate> candidates = CandidatesAmong(pending, capacity, member, minions);
+    if (MayMeasureMinions(pending, capacity)) {
+      candidates = WithMeasurements(pending, std::move(candidates));
+    }
+    return AssignTasks(pending, candidates);
   };
   if (pending.spec.data_rack.empty()) {
     return FoundPlacements{place_among(capacity.everywhere()), true};
