HTTP: Close stalled bodies when connections run out

Over nine tenths of its connections, a server now closes its largest and slowest body that has been arriving for a second or more for each new connection.

--- a/src/libraries/http/arriving_body.cc
+++ b/src/libraries/http/arriving_body.cc
@@ -13,8 +13,10 @@
 
 }  // namespace
 
-ArrivingBody::ArrivingBody(BodyBudget& budget, std::size_t max_bytes, std::function<void()> close)
+ArrivingBody::ArrivingBody(BodyBudget& budget, const void* server, std::size_t max_bytes,
+                           std::function<void()> close)
     : m_budget(budget),
+      m_server(server),
       m_max_bytes(max_bytes),
       m_close(std::move(close)),
       m_began_at(budget.m_clock.Now()),
@@ -81,6 +83,10 @@
   m_close();
 }
 
+double ArrivingBody::CostAt(Milliseconds now, std::size_t occupied_bytes) const {
+  return static_cast<double>(occupied_bytes) * static_cast<double>((now - m_began_at).count() + 1);
+}
+
 bool ArrivingBody::IsSlow(Milliseconds now, const BodyBudgetLimits& limits) {
   const bool is_due = now - m_window_began_at >= limits.headway_window;
   if (m_complete || m_verdict == BodyVerdict::kClose || !is_due) {
--- a/src/libraries/http/arriving_body.h
+++ b/src/libraries/http/arriving_body.h
@@ -27,7 +27,9 @@
  public:
   /// `close` ends the connection from any thread, must not block, and is called at most once, only
   /// until the body is complete. Refuses bodies over `max_bytes`.
-  ArrivingBody(BodyBudget& budget, std::size_t max_bytes, std::function<void()> close);
+  /// `server` tells the servers of one budget apart.
+  ArrivingBody(BodyBudget& budget, const void* server, std::size_t max_bytes,
+               std::function<void()> close);
   ~ArrivingBody();
   ArrivingBody(const ArrivingBody&) = delete;
   ArrivingBody& operator=(const ArrivingBody&) = delete;
@@ -49,12 +51,17 @@
   /// The functions below require the budget's mutex to be held.
   void Refuse(BodyVerdict verdict);
   void Close();
+  /// Memory times the time for which it has been in use; a millisecond at least, so that size
+  /// counts among new bodies.
+  double CostAt(Milliseconds now, std::size_t occupied_bytes) const;
+  double CostAt(Milliseconds now) const { return CostAt(now, m_occupied_bytes); }
   void BeginWindow(Milliseconds now);
   /// Whether the body fell short of the minimum rate in a window that has ended by `now`.
   bool IsSlow(Milliseconds now, const BodyBudgetLimits& limits);
   std::uint64_t MaxReadBytes() const;
 
   BodyBudget& m_budget;
+  const void* const m_server;
   const std::size_t m_max_bytes;
   const std::function<void()> m_close;
   const Milliseconds m_began_at;
--- a/src/libraries/http/async_http_server.cc
+++ b/src/libraries/http/async_http_server.cc
@@ -23,8 +23,9 @@
 
 /// State of one request until its response is sent.
 struct Exchange {
-  Exchange(BodyBudget& budget, std::size_t max_body_bytes, MHD_Connection* from)
-      : body(std::make_unique<ArrivingBody>(budget, max_body_bytes, ConnectionCloser(from))),
+  Exchange(BodyBudget& budget, const void* server, std::size_t max_body_bytes, MHD_Connection* from)
+      : body(
+            std::make_unique<ArrivingBody>(budget, server, max_body_bytes, ConnectionCloser(from))),
         connection(from) {}
 
   HttpRequest request;
@@ -172,11 +173,15 @@
 
   static void OnConnectionChange(void* context, MHD_Connection* connection, void** /*state*/,
                                  MHD_ConnectionNotificationCode code) {
-    RequestTimeoutMonitor& monitor = static_cast<Daemon*>(context)->m_timeout_monitor;
+    Daemon& daemon = *static_cast<Daemon*>(context);
+    RequestTimeoutMonitor& monitor = daemon.m_timeout_monitor;
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
       monitor.OnConnectionClosed(connection);
-    } else {
-      monitor.OnConnectionOpened(connection, DescriptorOf(connection));
+      return;
+    }
+    monitor.OnConnectionOpened(connection, DescriptorOf(connection));
+    if (IsNearLimit(monitor.connections(), daemon.m_limits.connections)) {
+      daemon.m_budget.EndStalledBody(&daemon);
     }
   }
 
@@ -214,7 +219,7 @@
                        const char* upload, std::size_t* upload_size, void** state) {
     if (*state == nullptr) {
       const std::shared_ptr<Exchange> exchange =
-          std::make_shared<Exchange>(m_budget, m_limits.body_bytes, connection);
+          std::make_shared<Exchange>(m_budget, this, m_limits.body_bytes, connection);
       m_exchanges[exchange.get()] = exchange;
       *state = exchange.get();
       const BodyVerdict announced = exchange->body->Announce(AnnouncedBodyBytes(connection));
--- a/src/libraries/http/body_budget.cc
+++ b/src/libraries/http/body_budget.cc
@@ -13,6 +13,8 @@
 constexpr std::size_t kParts = 4;
 constexpr std::size_t kLargeParts = 3;
 constexpr Milliseconds kMaxCheckGap{3'000};
+/// Bodies of ordinary clients have arrived by then.
+constexpr Milliseconds kMinStallAge{1'000};
 
 }  // namespace
 
@@ -44,6 +46,24 @@
   }
 }
 
+void BodyBudget::EndStalledBody(const void* server) {
+  const Milliseconds now = m_clock.Now();
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  ArrivingBody* victim = nullptr;
+  for (ArrivingBody* const body : m_bodies) {
+    const bool may_close = body->m_server == server && !body->m_complete &&
+                           body->m_verdict != BodyVerdict::kClose &&
+                           now - body->m_began_at >= kMinStallAge;
+    if (may_close && (victim == nullptr || body->CostAt(now) > victim->CostAt(now))) {
+      victim = body;
+    }
+  }
+  if (victim != nullptr) {
+    victim->Close();
+    ++m_stats.evicted;
+  }
+}
+
 BodyBudgetStats BodyBudget::stats() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return m_stats;
@@ -72,19 +92,14 @@
 ArrivingBody* BodyBudget::FindVictim(ArrivingBody& asking, std::size_t bytes,
                                      std::size_t min_bytes) const {
   const Milliseconds now = m_clock.Now();
-  // Memory times the time for which it has been in use; a millisecond at least, so that size counts
-  // among new bodies.
-  const auto cost = [now](const ArrivingBody& body, std::size_t occupied) {
-    return static_cast<double>(occupied) * static_cast<double>((now - body.m_began_at).count() + 1);
-  };
   ArrivingBody* victim = &asking;
-  double highest = cost(asking, bytes);
+  double highest = asking.CostAt(now, bytes);
   for (ArrivingBody* const body : m_bodies) {
     const bool may_close =
         body != &asking && !body->m_complete && body->m_occupied_bytes >= min_bytes;
-    if (may_close && cost(*body, body->m_occupied_bytes) > highest) {
+    if (may_close && body->CostAt(now) > highest) {
       victim = body;
-      highest = cost(*body, body->m_occupied_bytes);
+      highest = body->CostAt(now);
     }
   }
   return victim;
--- a/src/libraries/http/body_budget.h
+++ b/src/libraries/http/body_budget.h
@@ -66,6 +66,10 @@
   /// longer pause, in which the process may not have read what arrived, all windows begin anew.
   void EndSlowBodies();
 
+  /// Closes the largest and slowest body of `server` that has been arriving for a second or more,
+  /// to make room for a connection.
+  void EndStalledBody(const void* server);
+
   BodyBudgetStats stats() const;
 
  private:
--- a/src/libraries/http/connection_memory.cc
+++ b/src/libraries/http/connection_memory.cc
@@ -32,6 +32,12 @@
   return bytes;
 }
 
+bool IsNearLimit(std::size_t connections, unsigned int limit) {
+  // The last tenth is for those that connect until a closed connection has gone.
+  constexpr std::size_t kParts = 10;
+  return connections * kParts > (kParts - 1) * limit;
+}
+
 void BoundReceiveBuffers(MHD_Daemon* daemon) {
   // Accepted sockets inherit it from the listening one.
   const int listener = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
--- a/src/libraries/http/connection_memory.h
+++ b/src/libraries/http/connection_memory.h
@@ -17,6 +17,10 @@
 /// Size of the body by the headers of the request; 0 if they name none.
 std::uint64_t AnnouncedBodyBytes(MHD_Connection* connection);
 
+/// Whether so many connections of `limit` are open that stalled ones must go, so that new clients
+/// can connect.
+bool IsNearLimit(std::size_t connections, unsigned int limit);
+
 /// Bounds the bytes that the system keeps for each connection of `daemon` until they are read.
 void BoundReceiveBuffers(MHD_Daemon* daemon);
 
--- a/src/libraries/http/http_server.cc
+++ b/src/libraries/http/http_server.cc
@@ -24,8 +24,9 @@
 
 /// State of one request until its response is sent.
 struct Exchange {
-  Exchange(BodyBudget& budget, std::size_t max_body_bytes, MHD_Connection* connection)
-      : body(budget, max_body_bytes, ConnectionCloser(connection)) {}
+  Exchange(BodyBudget& budget, const void* server, std::size_t max_body_bytes,
+           MHD_Connection* connection)
+      : body(budget, server, max_body_bytes, ConnectionCloser(connection)) {}
 
   HttpRequest request;
   ArrivingBody body;
@@ -200,7 +201,8 @@
 
   static void OnConnectionChange(void* context, MHD_Connection* connection, void** /*state*/,
                                  MHD_ConnectionNotificationCode code) {
-    RequestTimeoutMonitor& monitor = static_cast<Daemon*>(context)->m_timeout_monitor;
+    Daemon& daemon = *static_cast<Daemon*>(context);
+    RequestTimeoutMonitor& monitor = daemon.m_timeout_monitor;
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
       monitor.OnConnectionClosed(connection);
       return;
@@ -208,12 +210,15 @@
     const MHD_ConnectionInfo* const info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     monitor.OnConnectionOpened(connection, info->connect_fd);
+    if (IsNearLimit(monitor.connections(), daemon.m_limits.connections)) {
+      daemon.m_budget.EndStalledBody(&daemon);
+    }
   }
 
   MHD_Result OnRequest(MHD_Connection* connection, const char* url, const char* method,
                        const char* upload, std::size_t* upload_size, void** state) {
     if (*state == nullptr) {
-      Exchange* const exchange = new Exchange(m_budget, m_limits.body_bytes, connection);
+      Exchange* const exchange = new Exchange(m_budget, this, m_limits.body_bytes, connection);
       *state = exchange;
       ++m_in_flight;
       const BodyVerdict announced = exchange->body.Announce(AnnouncedBodyBytes(connection));
--- a/src/libraries/http/request_timeout_monitor.cc
+++ b/src/libraries/http/request_timeout_monitor.cc
@@ -37,6 +37,11 @@
   m_entries.erase(connection);
 }
 
+std::size_t RequestTimeoutMonitor::connections() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_entries.size();
+}
+
 void RequestTimeoutMonitor::OnRequestReceived(const void* connection) {
   const std::lock_guard<std::mutex> lock(m_mutex);
   const auto entry = m_entries.find(connection);
--- a/src/libraries/http/request_timeout_monitor.h
+++ b/src/libraries/http/request_timeout_monitor.h
@@ -32,6 +32,8 @@
   /// The response has been sent; the timeout of the next request begins.
   void OnResponseSent(const void* connection);
 
+  std::size_t connections() const;
+
   /// Aborts the requests that are late now; for users without the thread.
   void AbortLateRequests();
 
@@ -44,7 +46,7 @@
   };
 
   const Milliseconds m_timeout;
-  std::mutex m_mutex;
+  mutable std::mutex m_mutex;
   std::map<const void*, Entry> m_entries;
   StopSignal m_stop;
   JoiningThread m_thread;
--- a/tests/http/body_budget_test.cc
+++ b/tests/http/body_budget_test.cc
@@ -19,7 +19,7 @@
 
 struct BudgetFixture {
   std::unique_ptr<ArrivingBody> Open(std::size_t max_bytes = kMegabyte) {
-    return std::make_unique<ArrivingBody>(budget, max_bytes, [this] { ++closed; });
+    return std::make_unique<ArrivingBody>(budget, nullptr, max_bytes, [this] { ++closed; });
   }
 
   /// Opens `count` bodies of `bytes` each, one a millisecond, which then stay incomplete.
@@ -182,6 +182,22 @@
   cr_expect_eq(fixture.closed, 0);
 }
 
+// Stalled small bodies fit into the budget, but took all connections, so that nobody else could
+// connect.
+Test(body_budget, connection_is_made_room_for_by_largest_stalled_body_of_its_server) {
+  BudgetFixture fixture;
+  auto crowd = fixture.OpenCrowd(3, 10 * kKilobyte);
+  crowd[1]->Append(std::string(30 * kKilobyte, 'x'));
+  fixture.budget.EndStalledBody(nullptr);
+  cr_expect_eq(fixture.closed, 0, "no body has been arriving for long");
+  fixture.PassSeconds(2);
+  fixture.budget.EndStalledBody(&fixture);
+  cr_expect_eq(fixture.closed, 0, "these bodies are of another server");
+  fixture.budget.EndStalledBody(nullptr);
+  cr_expect_eq(fixture.closed, 1);
+  cr_expect(crowd[1]->Append("x") == BodyVerdict::kClose);
+}
+
 // The weakest machines have 120 MB; callers send a few dozen bodies at once and have up to 600 open
 // connections.
 Test(body_budget, ordinary_load_fits_the_weakest_machine) {
@@ -190,7 +206,8 @@
   std::vector<std::unique_ptr<ArrivingBody>> bodies;
   for (int number = 0; number < 60; ++number) {
     const std::size_t bytes = number % 10 == 0 ? kMegabyte : 20 * kKilobyte;
-    bodies.push_back(std::make_unique<ArrivingBody>(budget, kMegabyte, [&] { ++fixture.closed; }));
+    bodies.push_back(
+        std::make_unique<ArrivingBody>(budget, nullptr, kMegabyte, [&] { ++fixture.closed; }));
     cr_expect(bodies.back()->Append(std::string(bytes, 'x')) == BodyVerdict::kKept);
   }
   cr_expect_eq(fixture.closed, 0);
