--- a/bench/speed_bench.cc
+++ b/bench/speed_bench.cc
@@ -37,6 +37,7 @@
   std::uint64_t run = 0;
   for (int round = 0; round < 10; ++round) {
     std::vector<HostRate> group;
+    group.reserve(kMinions);
     for (int minion = 0; minion < kMinions; ++minion) {
       group.push_back(RateOf(minion, ++run));
     }
@@ -76,38 +77,39 @@
   return snapshot;
 }
 
-void BM_Observe20Machines(benchmark::State& state) {
+void Observe20Machines(benchmark::State& state) {
   DisableLogging();
   HostSpeeds speeds = LearnedSpeeds();
   std::uint64_t run = 1'000'000;
   for (auto _ : state) {
     std::vector<HostRate> group;
+    group.reserve(kChanges);
     for (int change = 0; change < kChanges; ++change) {
       group.push_back(RateOf(change * 149, ++run));
     }
     speeds.Observe(group, kNow);
   }
 }
-BENCHMARK(BM_Observe20Machines)->Unit(benchmark::kMicrosecond);
+BENCHMARK(Observe20Machines)->Unit(benchmark::kMicrosecond);
 
-void BM_UpdateSpreadsOf3000Machines(benchmark::State& state) {
+void UpdateSpreadsOf3000Machines(benchmark::State& state) {
   DisableLogging();
   HostSpeeds speeds = LearnedSpeeds();
   for (auto _ : state) {
     speeds.UpdateSpreads(kNow);
   }
 }
-BENCHMARK(BM_UpdateSpreadsOf3000Machines)->Unit(benchmark::kMicrosecond);
+BENCHMARK(UpdateSpreadsOf3000Machines)->Unit(benchmark::kMicrosecond);
 
-void BM_Plan20Steps(benchmark::State& state) {
+void Plan20Steps(benchmark::State& state) {
   const PlanSnapshot snapshot = FullFleet(state.range(0) != 0);
   for (auto _ : state) {
     benchmark::DoNotOptimize(PlanTasks(snapshot));
   }
 }
-BENCHMARK(BM_Plan20Steps)->ArgName("speeds")->Arg(0)->Arg(1)->Unit(benchmark::kMicrosecond);
+BENCHMARK(Plan20Steps)->ArgName("speeds")->Arg(0)->Arg(1)->Unit(benchmark::kMicrosecond);
 
-void BM_EncodeRecord(benchmark::State& state) {
+void EncodeRecord(benchmark::State& state) {
   DisableLogging();
   const HostSpeedRecord record{LearnedSpeeds().hosts(), {}};
   std::size_t bytes = 0;
@@ -123,7 +125,7 @@
   state.counters["bytes_a_machine"] = static_cast<double>(bytes) / kMinions;
   state.counters["keys"] = static_cast<double>(parts);
 }
-BENCHMARK(BM_EncodeRecord)->Unit(benchmark::kMicrosecond);
+BENCHMARK(EncodeRecord)->Unit(benchmark::kMicrosecond);
 
 }  // namespace
 
--- a/src/libraries/leader/host_speed_record.cc
+++ b/src/libraries/leader/host_speed_record.cc
@@ -11,9 +11,9 @@
 namespace {
 
 /// Texts of this length have room left for the names of services and the ends of the document.
-constexpr std::size_t kMaxRowBytes = 48 * 1'024;
+constexpr std::size_t kMaxRowBytes = 49'152;
 /// Queues beyond it are left out.
-constexpr std::size_t kMaxQueueBytes = 8 * 1'024;
+constexpr std::size_t kMaxQueueBytes = 8'192;
 constexpr std::size_t kMaxAddressBytes = 64;
 /// Logarithms are written in thousandths, weights in tenths.
 constexpr double kLogUnits = 1'000;
--- a/src/libraries/leader/host_speed_record.h
+++ b/src/libraries/leader/host_speed_record.h
@@ -30,6 +30,6 @@
 /// malformed.
 absl::StatusOr<HostSpeedRecord> DecodeHostSpeeds(const std::string& text, const ClockReading& now);
 
-constexpr std::size_t kMaxSpeedRecordBytes = 64 * 1'024;
+constexpr std::size_t kMaxSpeedRecordBytes = 65'536;
 
 }  // namespace papayalift
--- a/src/libraries/leader/host_speeds.cc
+++ b/src/libraries/leader/host_speeds.cc
@@ -175,6 +175,7 @@
     return;
   }
   std::vector<double> offsets;
+  offsets.reserve(group.size());
   for (const HostRate& rate : group) {
     offsets.push_back(std::log(rate.rate) - CurrentLog(Entry(rate, now), now));
   }
--- a/tests/leader/host_speeds_test.cc
+++ b/tests/leader/host_speeds_test.cc
@@ -48,6 +48,7 @@
     }
     std::shuffle(machines.begin(), machines.end(), random);
     std::vector<HostRate> group;
+    group.reserve(kMachines);
     for (int member = 0; member < size; ++member) {
       group.push_back(RateOf(machines[static_cast<std::size_t>(member)]));
     }
@@ -69,6 +70,7 @@
   /// One group on all machines, of which one shows its usual rate times `factor`.
   void ObserveAll(int odd_machine, double factor) {
     std::vector<HostRate> group;
+    group.reserve(kMachines);
     for (int machine = 0; machine < kMachines; ++machine) {
       group.push_back(RateOf(machine, machine == odd_machine ? factor : 1));
     }
@@ -132,6 +134,7 @@
   fixture.Learn();
   const double before = fixture.SpeedOf(0);
   std::vector<HostRate> group;
+  group.reserve(kMachines);
   for (int machine = 0; machine < 8; ++machine) {
     group.push_back(fixture.RateOf(machine, machine == 0 ? 1 / 7.0 : 1));
   }
@@ -157,6 +160,7 @@
   LearningFixture fixture;
   fixture.Learn();
   std::vector<HostRate> group;
+  group.reserve(kMachines);
   for (int machine = 0; machine < 8; ++machine) {
     group.push_back(fixture.RateOf(machine));
   }
