Planner: Pass over steps whose delay costs callers least

Where not all waiting steps fit, steps of one priority were planned by slack alone: a large job took the room of several small ones, and all were late. Late jobs that were worth nothing any more came before those that still were.

OrderSteps() replaces PlansBefore. Where a service is short, PassOver() keeps the order by slack, but passes over the steps with the least value for the work that they still need until those before can start in time. Late ones follow by value for their work, then worthless ones. The step that has waited 30 s and longest is first for one second of each ten. Guaranteed priority and services that are not short keep their order. The line 'a ready step waits' names the slack, the time until the job is worthless and the job that was preferred.

Run: all planner tests, leader_test, reclaim_series_test and workspace_quota_leader_test.

--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -20,6 +20,8 @@
 /// Borrowed capacity often becomes free by itself within this time. After it, borrowers are stopped
 /// for jobs within their guarantee.
 constexpr Milliseconds kBorrowerGracePeriod{1'200};
+/// A job that takes this many times its objective is worth nothing to its caller.
+constexpr int kLateFactor = 3;
 /// Older speed measurements are ignored: a minion that was slow may have recovered.
 constexpr Milliseconds kSpeedMaxAge{6'000};
 
@@ -173,6 +175,7 @@
     pending.held_for_rack = job.rack_holds[step].total;
     pending.job_has_runs = job.has_runs();
     pending.slack = DueAt(job) - now - remaining_path;
+    pending.worthless_slack = pending.slack + ObjectiveOf(job) * (kLateFactor - 1);
     LimitStops(job, pending);
     IsolateSuspects(m_state, job, step, pending);
     if (!pending.task_indexes.empty()) {
@@ -181,10 +184,12 @@
   }
 
   /// The latest end with which the job is on time.
-  static Milliseconds DueAt(const TrackedJob& job) {
+  static Milliseconds DueAt(const TrackedJob& job) { return job.known_since + ObjectiveOf(job); }
+
+  /// The longest stay with which the job is on time.
+  static Milliseconds ObjectiveOf(const TrackedJob& job) {
     const double critical_path = static_cast<double>(job.critical_path->count());
-    return job.known_since +
-           Milliseconds(static_cast<std::int64_t>(job.accepted.slack_factor * critical_path)) +
+    return Milliseconds(static_cast<std::int64_t>(job.accepted.slack_factor * critical_path)) +
            job.accepted.latency_target;
   }
 
--- a/src/libraries/leader/wait_monitor.cc
+++ b/src/libraries/leader/wait_monitor.cc
@@ -68,6 +68,9 @@
       .Field("free_accelerators", service.free.accelerators)
       .Field("capacity_cpu_milli", service.capacity.cpu_milli)
       .Field("capacity_accelerators", service.capacity.accelerators)
+      .Field("slack_ms", planned.slack.count())
+      .Field("worthless_in_ms", planned.worthless_slack.count())
+      .Field("preferred_job", planned.preferred.text())
       .Reason(WaitReasonText(wait.reason));
   const auto workspace = std::find_if(
       workspaces.begin(), workspaces.end(),
--- a/src/libraries/planner/delay_cost.h
+++ b/src/libraries/planner/delay_cost.h
@@ -2,6 +2,8 @@
 /// runs to stop and the leader's limits on stops all ask here.
 #pragma once
 
+#include <vector>
+
 #include "libraries/base/units.h"
 #include "libraries/planner/plan_snapshot.h"
 
@@ -50,4 +52,21 @@
 /// PlanVictim::unsaved_work.
 double CostOfStop(const PlanVictim& victim, DelayPolicy policy);
 
+/// A step of a group that is offered capacity.
+struct DelayCandidate {
+  const PendingStep* step = nullptr;
+  /// Capacity that its waiting tasks take, as a share of the service.
+  double share = 0;
+};
+
+/// Orders steps of equal priority, given by ascending slack. `turnover` is the time in milliseconds
+/// in which all that is in use ends once. Free capacity does not count: it is what the steps before
+/// could not use. As many steps as can start in time come first, in the order given; of those that
+/// can't all be on time, the ones with the least value for the work that they still need are passed
+/// over. Then come steps that are passed over or late, those with the most value for their work
+/// first, then those whose jobs are worth nothing any more, the longest waiting first. Now and then
+/// the step that has waited longest is first of all, so that none waits without end.
+std::vector<const PendingStep*> PassOver(const std::vector<DelayCandidate>& candidates,
+                                         double turnover);
+
 }  // namespace papayalift
--- a/src/libraries/planner/plan.h
+++ b/src/libraries/planner/plan.h
@@ -40,6 +40,12 @@
   /// Number of the tasks that wait.
   int tasks = 0;
   WaitReason reason = WaitReason::kNoCapacity;
+  /// PendingStep::slack and worthless_slack, by which it was ordered.
+  Milliseconds slack{0};
+  Milliseconds worthless_slack{0};
+  /// The last job that came first in this pass and was given capacity of the service; empty if
+  /// there was none.
+  JobId preferred{};
 };
 
 struct Plan {
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -79,6 +79,9 @@
   Milliseconds waited{0};
   /// Time left until the step must start for the job to be on time; negative if the job is late.
   Milliseconds slack{0};
+  /// Time left until it must start for the job to be worth anything to its caller; only looked at
+  /// once `slack` is negative.
+  Milliseconds worthless_slack{0};
   /// How much longer the step takes away from its preferred rack; 0 if it is never held for it.
   Milliseconds remote_penalty{0};
   /// How long the step has been held back for its preferred rack so far, over all its starts.
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
+#include <map>
 #include <utility>
 
 #include "libraries/planner/delay_cost.h"
@@ -10,6 +10,7 @@
 #include "libraries/planner/isolation.h"
 #include "libraries/planner/placement_search.h"
 #include "libraries/planner/plan_capacity.h"
+#include "libraries/planner/planning_order.h"
 #include "libraries/planner/quota_stops.h"
 #include "libraries/planner/rack_wait.h"
 #include "libraries/planner/reclaim_search.h"
@@ -20,32 +21,6 @@
 
 namespace {
 
-/// Orders steps within their guarantee first, then by priority, then those of workspaces within
-/// their share, then steps that can still be on time before late ones, then by least slack.
-bool PlansBefore(const PendingStep& left, const PendingStep& right,
-                 const std::set<WorkspaceId>& over_share) {
-  if (left.is_guaranteed != right.is_guaranteed) {
-    return left.is_guaranteed;
-  }
-  if (left.priority != right.priority) {
-    return left.priority < right.priority;
-  }
-  const bool left_over_share = over_share.contains(left.workspace);
-  const bool right_over_share = over_share.contains(right.workspace);
-  if (left_over_share != right_over_share) {
-    return right_over_share;
-  }
-  const bool left_late = left.slack < Milliseconds(0);
-  const bool right_late = right.slack < Milliseconds(0);
-  if (left_late != right_late) {
-    return right_late;
-  }
-  if (left.slack != right.slack) {
-    return left.slack < right.slack;
-  }
-  return std::pair(left.job, left.step) < std::pair(right.job, right.step);
-}
-
 class PlanningPass {
  public:
   explicit PlanningPass(const PlanSnapshot& snapshot)
@@ -55,7 +30,8 @@
         m_is_stopped(snapshot.victims.size(), false) {}
 
   Plan Run() {
-    const std::vector<const PendingStep*> order = OrderedSteps();
+    const std::vector<const PendingStep*> order =
+        OrderSteps(m_snapshot, FindWorkspacesOverShare(m_snapshot));
     ReserveForGangs(WithinQuota(order), m_capacity);
     for (const PendingStep* const pending : order) {
       PlanStep(*pending);
@@ -64,19 +40,6 @@
   }
 
  private:
-  std::vector<const PendingStep*> OrderedSteps() const {
-    std::vector<const PendingStep*> order;
-    for (const PendingStep& pending : m_snapshot.pending_steps) {
-      order.push_back(&pending);
-    }
-    const std::set<WorkspaceId> over_share = FindWorkspacesOverShare(m_snapshot);
-    std::sort(order.begin(), order.end(),
-              [&over_share](const PendingStep* left, const PendingStep* right) {
-                return PlansBefore(*left, *right, over_share);
-              });
-    return order;
-  }
-
   /// The steps that their quotas let start, for which it is worth to hold minions.
   std::vector<const PendingStep*> WithinQuota(const std::vector<const PendingStep*>& steps) const {
     std::vector<const PendingStep*> allowed;
@@ -318,6 +281,7 @@
       m_capacity.Reserve(placement.minion, pending.spec.needs);
     }
     m_quotas.Add(pending, tasks);
+    m_served.insert_or_assign(pending.service, pending.job);
     Wait(pending, pending.task_indexes.size(),
          waits_for_rack   ? WaitReason::kRack
          : waits_for_ends ? WaitReason::kNoCapacity
@@ -350,11 +314,18 @@
   }
 
   void Wait(const PendingStep& pending, std::size_t tasks, WaitReason reason) {
-    m_plan.waits.push_back(PlannedWait{pending.job, pending.step, pending.service,
-                                       pending.workspace, static_cast<int>(tasks), reason});
+    m_plan.waits.push_back(PlannedWait{
+        pending.job, pending.step, pending.service, pending.workspace, static_cast<int>(tasks),
+        reason, pending.slack, pending.worthless_slack, PreferredBefore(pending)});
+  }
+
+  JobId PreferredBefore(const PendingStep& pending) const {
+    const auto served = m_served.find(pending.service);
+    return served == m_served.end() || served->second == pending.job ? JobId() : served->second;
   }
 
   void Start(const PendingStep& pending, const FoundPlacements& found) {
+    m_served.insert_or_assign(pending.service, pending.job);
     for (const PlannedPlacement& placement : found.placements) {
       m_capacity.Allocate(placement.minion, pending.spec.needs, pending.spec.estimate);
     }
@@ -370,6 +341,8 @@
   WorkspaceQuotas m_quotas;
   std::vector<bool> m_is_stopped;
   bool m_has_reserved_minion = false;
+  /// The last job that was given capacity of each service.
+  std::map<ServiceId, JobId> m_served;
   Plan m_plan;
 };
 
--- a/tests/planner/delay_cost_test.cc
+++ b/tests/planner/delay_cost_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <deque>
+
 #include "libraries/planner/task_planner.h"
 
 namespace papayalift {
@@ -104,6 +106,74 @@
   cr_assert_eq(CostOfStop(victim, DelayPolicy::kBySlack), once);
 }
 
+/// Steps of one group, each of which needs a share of the service for a second.
+struct SteppedGroup {
+  PendingStep& Add(const std::string& job, double share, Milliseconds slack) {
+    PendingStep& step = steps.emplace_back();
+    step.job = JobId(job);
+    step.spec.count = 1;
+    step.spec.estimate = Milliseconds(1'000);
+    step.task_indexes = {0};
+    step.slack = slack;
+    shares.push_back(share);
+    return step;
+  }
+
+  std::string Order() const {
+    std::vector<DelayCandidate> candidates;
+    for (std::size_t number = 0; number < steps.size(); ++number) {
+      candidates.push_back(DelayCandidate{&steps[number], shares[number]});
+    }
+    std::string order;
+    for (const PendingStep* const step : PassOver(candidates, 1'000)) {
+      order += step->job.text();
+    }
+    return order;
+  }
+
+  std::deque<PendingStep> steps;
+  std::vector<double> shares;
+};
+
+// A large job took the room first, and several small ones were late with it.
+Test(delay_cost, large_step_is_passed_over_where_small_ones_can_then_be_on_time) {
+  SteppedGroup group;
+  group.Add("L", 0.9, Milliseconds(500));
+  group.Add("a", 0.2, Milliseconds(600));
+  group.Add("b", 0.2, Milliseconds(700));
+  cr_assert(group.Order() == "abL");
+}
+
+Test(delay_cost, steps_that_can_all_be_on_time_keep_their_order) {
+  SteppedGroup group;
+  group.Add("L", 0.4, Milliseconds(500));
+  group.Add("a", 0.1, Milliseconds(600));
+  group.Add("b", 0.1, Milliseconds(700));
+  cr_assert(group.Order() == "Lab");
+}
+
+Test(delay_cost, late_step_that_is_worth_something_comes_before_worthless_ones) {
+  SteppedGroup group;
+  group.Add("w", 0.1, Milliseconds(-900)).worthless_slack = Milliseconds(-1);
+  group.Add("l", 0.1, Milliseconds(-100)).worthless_slack = Milliseconds(800);
+  group.Add("t", 0.1, Milliseconds(300));
+  cr_assert(group.Order() == "tlw");
+}
+
+// A step that others were always preferred to waited without end.
+Test(delay_cost, step_that_has_waited_long_is_first_now_and_then) {
+  SteppedGroup group;
+  PendingStep& worthless = group.Add("w", 0.1, Milliseconds(-90'000));
+  worthless.worthless_slack = Milliseconds(-70'000);
+  group.Add("t", 0.1, Milliseconds(300));
+  int first = 0;
+  for (int waited = 30'000; waited < 40'000; waited += 100) {
+    worthless.waited = Milliseconds(waited);
+    first += group.Order() == "wt" ? 1 : 0;
+  }
+  cr_assert_eq(first, 10);
+}
+
 // Runs that were about to end were stopped, which threw nearly all of their work away.
 Test(delay_cost, guaranteed_step_waits_for_a_run_that_ends_soon) {
   FullMinions full;
--- a/tests/planner/delay_load.cc
+++ b/tests/planner/delay_load.cc
@@ -270,6 +270,8 @@
   pending.waited = m_now - job.submitted_at;
   pending.may_stop_borrowers = pending.is_guaranteed && pending.waited >= kLastReclaimDecision;
   pending.slack = DueAt(job, job.estimate) - m_now - job.estimate;
+  pending.worthless_slack =
+      pending.slack + (DueAt(job, job.estimate) - job.submitted_at) * (kLateFactor - 1);
   const double work =
       WorkOf(job.job, job.estimate) * static_cast<double>(pending.task_indexes.size());
   const ReclaimLimits limits = LimitReclaim(ReclaimFacts{pending.is_guaranteed, pending.priority,
--- a/tests/planner/delay_load_test.cc
+++ b/tests/planner/delay_load_test.cc
@@ -12,7 +12,7 @@
 
 constexpr Milliseconds kPlay{60'000};
 constexpr Milliseconds kMaxPlay{300'000};
-constexpr int kSeeds = 6;
+constexpr int kSeeds = 12;
 constexpr Milliseconds kReclaimLimit{2'700};
 /// Single jobs may fare worse by chance.
 constexpr double kMinValueShare = 0.99;
@@ -123,6 +123,33 @@
 
 }  // namespace
 
+// Of jobs of one class that can't all be on time, large ones were started first and all were late.
+Test(delay_load, burst_of_normal_jobs_of_mixed_sizes_leaves_more_on_time) {
+  Compare("mixed burst", LoadSettings{}, [](DelayLoad& load) {
+    SubmitUsualLoad(load);
+    if (load.now().count() / 1'000 % 30 < 10 && IsEach(load, 700)) {
+      load.SubmitUsual(JobClass::kNormal);
+    }
+  });
+}
+
+Test(delay_load, overload_while_capacity_shrinks_leaves_more_on_time) {
+  Compare("overload", LoadSettings{}, [](DelayLoad& load) {
+    if (IsEach(load, 1'400)) {
+      load.SubmitUsual(JobClass::kUrgent);
+    }
+    if (IsEach(load, 2'000)) {
+      load.SubmitUsual(JobClass::kNormal);
+      load.SubmitUsual(JobClass::kBatch);
+    }
+    if (load.now() == Milliseconds(20'000)) {
+      load.RemoveMinions(12);
+    } else if (load.now() == Milliseconds(45'000)) {
+      load.RemoveMinions(0);
+    }
+  });
+}
+
 // Runs near their end were stopped for urgent jobs that would have found room a moment later.
 Test(delay_load, burst_of_urgent_jobs_throws_less_work_away) {
   Compare("burst", LoadSettings{}, [](DelayLoad& load) {
