Planner: Measure minions of unknown speed with tasks that can wait

Work is packed on few minions, so on a fleet with spare capacity most speeds were never learned and urgent gangs started on minions of unknown speed, of which most are slow. Where a service is uneven, up to half of the tasks of a step that can wait now start on minions of unknown speed, one on each, while under half of the service is in use; urgent work takes an unknown minion for a slow one.

--- a/src/libraries/leader/host_speeds.cc
+++ b/src/libraries/leader/host_speeds.cc
@@ -38,12 +38,11 @@
 constexpr int kMinMachinesOfSpread = 6;
 /// From this ratio of the fastest third to the slowest on, placement regards the speeds. Below it
 /// the slowest third is at most about a quarter slower than usual, and work of usual variation is
-/// on time there within 1.5 times its length. It lies between fleets of 0.8 : 1 : 1.25 and of
-/// 0.7 : 0.7 : 1.7.
-constexpr double kUnevenRatio = 1.75;
+/// on time there within 1.5 times its length.
+constexpr double kUnevenRatio = 1.6;
 /// Placement goes on regarding them until the ratio falls below this, so that it does not change
 /// with each observation.
-constexpr double kNoLongerUnevenRatio = 1.6;
+constexpr double kNoLongerUnevenRatio = 1.5;
 /// A change of the learned speed by this factor is logged.
 const double kLoggedChangeLog = std::log(1.3);
 
--- a/tests/planner/speed_placement_test.cc
+++ b/tests/planner/speed_placement_test.cc
@@ -76,6 +76,26 @@
   cr_assert_eq(fixture.Minions().size(), 5);
 }
 
+// Guards against a fleet of which only the few minions that work is packed on are ever measured.
+Test(speed_placement, half_of_the_tasks_measure_minions_of_unknown_speed) {
+  SpeedFixture fixture;
+  for (const std::size_t unknown : {1, 3, 4}) {
+    fixture.snapshot.minions[unknown].needs_measurement = true;
+  }
+  fixture.Add(WorkStepKind::kIndependentTasks, 4, 1, 0);
+  cr_assert(fixture.Minions() == (Names{"m0", "m1", "m3"}));
+}
+
+Test(speed_placement, urgent_gang_trusts_no_minion_of_unknown_speed) {
+  SpeedFixture fixture;
+  for (const std::size_t unknown : {0, 1, 3, 4}) {
+    fixture.snapshot.minions[unknown].needs_measurement = true;
+    fixture.snapshot.minions[unknown].speed = 1;
+  }
+  fixture.Add(WorkStepKind::kGang, 4, 4, 0.8);
+  cr_assert(fixture.Minions() == (Names{"m2", "m5"}));
+}
+
 Test(speed_placement, urgent_gang_gets_fast_minions_only) {
   SpeedFixture fixture;
   fixture.Add(WorkStepKind::kGang, 4, 4, 0.8);
