--- a/src/libraries/leader/host_speeds.cc
+++ b/src/libraries/leader/host_speeds.cc
@@ -40,9 +40,9 @@
 /// the slowest third is at most about a quarter slower than usual, and work of usual variation is
 /// on time there within 1.5 times its length.
 constexpr double kUnevenRatio = 1.6;
-/// Placement goes on regarding them until the ratio falls below this, so that it does not change
-/// with each observation.
-constexpr double kNoLongerUnevenRatio = 1.5;
+/// Placement goes on regarding them until the ratio falls below this part of it, so that it does
+/// not change with each observation.
+constexpr double kNoLongerUnevenPart = 0.9;
 /// A change of the learned speed by this factor is logged.
 const double kLoggedChangeLog = std::log(1.3);
 
@@ -105,6 +105,11 @@
   }
 }
 
+/// The medians of few machines are uncertain, so their ratio has to be higher.
+double UnevenRatioOf(int machines) {
+  return kUnevenRatio * (1 + 1 / std::sqrt(static_cast<double>(machines)));
+}
+
 SpeedSpread SpreadAmong(std::vector<double> speeds, bool was_uneven) {
   SpeedSpread spread;
   spread.machines = static_cast<int>(speeds.size());
@@ -119,7 +124,7 @@
   spread.slowest_third = speeds[middle] / spread.usual;
   spread.fastest_third = speeds[speeds.size() - 1 - middle] / spread.usual;
   spread.fast_from = std::sqrt(spread.slowest_third * spread.fastest_third);
-  const double ratio = was_uneven ? kNoLongerUnevenRatio : kUnevenRatio;
+  const double ratio = UnevenRatioOf(spread.machines) * (was_uneven ? kNoLongerUnevenPart : 1);
   spread.is_uneven = spread.fastest_third >= ratio * spread.slowest_third;
   return spread;
 }
