--- a/src/libraries/http/body_budget.cc
+++ b/src/libraries/http/body_budget.cc
@@ -8,10 +8,12 @@
 
 namespace {
 
+/// Bodies get this part of the memory, the connections of one address as much again.
 constexpr std::size_t kShareOfMemory = 4;
 /// Of four parts of the budget, large bodies may use three.
 constexpr std::size_t kParts = 4;
 constexpr std::size_t kLargeParts = 3;
+/// After a longer gap between two checks the process stood still, and has not read what arrived.
 constexpr Milliseconds kMaxCheckGap{3'000};
 /// Bodies of ordinary clients have arrived by then.
 constexpr Milliseconds kMinStallAge{1'000};
--- a/src/libraries/http/body_budget.h
+++ b/src/libraries/http/body_budget.h
@@ -66,8 +66,8 @@
   /// longer pause, in which the process may not have read what arrived, all windows begin anew.
   void EndSlowBodies();
 
-  /// Closes the largest and slowest body of `server` that has been arriving for a second or more,
-  /// to make room for a connection.
+  /// Closes the body of `server` with the most bytes times age that has been arriving for a second
+  /// or more, to make room for a connection.
   void EndStalledBody(const void* server);
 
   BodyBudgetStats stats() const;
@@ -79,8 +79,8 @@
   /// Sets the memory that `body` occupies, closing other bodies if that needs room; false if `body`
   /// itself is the one that would have to go.
   bool Occupy(ArrivingBody& body, std::size_t bytes);
-  /// The largest and slowest body of those that occupy at least `min_bytes`, counting `bytes` for
-  /// `asking`.
+  /// The body with the most bytes times age of those that occupy at least `min_bytes`, counting
+  /// `bytes` for `asking`.
   ArrivingBody* FindVictim(ArrivingBody& asking, std::size_t bytes, std::size_t min_bytes) const;
   void SetOccupied(ArrivingBody& body, std::size_t bytes);
   std::size_t LargePart(std::size_t bytes) const;
--- a/src/libraries/http/connection_memory.cc
+++ b/src/libraries/http/connection_memory.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <cstring>
 
+#include "libraries/log/log_event.h"
+
 namespace papayalift {
 
 namespace {
@@ -41,7 +43,10 @@
 void BoundReceiveBuffers(MHD_Daemon* daemon) {
   // Accepted sockets inherit it from the listening one.
   const int listener = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
-  setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
+  if (setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+                 sizeof(kReceiveBufferBytes)) != 0) {
+    LogEvent(LogLevel::kWarning, "http", "receive buffers can't be bounded").Write();
+  }
 }
 
 }  // namespace papayalift
--- a/src/libraries/leader/host_rates.cc
+++ b/src/libraries/leader/host_rates.cc
@@ -85,7 +85,7 @@
   }
 }
 
-bool ShowsRates(MeasuredRuns& runs, WorkStepKind kind) {
+bool SortAndCheckComparable(MeasuredRuns& runs, WorkStepKind kind) {
   if (runs.size() < 2) {
     return false;
   }
@@ -116,7 +116,7 @@
     if (step != nullptr) {
       DropRunsAwayFromData(runs, *step);
     }
-    if (step != nullptr && ShowsRates(runs, step->kind)) {
+    if (step != nullptr && SortAndCheckComparable(runs, step->kind)) {
       std::vector<HostRate>& group = measured.emplace_back();
       for (const MeasuredRun& run : runs) {
         group.push_back(RateOf(run));
--- a/src/libraries/leader/host_speeds.cc
+++ b/src/libraries/leader/host_speeds.cc
@@ -16,8 +16,8 @@
 constexpr std::size_t kMaxHosts = 4'096;
 /// A machine counts in the spread of its service from this many observations on.
 constexpr double kMinKnownWeight = 3.5;
-/// A speed is taken to be nearer to the usual one by this many observations of it, until there are
-/// many more.
+/// A speed with few observations is drawn towards the usual one as if by this many observations of
+/// it.
 constexpr double kPriorWeight = 0.5;
 /// An unused machine may have been changed, so its speed loses half its weight in this time.
 constexpr Milliseconds kWeightHalfLife{1'800'000};
--- a/src/libraries/leader/leader_session_speeds.cc
+++ b/src/libraries/leader/leader_session_speeds.cc
@@ -63,6 +63,14 @@
     }
     ExportSpread(service, spread, m_context.metrics);
   }
+  for (const auto& [service, spread] : former) {
+    if (!speeds.spreads().contains(service)) {
+      if (spread.is_uneven) {
+        LogSpread(service, SpeedSpread());
+      }
+      ExportSpread(service, SpeedSpread(), m_context.metrics);
+    }
+  }
   std::set<std::string> listed;
   for (auto& [id, minion] : m_state.minions) {
     if (minion.entry.has_value()) {
--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -275,31 +275,42 @@
   /// Adds what the cost of stopping the run depends on.
   void AddRunTo(PlanVictim& victim, const TrackedJob& job, std::size_t step,
                 const TrackedRun& run) const {
-    const StepSpec& spec = job.accepted.work.steps[step];
-    const Milliseconds now = m_clock.Now();
-    const Milliseconds remaining = EstimateRemaining(run, spec, now);
-    const bool is_first = victim.placements.size() == 1;
+    StepSpec spec = job.accepted.work.steps[step];
+    // m_paths has learned durations in place of estimates.
+    spec.estimate =
+        m_state.queue_durations.TypicalDuration(job.accepted.queue).value_or(spec.estimate);
+    victim.work += WorkOfTask(spec);
+    const auto reclaims = job.reclaims.find(run.task);
+    if (reclaims != job.reclaims.end()) {
+      victim.times_stopped = std::max(victim.times_stopped, reclaims->second);
+    }
+    const Milliseconds remaining = EstimateRemaining(run, spec, m_clock.Now());
+    AddEnd(victim, run, remaining);
+    AddSlack(victim, job, step, spec, remaining);
+  }
+
+  static void AddEnd(PlanVictim& victim, const TrackedRun& run, Milliseconds remaining) {
     const bool shows_end = ShowsRate(run);
     if (shows_end) {
       victim.first_end = std::min(victim.first_end.value_or(remaining), remaining);
     }
-    if (is_first) {
+    if (victim.placements.size() == 1) {
       victim.last_end = Milliseconds(0);
     }
     victim.last_end = shows_end && victim.last_end.has_value()
                           ? std::optional(std::max(*victim.last_end, remaining))
                           : std::nullopt;
-    victim.work += WorkOfTask(spec);
-    const auto reclaims = job.reclaims.find(run.task);
-    if (reclaims != job.reclaims.end()) {
-      victim.times_stopped = std::max(victim.times_stopped, reclaims->second);
-    }
+  }
+
+  void AddSlack(PlanVictim& victim, const TrackedJob& job, std::size_t step, const StepSpec& spec,
+                Milliseconds remaining) const {
     const auto paths = m_paths.find(&job);
     if (paths == m_paths.end()) {
       return;
     }
+    const bool is_first = victim.placements.size() == 1;
     const Milliseconds after_step = paths->second[step] - spec.estimate;
-    const Milliseconds slack = DueAt(job) - now - after_step - remaining;
+    const Milliseconds slack = DueAt(job) - m_clock.Now() - after_step - remaining;
     const Milliseconds done = std::max(Milliseconds(0), spec.estimate - remaining);
     const Milliseconds lost = spec.saves_checkpoints ? Milliseconds(0) : done;
     const Milliseconds if_stopped = slack - lost - kStopTime - kStartTime;
--- a/src/libraries/leader/wait_monitor.cc
+++ b/src/libraries/leader/wait_monitor.cc
@@ -34,6 +34,10 @@
       wait.reason = planned.reason;
       wait.reason_since = now;
     }
+    if (const auto other = current.find(name); other != current.end()) {
+      // Tasks of one step can wait for several reasons in one pass; the last one is kept.
+      wait.is_logged = other->second.is_logged;
+    }
     LogIfLong(planned, wait, inputs, workspaces, now);
     current.insert_or_assign(name, wait);
   }
--- a/src/libraries/planner/delay_cost.cc
+++ b/src/libraries/planner/delay_cost.cc
@@ -13,16 +13,16 @@
 constexpr Milliseconds kUrgentSlack{2'000};
 /// Work that such a step may make others lose, relative to its own.
 constexpr double kMaxLostWorkShare = 0.5;
-/// Share of the time to spare that a step spends on waiting for runs to end. The rest covers gang
+/// A step waits for runs to end for at most its time to spare divided by this. The rest covers gang
 /// members that take longer than estimated, and runs that end later than expected.
-constexpr int kSlackPerWait = 2;
+constexpr int kSpareTimeDivisor = 2;
 /// Share of its value that a job loses by being late.
 constexpr double kLateLoss = 0.5;
 /// Each former stop makes a run dearer by its unsaved work, at most this often.
 constexpr int kMaxCountedStops = 4;
 
 Milliseconds MaxWaitForEnds(const ReclaimFacts& facts) {
-  const Milliseconds to_spare = (facts.slack - kStartTime) / kSlackPerWait;
+  const Milliseconds to_spare = (facts.slack - kStartTime) / kSpareTimeDivisor;
   const bool is_late = facts.slack < Milliseconds(0);
   if (!facts.is_guaranteed) {
     return std::max(Milliseconds(0), to_spare);
--- a/src/libraries/planner/delay_cost.h
+++ b/src/libraries/planner/delay_cost.h
@@ -13,9 +13,9 @@
 constexpr Milliseconds kStopTime{400};
 /// From the decision to start a task until it works.
 constexpr Milliseconds kStartTime{300};
-/// A guarantee that is not met by capacity that becomes free by itself is met by stops that are
-/// decided this long after the job's acceptance. Reclaim limits are 2,700 ms and more, and a stop
-/// and a start take 700 ms of that.
+/// Until a guaranteed job has this age it may wait for runs to end; then it stops others. The
+/// shortest reclaim limit is 2,700 ms, a stop and a start take 700 ms, and the rest is left for
+/// late answers.
 constexpr Milliseconds kLastReclaimDecision{1'200};
 
 /// A step that may make others give way, as the leader knows it.
--- a/src/libraries/planner/placement_search.cc
+++ b/src/libraries/planner/placement_search.cc
@@ -34,12 +34,6 @@
   return minion.is_avoided || minion.speed < kSlowSpeed || pending.failed_on.contains(minion.id);
 }
 
-/// Whether the step can still be on time there. A minion of unknown speed is taken to be slow, as
-/// most are where speeds differ.
-bool IsFastEnough(const PendingStep& pending, const PlanMinion& minion) {
-  return pending.min_speed <= 0 || (minion.speed >= pending.min_speed && !minion.needs_measurement);
-}
-
 /// How well the speed of a minion suits the step. Fast minions are left to steps that need them.
 enum class SpeedFit { kEnough, kFasterThanNeeded, kTooSlow };
 
@@ -65,9 +59,10 @@
 
 /// In order of preference: minions that are fast enough without being fast, all that are fast
 /// enough, the slow ones, and all.
-constexpr std::array<GangTier, 4> kTiersBySpeed{GangTier{false, false, false},
-                                                GangTier{true, false, false},
-                                                GangTier{false, true, false}, GangTier{}};
+constexpr std::array<GangTier, 4> kTiersBySpeed{
+    GangTier{.allows_fast = false, .allows_too_slow = false, .allows_last_resort = false},
+    GangTier{.allows_too_slow = false, .allows_last_resort = false},
+    GangTier{.allows_fast = false, .allows_last_resort = false}, GangTier{}};
 constexpr std::array<GangTier, 1> kTiersOfEvenMinions{GangTier{}};
 
 /// If no minion of the service counts as fast, all are one tier.
@@ -257,6 +252,10 @@
   return (!minion.is_avoided || pending.may_use_avoided) && MatchesStep(pending, minion);
 }
 
+bool IsFastEnough(const PendingStep& pending, const PlanMinion& minion) {
+  return pending.min_speed <= 0 || (minion.speed >= pending.min_speed && !minion.needs_measurement);
+}
+
 bool MatchesStep(const PendingStep& pending, const PlanMinion& minion) {
   if (minion.service != pending.service) {
     return false;
--- a/src/libraries/planner/placement_search.h
+++ b/src/libraries/planner/placement_search.h
@@ -15,6 +15,10 @@
   bool meets_rack_preference = true;
 };
 
+/// Whether the step can still be on time there. A minion of unknown speed is taken to be slow, as
+/// most are where speeds differ.
+bool IsFastEnough(const PendingStep& pending, const PlanMinion& minion);
+
 /// Whether the minion has the service and the label that the step needs.
 bool MatchesStep(const PendingStep& pending, const PlanMinion& minion);
 
@@ -31,7 +35,7 @@
 FoundPlacements FindTaskPlacements(const PendingStep& pending, const PlanCapacity& capacity,
                                    CapacityMember member);
 
-/// How the speeds of minions have decided the placements, such as "fast minions"; empty if they
+/// How the speeds of minions have decided the placements, such as "slow minions"; empty if they
 /// have no part in it.
 std::string SpeedReasonOf(const PendingStep& pending, const PlanCapacity& capacity,
                           const std::vector<PlannedPlacement>& placements);
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -42,7 +42,8 @@
   std::vector<PlanRun> runs;
   /// Tasks have failed or stood still on it lately. It only gets work as a last resort.
   bool is_avoided = false;
-  /// Work per second relative to the usual minion of its service.
+  /// Work per second: relative to the usual minion if the service's machines differ much, else to
+  /// the estimates of steps.
   double speed = 1;
   /// It is among the fast minions of a service whose minions differ so much that fast ones are kept
   /// for steps that need them.
@@ -74,8 +75,8 @@
   bool is_guaranteed = false;
   /// The step has waited long enough to also stop borrowers of its own priority.
   bool may_stop_borrowers = false;
-  /// Beyond its guarantee the step may stop lower priorities if that loses less work than this, in
-  /// weighted core-seconds.
+  /// Beyond its guarantee the step may stop lower priorities if that costs less than this
+  /// (CostOfStop()), in weighted core-seconds.
   double max_lost_work = 0;
   /// A step that may stop others rather waits for runs that show that they end within this time.
   Milliseconds max_wait_for_ends{0};
@@ -150,7 +151,7 @@
 
 /// How steps are ordered and runs chosen to be stopped when capacity is short.
 enum class DelayPolicy {
-  /// By priority and slack alone, and by unsaved work. Kept to compare with.
+  /// By priority and slack alone, and by unsaved work. Only tests set it, to compare.
   kBySlack,
   /// By what the delay or the stop costs callers (delay_cost.h).
   kByCost,
--- a/src/libraries/planner/planning_order.cc
+++ b/src/libraries/planner/planning_order.cc
@@ -91,7 +91,7 @@
 /// Steps of services that are not short keep their places, and so do all of guaranteed priority.
 void OrderGroup(StepIterator begin, StepIterator end,
                 const std::map<ServiceId, ServiceOrder>& service_orders) {
-  // These steps may stop others, so that they do not wait for what ends by itself.
+  // These steps may stop others, so they need not wait for their turn.
   if ((*begin)->priority == kGuaranteedPriority) {
     return;
   }
--- a/src/libraries/planner/quota_stops.cc
+++ b/src/libraries/planner/quota_stops.cc
@@ -49,18 +49,18 @@
             [&cost](std::size_t left, std::size_t right) { return cost(left) < cost(right); });
   const std::int64_t wanted = static_cast<std::int64_t>(pending.task_indexes.size());
   std::vector<std::size_t> chosen;
-  double lost_work = 0;
+  double total_cost = 0;
   auto candidate = candidates.begin();
   while (after_stops.TasksAllowedAfterStops(pending) < wanted) {
     if (candidate == candidates.end()) {
       return std::nullopt;
     }
     after_stops.AddBeingFreed(pending.workspace, NeedsOf(victims[*candidate]));
-    lost_work += cost(*candidate);
+    total_cost += cost(*candidate);
     chosen.push_back(*candidate++);
   }
-  const bool loses_too_much = !pending.is_guaranteed && lost_work >= pending.max_lost_work;
-  return loses_too_much ? std::nullopt : std::optional(std::move(chosen));
+  const bool costs_too_much = !pending.is_guaranteed && total_cost >= pending.max_lost_work;
+  return costs_too_much ? std::nullopt : std::optional(std::move(chosen));
 }
 
 }  // namespace papayalift
--- a/src/libraries/planner/reclaim_search.cc
+++ b/src/libraries/planner/reclaim_search.cc
@@ -22,8 +22,8 @@
   const std::vector<bool>& is_stopped;
   VictimScope scope;
   DelayPolicy policy;
-  /// Slower minions are left out.
-  double min_speed = 0;
+  /// Minions on which the step would be late are left out.
+  bool only_fast_enough = false;
 
   bool MayStop(std::size_t victim) const {
     return !is_stopped[victim] && !pending.may_only_await_stops && !EndsSoon(victim) &&
@@ -72,7 +72,7 @@
       }
     }
     if (m_request.policy == DelayPolicy::kByCost) {
-      DropNeedlessGangs();
+      DropRedundantVictims();
     }
     return std::move(m_found);
   }
@@ -97,7 +97,7 @@
     const MinionCapacity& minion = m_request.capacity.minions()[index];
     Candidate candidate;
     if (IsEligible(m_request.pending, *minion.minion) &&
-        minion.minion->speed >= m_request.min_speed) {
+        (!m_request.only_fast_enough || IsFastEnough(m_request.pending, *minion.minion))) {
       candidate.capacity = minion.free_after_stops + m_request.FreedSoonOn(index);
       candidate.slots = SlotsOn(minion);
       candidate.option = OptionOn(index, candidate);
@@ -135,20 +135,18 @@
     Resources capacity = candidate.capacity;
     const std::vector<std::size_t> cheapest =
         needs.Fits(capacity) ? std::vector<std::size_t>() : CheapestVictimsOn(minion);
-    if (!cheapest.empty()) {
-      for (const std::size_t victim : cheapest) {
-        capacity += FreedOn(minion, victim);
-        option.victims.push_back(victim);
-        if (needs.Fits(capacity)) {
-          break;
-        }
+    for (const std::size_t victim : cheapest) {
+      capacity += FreedOn(minion, victim);
+      option.victims.push_back(victim);
+      if (needs.Fits(capacity)) {
+        break;
       }
     }
     if (!needs.Fits(capacity)) {
       return std::nullopt;
     }
     if (m_request.policy == DelayPolicy::kByCost) {
-      DropNeedless(minion, capacity, option.victims);
+      DropRedundant(minion, capacity, option.victims);
     }
     option.cost = CostOf(option.victims);
     option.leftover = (capacity - needs).accelerators;
@@ -163,10 +161,10 @@
     return cost;
   }
 
-  /// Drops victims without which a task fits as well, the dearest first. `capacity` is what all of
-  /// them leave.
-  void DropNeedless(std::size_t minion, Resources& capacity,
-                    std::vector<std::size_t>& victims) const {
+  /// Drops victims without which a task fits as well, the costliest first. `capacity` is what all
+  /// of them leave.
+  void DropRedundant(std::size_t minion, Resources& capacity,
+                     std::vector<std::size_t>& victims) const {
     for (std::size_t position = victims.size(); position > 0; --position) {
       const Resources without = capacity - FreedOn(minion, victims[position - 1]);
       if (m_request.pending.spec.needs.Fits(without)) {
@@ -191,13 +189,13 @@
 
   /// A gang that is stopped for one task makes room for others too, which may leave former choices
   /// without need.
-  void DropNeedlessGangs() {
-    std::vector<std::size_t> dearest_first = m_found.victims;
-    std::stable_sort(dearest_first.begin(), dearest_first.end(),
+  void DropRedundantVictims() {
+    std::vector<std::size_t> costliest_first = m_found.victims;
+    std::stable_sort(costliest_first.begin(), costliest_first.end(),
                      [this](std::size_t left, std::size_t right) {
                        return m_request.costs[left] > m_request.costs[right];
                      });
-    for (const std::size_t victim : dearest_first) {
+    for (const std::size_t victim : costliest_first) {
       if (!IsNeeded(victim)) {
         AddFreed(victim, -1);
         m_found.cost -= m_request.costs[victim];
@@ -329,11 +327,11 @@
 /// Prefers to stop runs on minions that are fast enough for the step: on others it would be late.
 std::optional<FoundReclaim> FindInScope(ReclaimRequest request) {
   if (request.pending.min_speed > 0) {
-    request.min_speed = request.pending.min_speed;
+    request.only_fast_enough = true;
     if (std::optional<FoundReclaim> found = FindAmong(request)) {
       return found;
     }
-    request.min_speed = 0;
+    request.only_fast_enough = false;
   }
   return FindAmong(request);
 }
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -40,7 +40,7 @@
   }
 
  private:
-  /// The steps that their quotas let start, for which it is worth to hold minions.
+  /// The steps that their quotas let start, for which minions are worth holding.
   std::vector<const PendingStep*> WithinQuota(const std::vector<const PendingStep*>& steps) const {
     std::vector<const PendingStep*> allowed;
     std::copy_if(steps.begin(), steps.end(), std::back_inserter(allowed),
@@ -53,7 +53,7 @@
     const std::int64_t allowed = m_quotas.TasksAllowed(pending);
     if (allowed == waiting) {
       PlanWithinQuota(pending);
-    } else if (MayStopOthers(pending) && StopForQuota(pending)) {
+    } else if (MayStopOthers(pending) && FitsWithStops(pending) && StopForQuota(pending)) {
       if (!PlanWithStops(pending)) {
         Wait(pending, pending.task_indexes.size(), WaitReason::kStops);
       }
@@ -84,6 +84,11 @@
     return first;
   }
 
+  /// Whether there is room for the step once runs have ended, so that stops for its quota help it.
+  bool FitsWithStops(const PendingStep& pending) const {
+    return FindReclaim(pending, m_capacity, m_snapshot, m_is_stopped).has_value();
+  }
+
   /// Stops runs of the step's own workspace until its quota has room for all waiting tasks. Returns
   /// false if that does not help.
   bool StopForQuota(const PendingStep& pending) {
--- a/src/libraries/planner/workspace_quotas.cc
+++ b/src/libraries/planner/workspace_quotas.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Runs of a workspace at its quota usually free enough for a gang within this time.
+/// A gang that has waited for less usually still gets quota without any being kept for it.
 constexpr Milliseconds kMinGangWait{2'000};
 
 std::int64_t WaitingTasks(const PendingStep& pending) {
--- a/src/libraries/planner/workspace_quotas.h
+++ b/src/libraries/planner/workspace_quotas.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <map>
-#include <vector>
 
 #include "libraries/planner/plan_snapshot.h"
 
