Leader: Weigh costs of delay and learned durations only where they are called for

The cost decision is now in force where the manifest gives a workspace a quota or a weight, and learned durations replace estimates only in services whose speeds placement regards.

--- a/src/libraries/leader/plan_snapshot_builder.cc
+++ b/src/libraries/leader/plan_snapshot_builder.cc
@@ -58,6 +58,7 @@
         m_clock(clock) {}
 
   PlanContents Build() {
+    m_snapshot.policy = PolicyOf(m_manifest);
     for (auto& [id, job] : m_state.jobs) {
       if (!HasEnded(job.progress.state) && !job.is_cancelled && !job.is_record_gone) {
         AddJob(job);
@@ -116,9 +117,26 @@
     return runs;
   }
 
+  /// Stops and delays are weighed by their cost where the manifest shares the fleet among
+  /// workspaces by quotas or weights; elsewhere priority and slack decide alone.
+  static DelayPolicy PolicyOf(const FleetManifest& manifest) {
+    const bool has_shares = std::any_of(manifest.workspaces.begin(), manifest.workspaces.end(),
+                                        [](const ManifestWorkspace& workspace) {
+                                          return workspace.has_quota() || workspace.weight > 0;
+                                        });
+    return has_shares ? DelayPolicy::kByCost : DelayPolicy::kBySlack;
+  }
+
+  /// The typical duration of the queue's tasks, if it replaces their estimates. Only services whose
+  /// machines differ much need it, to tell which jobs fast machines can still serve on time.
+  std::optional<Milliseconds> LearnedDuration(const AcceptedJob& job) const {
+    return m_state.host_speeds.SpreadOf(job.service).is_uneven
+               ? m_state.queue_durations.TypicalDuration(job.queue)
+               : std::nullopt;
+  }
+
   void AddJob(TrackedJob& job) {
-    const std::optional<Milliseconds> typical =
-        m_state.queue_durations.TypicalDuration(job.accepted.queue);
+    const std::optional<Milliseconds> typical = LearnedDuration(job.accepted);
     if (typical.has_value()) {
       AddStepsOf(job, WithDurations(job.accepted.work.steps, *typical));
     } else {
@@ -277,8 +295,7 @@
                 const TrackedRun& run) const {
     StepSpec spec = job.accepted.work.steps[step];
     // m_paths has learned durations in place of estimates.
-    spec.estimate =
-        m_state.queue_durations.TypicalDuration(job.accepted.queue).value_or(spec.estimate);
+    spec.estimate = LearnedDuration(job.accepted).value_or(spec.estimate);
     victim.work += WorkOfTask(spec);
     const auto reclaims = job.reclaims.find(run.task);
     if (reclaims != job.reclaims.end()) {
--- a/src/libraries/leader/workspace_load.cc
+++ b/src/libraries/leader/workspace_load.cc
@@ -1,5 +1,7 @@
 #include "libraries/leader/workspace_load.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <map>
 
@@ -51,12 +53,12 @@
     if (workspace.quota == Resources{}) {
       continue;
     }
-    const std::string label = "{workspace=\"" + workspace.id.text() + "\"}";
     for (const ResourceGauge& gauge : kGauges) {
-      const std::string prefix = std::string("papayalift_workspace_") + gauge.name;
-      metrics.SetGauge(prefix + "_running" + label,
+      metrics.SetGauge(fmt::format("papayalift_workspace_{}_running{{workspace=\"{}\"}}",
+                                   gauge.name, workspace.id.text()),
                        static_cast<double>(workspace.running.*gauge.member));
-      metrics.SetGauge(prefix + "_quota" + label,
+      metrics.SetGauge(fmt::format("papayalift_workspace_{}_quota{{workspace=\"{}\"}}", gauge.name,
+                                   workspace.id.text()),
                        static_cast<double>(workspace.quota.*gauge.member));
     }
   }
