HTTP, leader: Write refusals once, and log a record of speeds that is not stored

The refusal of a body stood in both HTTP servers, a write of the record of speeds that failed left no trace, and `shape` had another meaning in the glossary. What is answered and planned is unchanged.

--- a/src/libraries/http/async_http_server.cc
+++ b/src/libraries/http/async_http_server.cc
@@ -12,6 +12,7 @@
 
 #include "libraries/http/arriving_body.h"
 #include "libraries/http/connection_memory.h"
+#include "libraries/http/http_refusal.h"
 #include "libraries/http/request_timeout_monitor.h"
 
 namespace papayalift {
@@ -68,24 +69,6 @@
   return found == std::end(kMethods) ? nullptr : found;
 }
 
-HttpResponse ErrorResponse(HttpStatus status, const char* message) {
-  HttpResponse response;
-  response.status = status;
-  response.body = fmt::format(R"({{"error":"{}","verdict":"not run"}})", message);
-  return response;
-}
-
-/// The response to a request whose body was not kept.
-HttpResponse RefusalOf(BodyVerdict verdict) {
-  if (verdict == BodyVerdict::kOverBudget) {
-    HttpResponse response =
-        ErrorResponse(HttpStatus::kUnavailable, "the bodies of other requests take up the memory");
-    response.headers["Retry-After"] = "1";
-    return response;
-  }
-  return ErrorResponse(HttpStatus::kPayloadTooLarge, "the request body is too large");
-}
-
 }  // namespace
 
 class AsyncHttpServer::Daemon {
@@ -223,7 +206,8 @@
       m_exchanges[exchange.get()] = exchange;
       *state = exchange.get();
       const BodyVerdict announced = exchange->body->Announce(AnnouncedBodyBytes(connection));
-      return announced == BodyVerdict::kClose ? Queue(connection, RefusalOf(announced)) : MHD_YES;
+      return announced == BodyVerdict::kClose ? Queue(connection, RefusalOfBody(announced))
+                                              : MHD_YES;
     }
     Exchange& exchange = *static_cast<Exchange*>(*state);
     if (*upload_size > 0) {
@@ -246,14 +230,14 @@
     const MethodEntry* const known = FindMethod(method);
     if (known == nullptr) {
       return Queue(connection,
-                   ErrorResponse(HttpStatus::kMethodNotAllowed, "use GET, POST or DELETE"));
+                   RefusalResponse(HttpStatus::kMethodNotAllowed, "use GET, POST or DELETE"));
     }
     const BodyVerdict verdict = exchange.body->Complete(exchange.request.body);
     if (verdict == BodyVerdict::kClose) {
       return MHD_NO;
     }
     if (verdict != BodyVerdict::kKept) {
-      return Queue(connection, RefusalOf(verdict));
+      return Queue(connection, RefusalOfBody(verdict));
     }
     exchange.request.method = known->method;
     exchange.request.path = url;
--- a/src/libraries/http/http_server.cc
+++ b/src/libraries/http/http_server.cc
@@ -13,6 +13,7 @@
 #include "libraries/base/boot_clock.h"
 #include "libraries/http/arriving_body.h"
 #include "libraries/http/connection_memory.h"
+#include "libraries/http/http_refusal.h"
 #include "libraries/http/request_timeout_monitor.h"
 
 namespace papayalift {
@@ -102,24 +103,6 @@
   return queued;
 }
 
-HttpResponse ErrorResponse(HttpStatus status, const char* message) {
-  HttpResponse response;
-  response.status = status;
-  response.body = fmt::format(R"({{"error":"{}","verdict":"not run"}})", message);
-  return response;
-}
-
-/// The response to a request whose body was not kept.
-HttpResponse RefusalOf(BodyVerdict verdict) {
-  if (verdict == BodyVerdict::kOverBudget) {
-    HttpResponse response =
-        ErrorResponse(HttpStatus::kUnavailable, "the bodies of other requests take up the memory");
-    response.headers["Retry-After"] = "1";
-    return response;
-  }
-  return ErrorResponse(HttpStatus::kPayloadTooLarge, "the request body is too large");
-}
-
 }  // namespace
 
 class HttpServer::Daemon {
@@ -207,9 +190,7 @@
       monitor.OnConnectionClosed(connection);
       return;
     }
-    const MHD_ConnectionInfo* const info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    monitor.OnConnectionOpened(connection, info->connect_fd);
+    monitor.OnConnectionOpened(connection, DescriptorOf(connection));
     if (IsNearLimit(monitor.connections(), daemon.m_limits.connections)) {
       daemon.m_budget.EndStalledBody(&daemon);
     }
@@ -222,7 +203,8 @@
       *state = exchange;
       ++m_in_flight;
       const BodyVerdict announced = exchange->body.Announce(AnnouncedBodyBytes(connection));
-      return announced == BodyVerdict::kClose ? Queue(connection, RefusalOf(announced)) : MHD_YES;
+      return announced == BodyVerdict::kClose ? Queue(connection, RefusalOfBody(announced))
+                                              : MHD_YES;
     }
     Exchange& exchange = *static_cast<Exchange*>(*state);
     if (*upload_size > 0) {
@@ -235,7 +217,7 @@
       return MHD_NO;
     }
     if (verdict != BodyVerdict::kKept) {
-      return Queue(connection, RefusalOf(verdict));
+      return Queue(connection, RefusalOfBody(verdict));
     }
     return Answer(connection, exchange, url, method);
   }
@@ -245,7 +227,7 @@
     const bool is_get = std::strcmp(method, MHD_HTTP_METHOD_GET) == 0;
     const bool is_post = std::strcmp(method, MHD_HTTP_METHOD_POST) == 0;
     if (!is_get && !is_post) {
-      return Queue(connection, ErrorResponse(HttpStatus::kMethodNotAllowed, "use GET or POST"));
+      return Queue(connection, RefusalResponse(HttpStatus::kMethodNotAllowed, "use GET or POST"));
     }
     exchange.request.method = is_get ? HttpMethod::kGet : HttpMethod::kPost;
     exchange.request.path = url;
--- a/src/libraries/leader/host_speed_record.cc
+++ b/src/libraries/leader/host_speed_record.cc
@@ -24,7 +24,7 @@
 constexpr std::int64_t kMaxDurationLog = 25'000;
 constexpr std::int64_t kMaxWeight = 10'000;
 constexpr std::int64_t kMaxAgeSeconds = 99'999;
-constexpr std::int64_t kMaxShape = 0xffff'ffff;
+constexpr std::int64_t kMaxFingerprint = 0xffff'ffff;
 constexpr std::int64_t kMaxWallMs = 1LL << 53;
 constexpr std::int64_t kMillisecondsPerSecond = 1'000;
 
@@ -51,7 +51,7 @@
   void AddHost(const std::string& address, const HostSpeed& speed) {
     const std::int64_t age = (m_now.steady - speed.observed_at).count() / kMillisecondsPerSecond;
     Json row =
-        Json::array({address, speed.shape, InUnits(speed.log_speed, kLogUnits, kMaxLog),
+        Json::array({address, speed.fingerprint, InUnits(speed.log_speed, kLogUnits, kMaxLog),
                      InUnits(speed.weight, kWeightUnits, kMaxWeight),
                      std::clamp<std::int64_t>(age, 0, kMaxAgeSeconds), NumberOf(speed.service)});
     m_row_bytes += row.dump().size() + 1;
@@ -110,11 +110,12 @@
   return known;
 }
 
-/// `row` is [address, shape, logarithm of the speed, weight, age in seconds, number of service].
+/// `row` is [address, fingerprint, logarithm of the speed, weight, age in seconds, number of
+/// service].
 HostSpeed DecodeHost(const Json& row, const Json& services, Milliseconds written_at,
                      Milliseconds now) {
   HostSpeed speed;
-  speed.shape = static_cast<std::uint64_t>(IntegerOf(row.at(1), 0, kMaxShape));
+  speed.fingerprint = static_cast<std::uint64_t>(IntegerOf(row.at(1), 0, kMaxFingerprint));
   speed.log_speed = FromUnits(row.at(2), kLogUnits, -kMaxLog, kMaxLog);
   speed.weight = std::min(FromUnits(row.at(3), kWeightUnits, 0, kMaxWeight), kMaxSpeedWeight);
   const std::int64_t age = IntegerOf(row.at(4), 0, kMaxAgeSeconds);
--- a/src/libraries/leader/host_speed_recorder.cc
+++ b/src/libraries/leader/host_speed_recorder.cc
@@ -22,7 +22,7 @@
 }
 
 bool DiffersNotably(const HostSpeed& left, const HostSpeed& right) {
-  return left.shape != right.shape ||
+  return left.fingerprint != right.fingerprint ||
          std::abs(left.log_speed - right.log_speed) > kNotableChangeLog;
 }
 
@@ -151,6 +151,9 @@
   }
   if (answer.result != TransactionResult::kApplied) {
     // The next write shows by its conditions whether this one was applied.
+    LogEvent(LogLevel::kWarning, "speeds", "the record of speeds may not be written; retrying")
+        .Reason(answer.error)
+        .Write();
     return;
   }
   m_stored = std::move(record);
--- a/src/libraries/leader/host_speed_recorder.h
+++ b/src/libraries/leader/host_speed_recorder.h
@@ -27,7 +27,7 @@
 
  private:
   void Inherit(const ReadAnswer& answer);
-  /// What is worth to be kept: the machines of services where speed matters.
+  /// What is worth keeping: the machines of services whose speeds placement regards.
   HostSpeedRecord BuildRecord() const;
   bool DiffersNotably(const HostSpeedRecord& record) const;
   void Write(const HostSpeedRecord& record);
--- a/src/libraries/leader/host_speeds.cc
+++ b/src/libraries/leader/host_speeds.cc
@@ -157,15 +157,15 @@
 }  // namespace
 
 HostIdentity HostIdentityOf(const MinionEntry& entry) {
-  std::string shape = entry.service.text();
+  std::string description = entry.service.text();
   for (const std::string& label : entry.labels) {
-    shape += '\n' + label;
+    description += '\n' + label;
   }
-  shape += '\n' + std::to_string(entry.capacity.cpu_milli) + ' ' +
-           std::to_string(entry.capacity.memory_mb) + ' ' +
-           std::to_string(entry.capacity.accelerators);
-  constexpr std::uint64_t kShapeBits = 0xffff'ffff;
-  return HostIdentity{entry.address, Hash64(shape) & kShapeBits};
+  description += '\n' + std::to_string(entry.capacity.cpu_milli) + ' ' +
+                 std::to_string(entry.capacity.memory_mb) + ' ' +
+                 std::to_string(entry.capacity.accelerators);
+  constexpr std::uint64_t kFingerprintBits = 0xffff'ffff;
+  return HostIdentity{entry.address, Hash64(description) & kFingerprintBits};
 }
 
 double AgedWeight(const HostSpeed& speed, Milliseconds now) {
@@ -203,9 +203,9 @@
 
 HostSpeed& HostSpeeds::Entry(const HostRate& rate, Milliseconds now) {
   HostSpeed& speed = m_hosts[rate.host.address];
-  if (speed.shape != rate.host.shape) {
+  if (speed.fingerprint != rate.host.fingerprint) {
     speed = HostSpeed();
-    speed.shape = rate.host.shape;
+    speed.fingerprint = rate.host.fingerprint;
     speed.service = rate.service;
     speed.observed_at = now;
     speed.listed_at = now;
@@ -224,7 +224,8 @@
 
 void HostSpeeds::Restore(const std::string& address, const HostSpeed& speed) {
   const auto [known, is_new] = m_hosts.try_emplace(address, speed);
-  if (!is_new && known->second.shape == speed.shape && known->second.weight < speed.weight) {
+  if (!is_new && known->second.fingerprint == speed.fingerprint &&
+      known->second.weight < speed.weight) {
     known->second = speed;
   }
   DropOldest();
@@ -242,7 +243,7 @@
 
 void HostSpeeds::Confirm(const HostIdentity& host) {
   const auto found = m_hosts.find(host.address);
-  if (found != m_hosts.end() && found->second.shape != host.shape) {
+  if (found != m_hosts.end() && found->second.fingerprint != host.fingerprint) {
     m_hosts.erase(found);
   }
 }
@@ -250,13 +251,13 @@
 double HostSpeeds::SpeedOf(const HostIdentity& host, const SpeedSpread& spread,
                            Milliseconds now) const {
   const auto found = m_hosts.find(host.address);
-  const bool is_known = found != m_hosts.end() && found->second.shape == host.shape;
+  const bool is_known = found != m_hosts.end() && found->second.fingerprint == host.fingerprint;
   return is_known ? std::exp(CurrentLog(found->second, now)) / spread.usual : 1;
 }
 
 bool HostSpeeds::IsKnown(const HostIdentity& host, Milliseconds now) const {
   const auto found = m_hosts.find(host.address);
-  return found != m_hosts.end() && found->second.shape == host.shape &&
+  return found != m_hosts.end() && found->second.fingerprint == host.fingerprint &&
          AgedWeight(found->second, now) >= kMinKnownWeight;
 }
 
--- a/src/libraries/leader/host_speeds.h
+++ b/src/libraries/leader/host_speeds.h
@@ -18,7 +18,7 @@
   /// "IP:port"
   std::string address;
   /// Hash of service, labels and capacity.
-  std::uint64_t shape = 0;
+  std::uint64_t fingerprint = 0;
 };
 
 HostIdentity HostIdentityOf(const MinionEntry& entry);
@@ -52,7 +52,8 @@
 
 /// Speed of one machine.
 struct HostSpeed {
-  std::uint64_t shape = 0;
+  /// HostIdentity::fingerprint.
+  std::uint64_t fingerprint = 0;
   ServiceId service;
   /// Natural logarithm of the speed; 0 before the first observation.
   double log_speed = 0;
--- a/tests/leader/host_speed_record_test.cc
+++ b/tests/leader/host_speed_record_test.cc
@@ -14,7 +14,7 @@
   for (int number = 0; number < hosts; ++number) {
     HostSpeed& speed =
         record.hosts[fmt::format("10.111.{}.{}:17000", 100 + number / 100, 100 + number % 100)];
-    speed.shape = 4'000'000'000U + static_cast<std::uint64_t>(number);
+    speed.fingerprint = 4'000'000'000U + static_cast<std::uint64_t>(number);
     speed.service = ServiceId("pool");
     speed.log_speed = -0.357;
     speed.weight = 6.5;
@@ -35,7 +35,7 @@
   cr_assert(decoded.ok());
   cr_assert_eq(decoded->hosts.size(), 2);
   const HostSpeed& speed = decoded->hosts.begin()->second;
-  cr_assert_eq(speed.shape, 4'000'000'000U);
+  cr_assert_eq(speed.fingerprint, 4'000'000'000U);
   cr_assert(speed.service == ServiceId("pool"));
   cr_assert_float_eq(speed.log_speed, -0.357, 1e-9);
   cr_assert_float_eq(speed.weight, 6.5, 1e-9);
--- a/tests/leader/host_speeds_test.cc
+++ b/tests/leader/host_speeds_test.cc
@@ -197,7 +197,7 @@
   fixture.speeds.Confirm(fixture.HostOf(2));
   cr_assert(fixture.speeds.hosts().contains(fixture.HostOf(2).address));
   HostIdentity other = fixture.HostOf(2);
-  other.shape = 2;
+  other.fingerprint = 2;
   cr_assert_float_eq(fixture.speeds.SpeedOf(other, fixture.speeds.SpreadOf(kPool), fixture.now), 1,
                      1e-9);
   fixture.speeds.Confirm(other);
