Review: Let the stand-ins lose and delay calls

The store and the minions of review/lib-3 can leave calls unanswered, and carry them out or not, at once or later.

--- a/review/lib-3/stand_in.hpp
+++ b/review/lib-3/stand_in.hpp
@@ -281,6 +281,8 @@
     m_lines.push_back(line);
   }
 
+  std::int64_t began() const { return m_began_at; }
+
   std::vector<std::string> lines() {
     const std::lock_guard<std::mutex> lock(m_mutex);
     return m_lines;
@@ -336,12 +338,26 @@
 
 // --- the platform's store ---
 
+/// What becomes of one call to the store.
+enum class StoreFault {
+  kNone,
+  /// Carried out, and not answered.
+  kAnswerLost,
+  /// Not answered, and carried out some seconds later.
+  kLate,
+  /// Refused with 503; nothing was done.
+  kBusy,
+  /// Neither carried out nor answered.
+  kSilent,
+};
+
 class Store {
  public:
   explicit Store(Record& record) : m_record(record) {}
 
-  /// Called with the path, before a call is carried out; may wait. An answer replaces the call.
-  std::function<std::optional<Response>(const Request&)> before;
+  /// Decides on each call; may wait.
+  std::function<StoreFault(const Request&)> fault_of;
+  std::int64_t late_ms = 3'000;
 
   int Start() {
     const int listener = ListenOn("127.0.0.1", 0);
@@ -476,12 +492,26 @@
       }
       return Response{};
     }
-    if (before) {
-      if (const std::optional<Response> instead = before(request)) {
-        return *instead;
-      }
+    constexpr std::int64_t kSilenceMs = 1'500;
+    switch (fault_of ? fault_of(request) : StoreFault::kNone) {
+      case StoreFault::kNone:
+        return Answer(request);
+      case StoreFault::kBusy:
+        return Response{503, "{}"};
+      case StoreFault::kAnswerLost:
+        Answer(request);
+        break;
+      case StoreFault::kLate:
+        std::thread([this, request] {
+          SleepMs(late_ms);
+          Answer(request);
+        }).detach();
+        break;
+      case StoreFault::kSilent:
+        break;
     }
-    return Answer(request);
+    SleepMs(kSilenceMs);
+    return std::nullopt;
   }
 
   Response Answer(const Request& request) {
@@ -617,6 +647,10 @@
   int store_port = 0;
   /// How long each task takes.
   int work_ms = 3000;
+  /// Of a thousand calls, how many are carried out and not answered, and how many are not answered and
+  /// carried out 2 to 6 s later.
+  int lost_permille = 0;
+  int late_permille = 0;
 };
 
 /// One life of a minion; runs in a process of its own until it is killed.
@@ -627,6 +661,7 @@
   [[noreturn]] void Run(int listener) {
     m_born = WallMs();
     m_began_at = SteadyMs();
+    std::srand(static_cast<unsigned int>(m_born));
     std::thread([this] { Beat(); }).detach();
     std::thread([this] {
       while (true) {
@@ -712,6 +747,23 @@
   }
 
   std::optional<Response> Handle(const Request& request) {
+    constexpr std::int64_t kSilenceMs = 3'000;
+    const int chance = static_cast<int>(std::rand() % 1000);
+    if (chance < m_settings.lost_permille) {
+      CarryOut(request);
+    } else if (chance < m_settings.lost_permille + m_settings.late_permille) {
+      std::thread([this, request, delay_ms = 2'000 + std::rand() % 4'000] {
+        SleepMs(delay_ms);
+        CarryOut(request);
+      }).detach();
+    } else {
+      return CarryOut(request);
+    }
+    SleepMs(kSilenceMs);
+    return std::nullopt;
+  }
+
+  Response CarryOut(const Request& request) {
     const auto expected = request.headers.find("x-expect-instance");
     if (expected != request.headers.end() && expected->second != m_settings.id) {
       return Response{421, "{}"};
