Review: Show the same with minions that have no successor

VARIANT=gone of review/11: five planned leaves, each with a planned stop of the leader, and the job is shown as failed (LOST). Five open losses with minions that are gone are taken for a task that ends its minions.

--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -7,6 +7,7 @@
 
 constexpr int kMinions = 16;
 constexpr int kRounds = 3;
+constexpr int kRoundsWithoutSuccessor = 5;
 constexpr int kWorkMs = 9'000;
 /// From the start of the task until its minion is told to leave.
 constexpr int kNoticeAfterMs = 1'000;
@@ -36,6 +37,12 @@
   return "";
 }
 
+/// VARIANT=gone: the minions leave without a successor, five times.
+bool HasSuccessors() {
+  const char* const variant = std::getenv("VARIANT");
+  return variant == nullptr || std::string(variant) != "gone";
+}
+
 int Run() {
   // Threads of the stand-ins use them until the process ends.
   Record& record = *new Record("record.txt");
@@ -68,7 +75,8 @@
   if (fleet.Ask("edge-1", "POST", "/scan/" + job, body).status != 200) {
     return kCouldNotRun;
   }
-  for (int round = 0; HasTrouble() && round < kRounds; ++round) {
+  const int rounds = HasSuccessors() ? kRounds : kRoundsWithoutSuccessor;
+  for (int round = 0; HasTrouble() && round < rounds; ++round) {
     std::string minion;
     for (const std::int64_t until = SteadyMs() + 25'000; minion.empty() && SteadyMs() < until; SleepMs(20)) {
       minion = StartOf(record, job, round);
@@ -85,10 +93,12 @@
         fleet.RollEdge(leader);
       }
     });
-    SleepMs(kReplacedAfterMs - kStopAfterMs);
-    MinionSettings next = fleet.minion(minion);
-    next.id += "-next";
-    fleet.StartMinion(next);
+    if (HasSuccessors()) {
+      SleepMs(kReplacedAfterMs - kStopAfterMs);
+      MinionSettings next = fleet.minion(minion);
+      next.id += "-next";
+      fleet.StartMinion(next);
+    }
     stop.join();
   }
   std::string state;
