--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -52,7 +52,7 @@
   SleepMs(2'000);
   const std::string job = "00000000000000a1";
   const std::string body =
-      R"({"spec":"x","phases":[{"count":1,"cpu":4000,"memMb":1024,"gpu":2,"estimateMs":6000}]})";
+      R"({"spec":"x","phases":[{"count":1,"cpu":4000,"memMb":1024,"gpu":2,"estimateMs":5000}]})";
   if (fleet.Ask("edge-1", "POST", "/scan/" + job, body).status != 200) {
     return kCouldNotRun;
   }
