Leader: Keep what a minion's process has announced with that process

Cause: whether an end was planned was read off the latest entry of the minion's id, at the time when the run was found missing. The entry of the next process clears it, and the run of the former one is found missing by the next one's first report; a later leader knew nothing of it at all. The log of a lost run did not name the process.

PlannedEnds now owns the proof, by id and start of the process. It is stored with the tasks placed on that process, and a leader that finds a task on a process that has left unannounced reads the registry's changes before its term from the store's history. The other way it is narrower than before: a late entry of a former process excuses no crash of the next, and planned restarts make a crash beside them no outage. No threshold has changed.

crash_attribution_test announces ends by process instead of setting the flag of the minion; what it checks is unchanged.

--- a/src/libraries/journal/job_progress.h
+++ b/src/libraries/journal/job_progress.h
@@ -1,6 +1,7 @@
 /// The stored progress of a job; only written by the leader.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,9 @@
   Milliseconds placed_at{0};
   /// At most a handful; each is dropped once its process is known to have ended or to run on.
   std::vector<OpenLoss> open_losses{};
+  /// The heartbeat with which that incarnation has announced its end, for the next leader; only set
+  /// while the phase is kPlaced.
+  std::optional<HeartbeatNumber> announced_end = std::nullopt;
 
   bool operator==(const TaskProgress&) const = default;
 };
--- a/src/libraries/journal/job_progress_codec.cc
+++ b/src/libraries/journal/job_progress_codec.cc
@@ -32,17 +32,20 @@
   kCrashesOfOneJobField,
   // As these; empty unless the task is placed.
   kAddressField,
-  // Only present if the task has crashed a minion or may have.
+  // Only present if the task has crashed a minion or may have, or one of the fields below is.
   kFirstCrashAddressField,
   kCrashesAtFirstAddressField,
-  // Only present if a minion has crashed some time after it had started the task, or losses are
-  // open.
+  // Only present if a minion has crashed some time after it had started the task, or one of the
+  // fields below is.
   kLateCrashesField,
   kLateCrashesAtFirstAddressField,
   kLateCrashAfterField,
   kPlacedAtField,
-  // Only present if losses are open.
+  // Only present if losses are open or the process that the task is placed on has announced its
+  // end.
   kOpenLossesField,
+  // Only present if the process that the task is placed on has announced its end.
+  kAnnouncedEndField,
 };
 
 // An open loss is encoded as an array of fields.
@@ -85,7 +88,8 @@
   Json json = Json::array({task.phase == TaskPhase::kPlaced, task.attempt.value(), task.failures,
                            task.last_failed.value(), task.checkpoint});
   const bool is_placed = task.phase == TaskPhase::kPlaced;
-  const bool has_open_losses = !task.open_losses.empty();
+  const bool has_announced_end = is_placed && task.announced_end.has_value();
+  const bool has_open_losses = !task.open_losses.empty() || has_announced_end;
   const bool has_crashed = task.crashes > 0 || task.late_crashes > 0 || has_open_losses;
   if (is_placed || has_crashed) {
     json.push_back(task.minion.text());
@@ -107,6 +111,9 @@
   if (has_open_losses) {
     json.push_back(EncodeOpenLosses(task.open_losses));
   }
+  if (has_announced_end) {
+    json.push_back(task.announced_end->value());
+  }
   return json;
 }
 
@@ -147,6 +154,9 @@
       task.open_losses.push_back(DecodeOpenLoss(loss));
     }
   }
+  if (json.size() > kAnnouncedEndField) {
+    task.announced_end = HeartbeatNumber(json.at(kAnnouncedEndField).get<std::int64_t>());
+  }
   return task;
 }
 
--- a/src/libraries/leader/crash_attribution.cc
+++ b/src/libraries/leader/crash_attribution.cc
@@ -25,9 +25,9 @@
          minion.incarnation.value() == 0;
 }
 
-/// When the minion was lost, if it did not announce that it would leave.
-std::optional<Milliseconds> VanishedAt(const TrackedMinion& minion) {
-  if (minion.is_draining) {
+/// When the minion was lost, if its latest process did not announce that it would end.
+std::optional<Milliseconds> VanishedAt(const LeaderState& state, const TrackedMinion& minion) {
+  if (state.IsLeaving(minion)) {
     return std::nullopt;
   }
   const bool is_since_silence = minion.silence.has_value() && !HasLeftBefore(minion);
@@ -47,6 +47,11 @@
   return !run.has_outlived_start && !outlived_start;
 }
 
+/// Whether the process that the run was on has announced its end.
+bool IsEndPlanned(const LeaderState& state, const TrackedRun& run) {
+  return state.planned_ends.IsAnnounced(run.minion, run.incarnation);
+}
+
 MinionProcess ProcessOf(const TrackedMinion& minion, const TrackedRun& run) {
   return MinionProcess{minion.id, run.incarnation, minion.address};
 }
@@ -69,13 +74,14 @@
   const bool may_have_ended = FateOfProcess(state, ProcessOf(minion, run)) == ProcessFate::kEnded ||
                               MayHaveEnded(silence) || HasLeftBefore(minion);
   // A run whose gang is broken has ended before its minion's process, for all that is known.
-  if (minion.is_draining || run.is_gang_broken || !may_have_ended ||
+  if (IsEndPlanned(state, run) || run.is_gang_broken || !may_have_ended ||
       !MayHaveCrashedIt(run, silence)) {
     return false;
   }
   const bool is_start_known = run.orders_sent > 0;
   const bool is_confirmed = is_start_known && run.answered_at.has_value();
-  AddSuspect(minion, run, Suspect{run.task, run.attempt, is_start_known, is_confirmed, false}, now);
+  AddSuspect(state, minion, run,
+             Suspect{run.task, run.attempt, is_start_known, is_confirmed, false}, now);
   return true;
 }
 
@@ -85,11 +91,11 @@
                                                          Milliseconds now) {
   const std::optional<MinionSilence>& silence = SilenceOf(minion);
   const bool has_ended = FateOfProcess(state, ProcessOf(minion, run)) == ProcessFate::kEnded;
-  if (minion.is_draining || run.is_gang_broken || (!has_ended && !MayHaveEnded(silence)) ||
+  if (IsEndPlanned(state, run) || run.is_gang_broken || (!has_ended && !MayHaveEnded(silence)) ||
       MayHaveCrashedIt(run, silence)) {
     return std::nullopt;
   }
-  const Milliseconds lost_at = VanishedAt(minion).value_or(now);
+  const Milliseconds lost_at = VanishedAt(state, minion).value_or(now);
   if (lost_at - run.running_since.value_or(lost_at) >= kMaxLateCrash) {
     return std::nullopt;
   }
@@ -99,23 +105,24 @@
   if (started_at.has_value() && lost_at > *started_at) {
     loss.ran_for = lost_at - *started_at;
   }
-  AddSuspect(minion, run,
+  AddSuspect(state, minion, run,
              Suspect{run.task, run.attempt, run.orders_sent > 0, true, true,
                      is_counted && has_ended, loss.ran_for},
              now);
   return loss;
 }
 
-void CrashAttribution::AddSuspect(const TrackedMinion& minion, const TrackedRun& run,
-                                  Suspect suspect, Milliseconds now) {
-  Crash& crash = FindOrAdd(minion, run, now);
+void CrashAttribution::AddSuspect(const LeaderState& state, const TrackedMinion& minion,
+                                  const TrackedRun& run, Suspect suspect, Milliseconds now) {
+  Crash& crash = FindOrAdd(state, minion, run, now);
   const std::optional<MinionSilence>& silence = SilenceOf(minion);
   crash.was_host_up = crash.was_host_up || (silence.has_value() && silence->was_refused);
   crash.has_left_before = HasLeftBefore(minion);
   crash.suspects.push_back(std::move(suspect));
 }
 
-CrashAttribution::Crash& CrashAttribution::FindOrAdd(const TrackedMinion& minion,
+CrashAttribution::Crash& CrashAttribution::FindOrAdd(const LeaderState& state,
+                                                     const TrackedMinion& minion,
                                                      const TrackedRun& run, Milliseconds now) {
   const auto [found, is_new] = m_crashes.try_emplace({minion.id, run.incarnation});
   Crash& crash = found->second;
@@ -124,24 +131,32 @@
     crash.incarnation = run.incarnation;
     crash.zone = minion.zone;
     crash.address = minion.address;
-    crash.at = VanishedAt(minion).value_or(now);
+    crash.at = VanishedAt(state, minion).value_or(now);
   }
   return crash;
 }
 
-std::vector<JudgedRun> CrashAttribution::TakeJudged(const LeaderState& state, Milliseconds now) {
+std::vector<JudgedRun> CrashAttribution::TakeJudged(const LeaderState& state, JudgementScope scope,
+                                                    Milliseconds now) {
   std::vector<JudgedRun> judged;
   const std::map<ZoneId, std::vector<MinionFate>> fates = CollectFates(state);
   for (auto& [key, crash] : m_crashes) {
-    if (crash.judged_suspects == crash.suspects.size()) {
+    if (crash.judged_suspects == crash.suspects.size() ||
+        (scope == JudgementScope::kDeferred && !crash.is_deferred)) {
       continue;
     }
     const ZoneHealth health = HealthAround(fates.at(crash.zone), crash);
     const bool is_complete = IsSettled(crash, health) && !HasUnresolvedRuns(state, crash);
-    if (is_complete || now - crash.at >= kMaxJudgementDelay) {
-      AppendSuspects(crash, CauseBesideStarts(state, crash, health), judged);
-      crash.judged_suspects = crash.suspects.size();
+    if (!is_complete && now - crash.at < kMaxJudgementDelay) {
+      continue;
     }
+    const std::optional<CrashCause> cause = CauseBesideStarts(state, crash, health);
+    if (scope == JudgementScope::kNoAccusations && !cause.has_value()) {
+      crash.is_deferred = true;
+      continue;
+    }
+    AppendSuspects(crash, cause, judged);
+    crash.judged_suspects = crash.suspects.size();
   }
   std::erase_if(m_crashes, [now](const auto& entry) {
     const Crash& crash = entry.second;
@@ -163,6 +178,9 @@
 std::optional<CrashCause> CrashAttribution::CauseBesideStarts(const LeaderState& state,
                                                               const Crash& crash,
                                                               const ZoneHealth& health) {
+  if (state.planned_ends.IsAnnounced(crash.minion, crash.incarnation)) {
+    return CrashCause::kPlanned;
+  }
   if (IsOutage(crash, health)) {
     return CrashCause::kOutage;
   }
@@ -223,19 +241,20 @@
   }
   for (const auto& [id, minion] : state.minions) {
     if (const auto zone = fates.find(minion.zone); zone != fates.end()) {
-      zone->second.push_back(FateOf(minion));
+      zone->second.push_back(FateOf(state, minion));
     }
   }
   return fates;
 }
 
-CrashAttribution::MinionFate CrashAttribution::FateOf(const TrackedMinion& minion) const {
+CrashAttribution::MinionFate CrashAttribution::FateOf(const LeaderState& state,
+                                                      const TrackedMinion& minion) const {
   MinionFate fate;
   fate.id = minion.id;
   fate.registered_at = minion.registered_at;
   fate.heard_at = std::max(minion.entry_heard_at, minion.last_report_at);
-  fate.is_expected = minion.entry.has_value() && !minion.is_draining;
-  fate.vanished_at = VanishedAt(minion);
+  fate.is_expected = minion.entry.has_value() && !state.IsLeaving(minion);
+  fate.vanished_at = VanishedAt(state, minion);
   if (fate.vanished_at.has_value()) {
     if (!minion.silence.has_value() && minion.registered_at > *fate.vanished_at) {
       fate.back_at = minion.registered_at;
--- a/src/libraries/leader/crash_attribution.h
+++ b/src/libraries/leader/crash_attribution.h
@@ -22,6 +22,8 @@
   kUncertain,
   /// Other minions of the zone were lost at the same time.
   kOutage,
+  /// The process had announced that it would end.
+  kPlanned,
   /// The task had run for some time, so that the minion may have failed by itself.
   kLate,
   /// Nothing shows yet whether the process has crashed. Its host refused connections, as one that
@@ -30,6 +32,15 @@
   kOpen,
 };
 
+/// Which suspects may be judged.
+enum class JudgementScope {
+  kAll,
+  /// Not those that would be accused: their processes may have announced their ends.
+  kNoAccusations,
+  /// Those that were passed over for that reason.
+  kDeferred,
+};
+
 /// The judgement of one run that was lost when its minion's process ended.
 struct JudgedRun {
   TaskName task;
@@ -62,7 +73,8 @@
                                          const TrackedRun& run, bool is_counted, Milliseconds now);
 
   /// The suspects that can be judged by now, each once.
-  std::vector<JudgedRun> TakeJudged(const LeaderState& state, Milliseconds now);
+  std::vector<JudgedRun> TakeJudged(const LeaderState& state, JudgementScope scope,
+                                    Milliseconds now);
 
  private:
   struct Suspect {
@@ -90,6 +102,8 @@
     /// This leader knows the minion only from placements of a former one.
     bool has_left_before = false;
     std::vector<Suspect> suspects;
+    /// Its suspects could have been judged, but were not to be accused yet.
+    bool is_deferred = false;
     /// Number of the first suspects that are judged. Others may be recorded after that.
     std::size_t judged_suspects = 0;
   };
@@ -119,14 +133,15 @@
     bool was_host_up = false;
   };
 
-  void AddSuspect(const TrackedMinion& minion, const TrackedRun& run, Suspect suspect,
-                  Milliseconds now);
-  Crash& FindOrAdd(const TrackedMinion& minion, const TrackedRun& run, Milliseconds now);
+  void AddSuspect(const LeaderState& state, const TrackedMinion& minion, const TrackedRun& run,
+                  Suspect suspect, Milliseconds now);
+  Crash& FindOrAdd(const LeaderState& state, const TrackedMinion& minion, const TrackedRun& run,
+                   Milliseconds now);
   const Crash* FindNear(const MinionId& minion, Milliseconds at) const;
   /// The minions of all zones with crashes that are to be judged. Collected once for all crashes: a
   /// lost zone may have many.
   std::map<ZoneId, std::vector<MinionFate>> CollectFates(const LeaderState& state) const;
-  MinionFate FateOf(const TrackedMinion& minion) const;
+  MinionFate FateOf(const LeaderState& state, const TrackedMinion& minion) const;
   void AddExplanation(const TrackedMinion& minion, MinionFate& fate) const;
   static ZoneHealth HealthAround(const std::vector<MinionFate>& fates, const Crash& crash);
   /// Whether runs of the crashed process are still tracked, and may become suspects.
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -216,6 +216,7 @@
     task.minion = placement.minion;
     task.incarnation = minion.incarnation;
     task.address = minion.address;
+    task.announced_end = m_state.planned_ends.AnnouncementOf(minion.id, minion.incarnation);
     if (task.late_crashes > 0) {
       task.placed_at = m_context.timers.clock().WallNow();
     }
@@ -298,10 +299,11 @@
   ExportWorkspaceLoads(MeasureWorkspaceLoads(m_state, *m_context.view.manifest()),
                        m_context.metrics);
   m_lease_recorder->RemoveNeedless(kMinSilenceWithoutRuns);
-  JudgeSuspects();
+  JudgeSuspects(m_recall_until.has_value() ? JudgementScope::kNoAccusations : JudgementScope::kAll);
   ResolveOpenLosses();
   RereadIfWatchesAreSilent();
   RemoveExpiredJobs();
+  m_state.DropOldAnnouncements(Now());
   SchedulePlan();
   m_context.timers.After(kTickInterval, [weak = weak_from_this()] {
     if (const Self self = weak.lock(); self != nullptr) {
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -119,6 +119,19 @@
   /// for a while, or a new incarnation.
   void LogRegistration(const TrackedMinion& minion, MinionIncarnation previous) const;
   void UnlistMinion(const MinionId& id);
+
+  // Ends that minions have announced.
+  /// Takes note of what the entry announces, and stores it with the tasks on that process.
+  void ObserveAnnouncement(const MinionEntry& entry, const char* source);
+  void StoreAnnouncement(const TrackedRun& run);
+  /// Whether a task is placed on a process that is not registered and has announced no end.
+  bool HasUnexplainedPlacement() const;
+  /// Reads the changes of the registry before this term, if a process may have announced its end
+  /// and left while nobody led. Until they are known, no task is accused of a crash.
+  void RecallAnnouncementsIfNeeded();
+  void RecallAnnouncements(std::int64_t revisions);
+  void OnAnnouncementsRecalled(std::int64_t revisions, const WatchAnswer& answer);
+
   bool IsLoaded() const;
   void StartIfLoaded();
   void BeginLeading();
@@ -151,7 +164,7 @@
   void PenalizeMinion(TrackedMinion& minion, const TrackedJob& job);
   void HandleTaskFailure(TrackedJob& job, const MinionId& minion, const EndedRun& end);
   /// Lets suspects that can be judged wait for another run, or gives up their jobs.
-  void JudgeSuspects();
+  void JudgeSuspects(JudgementScope scope);
   /// Records a run that was lost some time after its start. Returns whether its task is to wait
   /// until it is judged. Before that many in a row it is counted at once, as a leader that is lost
   /// before the judgement would leave no trace of it.
@@ -229,6 +242,8 @@
   bool m_is_plan_scheduled = false;
   CrashAttribution m_crash_attribution;
   std::set<TaskName> m_tasks_with_open_losses;
+  /// While the changes of the registry before this term are being read: until when that may take.
+  std::optional<Milliseconds> m_recall_until;
   bool m_is_registry_read_in_flight = false;
   /// No silence of the watches is answered by reading all anew before.
   Milliseconds m_next_reread_at{0};
--- a/src/libraries/leader/leader_session_crashes.cc
+++ b/src/libraries/leader/leader_session_crashes.cc
@@ -29,10 +29,22 @@
       .Write();
 }
 
+void LogExcusedLoss(const JudgedRun& run) {
+  LogEvent(LogLevel::kInfo, "runs", "the loss of a run does not speak against its task")
+      .Job(run.task.job)
+      .Field("task", FormatTaskName(run.task))
+      .Field("attempt", run.attempt.value())
+      .Field("minion", run.minion.text())
+      .Field("incarnation", run.incarnation.value())
+      .Reason(run.cause == CrashCause::kPlanned ? "its process had announced its end"
+                                                : "other minions of the zone were lost with it")
+      .Write();
+}
+
 }  // namespace
 
-void LeaderSession::JudgeSuspects() {
-  for (const JudgedRun& run : m_crash_attribution.TakeJudged(m_state, Now())) {
+void LeaderSession::JudgeSuspects(JudgementScope scope) {
+  for (const JudgedRun& run : m_crash_attribution.TakeJudged(m_state, scope, Now())) {
     TrackedJob* const job = m_state.FindJob(run.task.job);
     TaskProgress* const task = m_state.FindTask(run.task);
     if (job == nullptr || task == nullptr) {
@@ -57,10 +69,13 @@
     if (!run.is_counted) {
       KeepOpen(task, run);
     }
-  } else if (run.cause != CrashCause::kOutage) {
+  } else if (run.cause != CrashCause::kOutage && run.cause != CrashCause::kPlanned) {
     RecordCrash(job, task, run);
-  } else if (run.is_counted) {
-    UncountLateCrash(task, run.address);
+  } else {
+    LogExcusedLoss(run);
+    if (run.is_counted) {
+      UncountLateCrash(task, run.address);
+    }
   }
 }
 
@@ -82,6 +97,9 @@
 }
 
 void LeaderSession::ResolveOpenLosses() {
+  if (m_recall_until.has_value()) {
+    return;
+  }
   for (const TaskName& name : std::set<TaskName>(m_tasks_with_open_losses)) {
     TrackedJob* const job = m_state.FindJob(name.job);
     TaskProgress* const task = m_state.FindTask(name);
@@ -100,6 +118,11 @@
 void LeaderSession::ResolveOpenLossesOf(TrackedJob& job, const TaskName& name, TaskProgress& task) {
   int unaccounted_losses = 0;
   for (const OpenLoss& loss : std::exchange(task.open_losses, {})) {
+    if (m_state.planned_ends.IsAnnounced(loss.minion, loss.incarnation)) {
+      m_journal->MarkDirty(job);
+      SchedulePlan();
+      continue;
+    }
     const ProcessFate fate =
         FateOfProcess(m_state, MinionProcess{loss.minion, loss.incarnation, loss.address});
     if (fate == ProcessFate::kUnknown) {
@@ -128,7 +151,9 @@
 
 bool LeaderSession::MustWaitAfterLateLoss(const TrackedMinion& minion, const TrackedRun& run,
                                           TaskProgress& task) {
-  const bool is_suspect = IsSuspect(task);
+  // NOTE: while the changes of the registry before this term are being read, nothing is counted:
+  // the process may have announced its end.
+  const bool is_suspect = IsSuspect(task) || m_recall_until.has_value();
   const std::optional<LateLoss> loss =
       m_crash_attribution.RecordLateLoss(m_state, minion, run, !is_suspect, Now());
   if (loss.has_value() && loss->has_ended && !is_suspect) {
--- a/src/libraries/leader/leader_session_items.cc
+++ b/src/libraries/leader/leader_session_items.cc
@@ -145,6 +145,11 @@
     UnlistMinion(id);
     return;
   }
+  ObserveAnnouncement(*entry, "registry");
+  if (m_state.planned_ends.IsAnnounced(id, entry->incarnation)) {
+    // The entry may have been written before the announcement and carried out late.
+    entry->state = MinionState::kDraining;
+  }
   TrackedMinion& minion = m_state.minions[id];
   if (item.revision < minion.entry_revision) {
     return;
@@ -162,12 +167,15 @@
   if (is_registration) {
     minion.registered_at = Now();
   }
-  if (is_registration && minion.entry.has_value()) {
+  if (is_registration && minion.entry.has_value() &&
+      !m_state.planned_ends.IsAnnounced(id, registered_before)) {
     minion.vanished_at = minion.entry_heard_at;
   }
+  if (is_registration) {
+    minion.latest_process = entry->incarnation;
+  }
   minion.id = id;
   minion.zone = entry->zone;
-  minion.is_draining = entry->state == MinionState::kDraining;
   minion.address = entry->address;
   minion.entry = *std::move(entry);
   minion.host = HostIdentityOf(*minion.entry);
@@ -209,7 +217,7 @@
 void LeaderSession::UnlistMinion(const MinionId& id) {
   TrackedMinion* const minion = m_state.FindMinion(id);
   if (minion != nullptr && minion->entry.has_value()) {
-    if (!minion->is_draining) {
+    if (!m_state.planned_ends.IsAnnounced(id, minion->entry->incarnation)) {
       minion->vanished_at = minion->entry_heard_at;
     }
     LogEvent(LogLevel::kInfo, "leader", "minion left the registry")
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -137,6 +137,7 @@
   task.minion = MinionId();
   task.incarnation = MinionIncarnation();
   task.address.clear();
+  task.announced_end.reset();
   job.ready_since.resize(job.progress.steps.size());
   job.ready_since[static_cast<std::size_t>(name.step)].reset();
 }
@@ -149,6 +150,8 @@
       .Field("attempt", run.attempt.value())
       .Field("minion", run.minion.text())
       .Field("confirmed", run.answered_at.has_value() ? 1 : 0)
+      .Field("incarnation", run.incarnation.value())
+      .Field("end_announced", m_state.planned_ends.IsAnnounced(run.minion, run.incarnation) ? 1 : 0)
       .Reason(reason);
   if (run.orders_sent > 0) {
     event.Field("since_order_ms", (Now() - run.ordered_at).count());
@@ -202,7 +205,9 @@
   if (job != nullptr && task != nullptr && task->attempt == run.attempt) {
     if (task->phase == TaskPhase::kPlaced && task->incarnation != run.incarnation) {
       task->incarnation = run.incarnation;
+      task->announced_end.reset();
       m_journal->MarkDirty(*job);
+      StoreAnnouncement(run);
     }
     RecordCheckpoint(*job, run.task, active.checkpoint);
     ForgetLateCrashesIfOutlived(*job, run);
--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -226,6 +226,7 @@
       RestoreWaits(job);
     }
   }
+  RecallAnnouncementsIfNeeded();
   BeginLeading();
 }
 
@@ -292,11 +293,17 @@
       if (task.phase != TaskPhase::kPlaced) {
         continue;
       }
+      if (task.announced_end.has_value()) {
+        m_state.planned_ends.Restore(task.minion, task.incarnation, *task.announced_end, Now());
+      }
       TrackedMinion& minion = m_state.minions[task.minion];
       minion.id = task.minion;
       if (!minion.entry.has_value()) {
         // It left the registry at some time before this term.
-        minion.vanished_at = m_state.elected_at;
+        if (!task.announced_end.has_value()) {
+          minion.vanished_at = m_state.elected_at;
+        }
+        minion.latest_process = std::max(minion.latest_process, task.incarnation);
         minion.address = task.address;
       }
       TrackedRun run;
@@ -312,6 +319,7 @@
         run.placed_before_at = Now() - (m_context.timers.clock().WallNow() - task.placed_at);
       }
       m_state.AddRun(minion, std::move(run));
+      StoreAnnouncement(minion.runs.at(name));
     }
   }
 }
--- a/src/libraries/leader/leader_state.cc
+++ b/src/libraries/leader/leader_state.cc
@@ -124,4 +124,15 @@
   minion->runs.erase(found);
 }
 
+void LeaderState::DropOldAnnouncements(Milliseconds now) {
+  planned_ends.DropOld(now, [this](const MinionId& id, MinionIncarnation incarnation) {
+    const TrackedMinion* const minion = FindMinion(id);
+    return minion != nullptr &&
+           ((minion->entry.has_value() && minion->entry->incarnation == incarnation) ||
+            std::any_of(minion->runs.begin(), minion->runs.end(), [incarnation](const auto& entry) {
+              return entry.second.incarnation == incarnation;
+            }));
+  });
+}
+
 }  // namespace papayalift
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -12,6 +12,7 @@
 #include "libraries/journal/job_progress.h"
 #include "libraries/leader/host_speeds.h"
 #include "libraries/leader/leader_election.h"
+#include "libraries/leader/planned_ends.h"
 #include "libraries/leader/queue_durations.h"
 #include "libraries/work/run_messages.h"
 
@@ -213,9 +214,10 @@
   Revision entry_revision;
   /// Hash of the entry's text without its counters, to recognize an entry that has not changed.
   std::uint64_t entry_hash = 0;
-  /// Zone and state of the latest entry, kept when the minion leaves the registry.
+  /// Zone of the latest entry, kept when the minion leaves the registry.
   ZoneId zone;
-  bool is_draining = false;
+  /// The process that the latest entry or report has shown; 0 before the first.
+  MinionIncarnation latest_process;
   /// When the entry of this incarnation was first received.
   Milliseconds registered_at{0};
   /// When the entry, changed or not, was last received from the store.
@@ -269,7 +271,7 @@
   std::optional<MinionSilence> silence;
   /// The silence that was ended by an answer after the last report.
   std::optional<MinionSilence> previous_silence;
-  /// When the minion last left the registry without draining, or started a new incarnation.
+  /// When the minion last left the registry, or started a new incarnation, without an announcement.
   std::optional<Milliseconds> vanished_at;
   /// Every call since the last report was answered, so the minion has not restarted.
   bool is_incarnation_confirmed = false;
@@ -319,6 +321,7 @@
   /// What is known of the speed of the machines.
   HostSpeeds host_speeds;
   QueueDurations queue_durations;
+  PlannedEnds planned_ends;
 
   TrackedJob* FindJob(const JobId& id);
   TrackedMinion* FindMinion(const MinionId& id);
@@ -335,6 +338,13 @@
   }
   SilentRuns CountSilentRuns(Milliseconds now) const;
 
+  /// Whether the minion's latest process has announced its end.
+  bool IsLeaving(const TrackedMinion& minion) const {
+    return planned_ends.IsAnnounced(minion.id, minion.latest_process);
+  }
+  /// Drops announcements of processes that are neither registered nor have runs any more.
+  void DropOldAnnouncements(Milliseconds now);
+
   void AddRun(TrackedMinion& minion, TrackedRun run);
   /// Removes the run and releases its resources on the minion.
   void RemoveRun(const MinionId& minion, const TaskName& name);
--- a/src/libraries/leader/process_fate.cc
+++ b/src/libraries/leader/process_fate.cc
@@ -42,7 +42,7 @@
 bool IsUnaccountedFor(const LeaderState& state, const MinionId& id) {
   const TrackedMinion* const minion = FindMinion(state, id);
   return minion == nullptr ||
-         (!minion->entry.has_value() && !minion->answers() && !minion->is_draining);
+         (!minion->entry.has_value() && !minion->answers() && !state.IsLeaving(*minion));
 }
 
 }  // namespace papayalift
--- a/src/libraries/leader/process_fate.h
+++ b/src/libraries/leader/process_fate.h
@@ -39,7 +39,7 @@
 /// registered there.
 bool IsReplaced(const LeaderState& state, const MinionProcess& process);
 
-/// Whether the minion is neither registered nor answers, and did not announce that it would leave.
+/// Whether the minion is neither registered nor answers, and did not announce its end.
 bool IsUnaccountedFor(const LeaderState& state, const MinionId& minion);
 
 }  // namespace papayalift
--- a/src/libraries/leader/run_supervisor_reports.cc
+++ b/src/libraries/leader/run_supervisor_reports.cc
@@ -64,8 +64,10 @@
     // The process may still be met by orders meant for the former one.
     minion.needs_higher_token = true;
     minion.is_barring_late_orders = false;
-    minion.vanished_at =
-        minion.previous_silence.has_value() ? minion.previous_silence->since : Now();
+    if (!m_state.planned_ends.IsAnnounced(minion.id, minion.incarnation)) {
+      minion.vanished_at =
+          minion.previous_silence.has_value() ? minion.previous_silence->since : Now();
+    }
   } else if (!minion.entry.has_value()) {
     // It was taken to have left before this term, but is only not registered.
     minion.vanished_at.reset();
@@ -73,6 +75,7 @@
   // NOTE: runs of the previous incarnation are not given up here but in ResolveMissingRuns(), like
   // all runs that a report does not list. A start in flight may have reached the new incarnation.
   minion.incarnation = incarnation;
+  minion.latest_process = incarnation;
 }
 
 void RunSupervisor::ProcessEndedRuns(const MinionId& id, const HoldReport& report) {
--- a/src/libraries/work/run_messages.h
+++ b/src/libraries/work/run_messages.h
@@ -17,6 +17,8 @@
 using FencingToken = StrongNumber<struct FencingTokenTag>;
 /// Start time of a minion's process; a restarted minion keeps no state. 0 if it is not known.
 using MinionIncarnation = StrongNumber<struct MinionIncarnationTag>;
+/// Number of a heartbeat in the order of its process's heartbeats.
+using HeartbeatNumber = StrongNumber<struct HeartbeatNumberTag>;
 /// Sequence number of an ended run that a minion reports, from 1 in each incarnation.
 using EndNumber = StrongNumber<struct EndNumberTag>;
 /// A time on a minion's own steady clock.
@@ -38,6 +40,8 @@
   RackId rack;
   std::vector<std::string> labels;
   MinionIncarnation incarnation;
+  /// The heartbeat that wrote the entry.
+  HeartbeatNumber heartbeat;
 
   bool operator==(const MinionEntry&) const = default;
 };
--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -43,16 +43,24 @@
     return;
   }
   minion.published_at = m_timers.clock().Now();
-  m_store.Put(
-      "servers/" + minion.id.text(),
-      fmt::format(R"({{"service":"pool","address":"{}","zone":"{}","state":"{}","coldLeftMs":0,)"
-                  R"("capacity":{{"cpu":{},"memMb":{},"gpu":{}}},"labels":["kind","{}"],"born":{},)"
-                  R"("clockMs":{},"sequence":{}}})",
-                  minion.address, minion.zone.text(),
-                  minion.state == MinionState::kReady ? "ready" : "draining",
-                  minion.capacity.cpu_milli, minion.capacity.memory_mb,
-                  minion.capacity.accelerators, minion.rack.text(), minion.started_at.count(),
-                  ClockOf(minion).value(), minion.heartbeats));
+  m_store.Put("servers/" + minion.id.text(), EntryOf(minion));
+}
+
+std::string FleetMinions::EntryOf(const Minion& minion) const {
+  return fmt::format(
+      R"({{"service":"pool","address":"{}","zone":"{}","version":"v1","slots":8,"state":"{}",)"
+      R"("coldLeftMs":0,"capacity":{{"cpu":{},"memMb":{},"gpu":{}}},"labels":["kind","{}"],)"
+      R"("born":{},"clockMs":{},"sequence":{}}})",
+      minion.address, minion.zone.text(),
+      minion.state == MinionState::kReady ? "ready" : "draining", minion.capacity.cpu_milli,
+      minion.capacity.memory_mb, minion.capacity.accelerators, minion.rack.text(),
+      minion.started_at.count(), ClockOf(minion).value(), minion.heartbeats);
+}
+
+void FleetMinions::RepeatEntryLater(const MinionId& id, Milliseconds delay) {
+  m_timers.After(delay, [this, key = "servers/" + id.text(), entry = EntryOf(m_minions.at(id))] {
+    m_store.Put(key, entry);
+  });
 }
 
 void FleetMinions::SendHeartbeats() {
@@ -62,8 +70,10 @@
 }
 
 void FleetMinions::SetDraining(const MinionId& id) {
-  m_minions.at(id).state = MinionState::kDraining;
-  Publish(m_minions.at(id));
+  Minion& minion = m_minions.at(id);
+  minion.state = MinionState::kDraining;
+  ++minion.heartbeats;
+  Publish(minion);
 }
 
 void FleetMinions::SetReachable(const MinionId& id, bool is_reachable) {
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -139,6 +139,11 @@
   void SetSpeed(const MinionId& id, double speed);
   void SetRack(const MinionId& id, const RackId& rack);
   void SetDraining(const MinionId& id);
+  /// The minion announces its end, and its process ends after `notice`, as planned: it withdraws
+  /// its entry, and the machine's next minion comes after the outage.
+  void Drain(const MinionId& id, Milliseconds notice, const MinionOutage& outage = {});
+  /// The minion's entry as it is now is written once more after the delay, as by a late call.
+  void RepeatEntryLater(const MinionId& id, Milliseconds delay);
   /// Kills all runs on the minion and starts a new incarnation under the same id at once.
   void Restart(const MinionId& id);
   /// Ends the minion's process with all runs on it. A new one runs on the machine after the outage.
@@ -247,7 +252,10 @@
   static Minion NextLifeOf(const Minion& old);
   bool FailsHold(Minion& minion, const HoldOrder& order,
                  const std::function<void(HoldAnswer)>& answer);
-  void EndProcess(Minion& minion);
+  enum class ProcessEnd { kPlanned, kCrash };
+  void EndProcess(Minion& minion, ProcessEnd end);
+  void Leave(const MinionId& id, const MinionOutage& outage);
+  void StartOutage(Minion& minion, const MinionOutage& outage);
   void ComeBack(const MinionId& id, MinionReturn comes_back);
   void ExpireEntry(const MinionId& id, Milliseconds started_at);
   /// Whether the minion's process is gone, can't be called, or is not at the address. If so, fails
@@ -263,6 +271,7 @@
   OrderFault NextFault(Minion& minion);
   MinionTime ClockOf(const Minion& minion) const;
   void Publish(Minion& minion);
+  std::string EntryOf(const Minion& minion) const;
   void CarryOutLater(const MinionId& id, std::function<void(Minion&)> action);
   OrderAnswer CarryOutStart(Minion& minion, const StartOrder& order, Milliseconds arrived_at);
   OrderAnswer CarryOutStop(Minion& minion, const StopOrder& order);
--- a/src/stand_ins/fleet/fleet_minions_crashes.cc
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -47,11 +47,13 @@
   return fresh;
 }
 
-void FleetMinions::EndProcess(Minion& minion) {
+void FleetMinions::EndProcess(Minion& minion, ProcessEnd end) {
   const std::map<TaskName, Run> lost = std::exchange(minion.runs, {});
   for (const auto& [task, run] : lost) {
-    ++m_task_records[task].lost_runs;
-    m_task_records[task].lost_at.insert(minion.address);
+    if (end == ProcessEnd::kCrash) {
+      ++m_task_records[task].lost_runs;
+      m_task_records[task].lost_at.insert(minion.address);
+    }
     BreakGangOf(run);
   }
 }
@@ -62,7 +64,7 @@
     return;
   }
   Minion& minion = m_minions.at(id);
-  EndProcess(minion);
+  EndProcess(minion, ProcessEnd::kCrash);
   minion = NextLifeOf(minion);
   minion.started_at = m_timers.clock().Now();
   Publish(minion);
@@ -81,13 +83,40 @@
     }
   }
   ++m_crashes;
-  EndProcess(minion);
-  minion.outage = outage.kind;
+  EndProcess(minion, ProcessEnd::kCrash);
   m_timers.After(kEntryTimeToLive,
                  [this, id, started_at = minion.started_at] { ExpireEntry(id, started_at); });
+  StartOutage(minion, outage);
+}
+
+void FleetMinions::Drain(const MinionId& id, Milliseconds notice, const MinionOutage& outage) {
+  if (!IsUp(id) || m_minions.at(id).state == MinionState::kDraining) {
+    return;
+  }
+  SetDraining(id);
+  m_timers.After(notice, [this, id, outage, started_at = m_minions.at(id).started_at] {
+    if (IsUp(id) && m_minions.at(id).started_at == started_at) {
+      Leave(id, outage);
+    }
+  });
+}
+
+void FleetMinions::Leave(const MinionId& id, const MinionOutage& outage) {
+  AdvanceAll();
+  Minion& minion = m_minions.at(id);
+  EndProcess(minion, ProcessEnd::kPlanned);
+  if (!minion.is_cut_off_from_store) {
+    m_store.Remove("servers/" + id.text());
+  }
+  StartOutage(minion, outage);
+}
+
+void FleetMinions::StartOutage(Minion& minion, const MinionOutage& outage) {
+  minion.outage = outage.kind;
   if (outage.comes_back != MinionReturn::kNever) {
-    m_timers.After(outage.duration,
-                   [this, id, comes_back = outage.comes_back] { ComeBack(id, comes_back); });
+    m_timers.After(outage.duration, [this, id = minion.id, comes_back = outage.comes_back] {
+      ComeBack(id, comes_back);
+    });
   }
 }
 
--- a/tests/journal/journal_codec_test.cc
+++ b/tests/journal/journal_codec_test.cc
@@ -60,6 +60,23 @@
   cr_assert(DecodeJobProgress(EncodeJobProgress(progress)).value() == progress);
 }
 
+Test(journal_codec, announced_end_is_kept_while_a_task_is_placed) {
+  JobProgress progress;
+  progress.state = WorkState::kRunning;
+  progress.steps.resize(1);
+  progress.steps[0].tasks.resize(2);
+  for (TaskProgress& task : progress.steps[0].tasks) {
+    task.phase = TaskPhase::kPlaced;
+    task.attempt = AttemptNumber(2);
+    task.minion = MinionId("m");
+    task.incarnation = MinionIncarnation(1'700);
+    task.announced_end = HeartbeatNumber(12);
+  }
+  progress.steps[0].tasks[1].open_losses = {
+      OpenLoss{MinionId("n"), MinionIncarnation(3), "10.0.0.8:80"}};
+  cr_assert(DecodeJobProgress(EncodeJobProgress(progress)).value() == progress);
+}
+
 Test(journal_codec, progress_without_crash_counts_is_decoded) {
   const JobProgress progress =
       DecodeJobProgress(
--- a/tests/leader/crash_attribution_test.cc
+++ b/tests/leader/crash_attribution_test.cc
@@ -45,6 +45,11 @@
     return run;
   }
 
+  /// The process that the runs are on announces its end.
+  void AnnounceEnd(int number) {
+    state.planned_ends.Restore(Minion(number).id, kIncarnation, HeartbeatNumber(3), kOrderedAt);
+  }
+
   /// The minion's host refuses connections.
   void RefuseCalls(int number, Milliseconds at = kCrashedAt) {
     Minion(number).silence = MinionSilence{at, true, false};
@@ -76,10 +81,11 @@
   AttributionFixture fixture;
   fixture.EndProcess(0);
   cr_assert(fixture.Lose(AttributionFixture::RunOf("a", 0)));
-  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  const std::vector<JudgedRun> judged =
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
   cr_assert_eq(judged.size(), 1);
   cr_assert(judged[0].cause == CrashCause::kOneJob);
-  cr_assert(fixture.attribution.TakeJudged(fixture.state, kJudgedAt).empty());
+  cr_assert(fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt).empty());
 }
 
 Test(crash_attribution, suspects_of_two_jobs_leave_the_cause_uncertain) {
@@ -87,7 +93,8 @@
   fixture.EndProcess(0);
   fixture.Lose(AttributionFixture::RunOf("a", 0));
   fixture.Lose(AttributionFixture::RunOf("b", 0));
-  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  const std::vector<JudgedRun> judged =
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
   cr_assert_eq(judged.size(), 2);
   cr_assert(judged[0].cause == CrashCause::kUncertain && judged[1].cause == CrashCause::kUncertain);
 }
@@ -98,7 +105,8 @@
   TrackedRun run = AttributionFixture::RunOf("a", 0);
   run.answered_at.reset();
   fixture.Lose(run);
-  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  const std::vector<JudgedRun> judged =
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
   cr_assert(judged.at(0).cause == CrashCause::kUncertain);
 }
 
@@ -107,7 +115,7 @@
   fixture.Minion(0).silence = MinionSilence{kCrashedAt};
   cr_assert_not(fixture.Lose(AttributionFixture::RunOf("a", 0)), "the minion may be cut off");
   fixture.EndProcess(1);
-  fixture.Minion(1).is_draining = true;
+  fixture.AnnounceEnd(1);
   cr_assert_not(fixture.Lose(AttributionFixture::RunOf("a", 1)), "the minion was draining");
   fixture.EndProcess(2);
   TrackedRun run = AttributionFixture::RunOf("a", 2);
@@ -135,7 +143,8 @@
     fixture.EndProcess(number);
   }
   fixture.Lose(AttributionFixture::RunOf("a", 0));
-  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  const std::vector<JudgedRun> judged =
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
   cr_assert(judged.at(0).cause == CrashCause::kOutage);
 }
 
@@ -145,7 +154,8 @@
     fixture.EndProcess(number);
   }
   fixture.Lose(AttributionFixture::RunOf("a", 0));
-  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  const std::vector<JudgedRun> judged =
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
   cr_assert(judged.at(0).cause == CrashCause::kOneJob);
 }
 
@@ -155,7 +165,8 @@
     fixture.EndProcess(number);
     fixture.Lose(AttributionFixture::RunOf("job" + std::to_string(number), number));
   }
-  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  const std::vector<JudgedRun> judged =
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
   cr_assert_eq(judged.size(), 8);
   for (const JudgedRun& run : judged) {
     cr_expect(run.cause == CrashCause::kOneJob);
@@ -170,9 +181,11 @@
     fixture.Minion(number).entry_heard_at = kCrashedAt - Milliseconds(100);
   }
   fixture.Lose(AttributionFixture::RunOf("a", 0));
-  cr_assert(
-      fixture.attribution.TakeJudged(fixture.state, kCrashedAt + Milliseconds(1'000)).empty());
-  cr_assert_eq(fixture.attribution.TakeJudged(fixture.state, kJudgedAt).size(), 1);
+  cr_assert(fixture.attribution
+                .TakeJudged(fixture.state, JudgementScope::kAll, kCrashedAt + Milliseconds(1'000))
+                .empty());
+  cr_assert_eq(
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt).size(), 1);
 }
 
 // A task stood beside empty minions while one elsewhere in the zone was silent.
@@ -183,8 +196,8 @@
     fixture.Minion(number).entry_heard_at = kCrashedAt - Milliseconds(100);
   }
   fixture.Lose(AttributionFixture::RunOf("a", 0));
-  const std::vector<JudgedRun> judged =
-      fixture.attribution.TakeJudged(fixture.state, kCrashedAt + Milliseconds(1'000));
+  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(
+      fixture.state, JudgementScope::kAll, kCrashedAt + Milliseconds(1'000));
   cr_assert_eq(judged.size(), 1);
   cr_assert(judged[0].cause == CrashCause::kOneJob);
 }
@@ -205,7 +218,8 @@
     TrackedRun run = AttributionFixture::RunOf("a", 0);
     run.orders_sent = 0;
     cr_assert(fixture.Lose(run));
-    const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+    const std::vector<JudgedRun> judged =
+        fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
     const bool is_back = MinionIncarnation(successor_incarnation) > kIncarnation;
     cr_expect(judged.at(0).cause == (is_back ? CrashCause::kUncertain : CrashCause::kOpen));
     cr_expect(judged.at(0).cause_if_ended == CrashCause::kLate);
@@ -244,7 +258,8 @@
   run.running_since = kOrderedAt;
   run.has_outlived_start = true;
   cr_assert(fixture.LoseLate(run));
-  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  const std::vector<JudgedRun> judged =
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
   cr_assert_eq(judged.size(), 1);
   cr_assert(judged[0].cause == CrashCause::kLate);
 }
@@ -257,9 +272,9 @@
   fixture.Minion(0).silence = MinionSilence{kOrderedAt + Milliseconds(4'000)};
   cr_assert_not(fixture.LoseLate(run), "the minion may be cut off");
   fixture.EndProcess(0, kOrderedAt + Milliseconds(4'000));
-  fixture.Minion(0).is_draining = true;
+  fixture.AnnounceEnd(0);
   cr_assert_not(fixture.LoseLate(run), "the minion was draining");
-  fixture.Minion(0).is_draining = false;
+  fixture.state.planned_ends = PlannedEnds();
   fixture.EndProcess(0, kOrderedAt + kMaxLateCrash);
   cr_assert_not(fixture.LoseLate(run), "it had run for long");
   fixture.EndProcess(0);
@@ -276,7 +291,8 @@
     run.has_outlived_start = true;
     cr_assert(fixture.LoseLate(run));
   }
-  for (const JudgedRun& run : fixture.attribution.TakeJudged(fixture.state, kJudgedAt)) {
+  for (const JudgedRun& run :
+       fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt)) {
     cr_expect(run.cause == CrashCause::kOutage);
   }
 }
@@ -290,7 +306,8 @@
   older.has_outlived_start = true;
   cr_assert(fixture.LoseLate(older));
   cr_assert(fixture.Lose(AttributionFixture::RunOf("a", 0)));
-  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  const std::vector<JudgedRun> judged =
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
   cr_assert_eq(judged.size(), 2);
   cr_expect(judged[0].cause == CrashCause::kLate);
   cr_expect(judged[1].cause == CrashCause::kOneJob);
@@ -330,7 +347,8 @@
   AttributionFixture fixture;
   fixture.RefuseCalls(0);
   cr_assert(fixture.Lose(AttributionFixture::RunOf("a", 0)));
-  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  const std::vector<JudgedRun> judged =
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
   cr_assert_eq(judged.size(), 1);
   cr_assert(judged[0].cause == CrashCause::kOpen);
   cr_assert(judged[0].cause_if_ended == CrashCause::kOneJob);
@@ -344,7 +362,8 @@
   const std::optional<LateLoss> loss =
       fixture.attribution.RecordLateLoss(fixture.state, fixture.Minion(0), run, true, kJudgedAt);
   cr_assert_not(loss.value().has_ended);
-  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  const std::vector<JudgedRun> judged =
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
   cr_assert(judged.at(0).cause == CrashCause::kOpen);
   cr_assert(judged.at(0).cause_if_ended == CrashCause::kLate);
   cr_assert_not(judged.at(0).is_counted);
@@ -378,7 +397,8 @@
   const std::optional<LateLoss> loss =
       fixture.attribution.RecordLateLoss(fixture.state, fixture.Minion(0), run, true, kJudgedAt);
   cr_assert(loss.value().ran_for == Milliseconds(4'000));
-  const std::vector<JudgedRun> judged = fixture.attribution.TakeJudged(fixture.state, kJudgedAt);
+  const std::vector<JudgedRun> judged =
+      fixture.attribution.TakeJudged(fixture.state, JudgementScope::kAll, kJudgedAt);
   cr_assert(judged.at(0).is_counted);
   cr_assert(judged.at(0).ran_for == Milliseconds(4'000));
 }
