--- a/tests/leader/odd_entry_test.cc
+++ b/tests/leader/odd_entry_test.cc
@@ -22,7 +22,7 @@
   const auto entry = [](const std::string& port, const std::string& born,
                         const std::string& extra) {
     return R"({"service":"pool","address":"10.9.9.9:)" + port +
-           R"(","zone":"a","state":"ready","coldLeftMs":0,"capacity":{"cpu":8000,"memMb":8000,)"
+           R"(","zone":"a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"capacity":{"cpu":8000,"memMb":8000,)"
            R"("gpu":8},"labels":["kind","r9"],"sequence":1,"born":)" +
            born + R"(,"x":)" + extra + "}";
   };
@@ -66,7 +66,7 @@
     cluster.Run(Milliseconds(30));
     cluster.store.Put(
         "servers/" + holder.text(),
-        R"({"service":"billing","address":"10.9.9.9:80","zone":"a","state":"ready","coldLeftMs":0,)"
+        R"({"service":"billing","address":"10.9.9.9:80","zone":"a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,)"
         R"("capacity":{"cpu":8000,"memMb":8000,"gpu":8},"labels":["kind","r0"],"sequence":1,)"
         R"("born":4000000})");
     cluster.Run(Milliseconds(1'500));
@@ -77,12 +77,44 @@
   cr_expect(cluster.minions.violations().empty());
 }
 
+// Another writer's entries under the id of a minion that was at work lacked fields that each minion
+// writes. Their address and start were believed, and the task ran on a second minion (review/12).
+Test(odd_entry, with_missing_fields_says_nothing_of_the_minion_of_its_id) {
+  for (const std::string missing :
+       {R"("version":"v1",)", R"("slots":8,)", R"("sequence":1,)", R"("labels":["kind","r0"],)"}) {
+    TestCluster cluster(1, 4);
+    cluster.Run(Milliseconds(3'000));
+    RegisteredJob job;
+    job.work.steps = {MakeStep(1, 1)};
+    job.duration = Milliseconds(20'000);
+    cluster.Submit(MakeJobId(1), job);
+    cluster.Run(Milliseconds(500));
+    cr_assert_eq(cluster.minions.RunningOn(MakeJobId(1)).size(), 1);
+    const MinionId holder = cluster.minions.RunningOn(MakeJobId(1)).front();
+    std::string entry =
+        R"({"service":"pool","address":"10.9.9.9:80","zone":"a","version":"v1","slots":8,)"
+        R"("state":"ready","capacity":{"cpu":8000,"memMb":8000,"gpu":8},"labels":["kind","r0"],)"
+        R"("sequence":1,"born":4000000})";
+    entry.erase(entry.find(missing), missing.size());
+    for (int beat = 0; beat < 4; ++beat) {
+      cluster.minions.SendHeartbeats();
+      cluster.Run(Milliseconds(30));
+      cluster.store.Put("servers/" + holder.text(), entry);
+      cluster.Run(Milliseconds(1'500));
+    }
+    cluster.Run(Milliseconds(20'000));
+    cr_expect(cluster.StateOf(MakeJobId(1)) == WorkState::kDone, "%s", missing.c_str());
+    cr_expect_eq(cluster.minions.starts(MakeJobId(1)), 1, "%s", missing.c_str());
+    cr_expect(cluster.minions.violations().empty(), "%s", missing.c_str());
+  }
+}
+
 // The minions of a service that a later manifest adds are used from then on.
 Test(odd_entry, of_a_service_is_used_once_a_manifest_names_it) {
   TestCluster cluster(1, 0);
   cluster.store.Put(
       "servers/n0",
-      R"({"service":"new","address":"10.9.9.9:80","zone":"a","state":"ready","coldLeftMs":0,)"
+      R"({"service":"new","address":"10.9.9.9:80","zone":"a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,)"
       R"("capacity":{"cpu":8000,"memMb":8000,"gpu":8},"labels":["kind","r0"],"sequence":1,)"
       R"("born":7})");
   cluster.Run(Milliseconds(3'000));
@@ -95,7 +127,7 @@
   cluster.minions.Add(MinionId("n0"), RackId("r0"), Resources{8'000, 8'000, 8});
   cluster.store.Put(
       "servers/n0",
-      R"({"service":"new","address":"10.0.0.1:80","zone":"a","state":"ready","coldLeftMs":0,)"
+      R"({"service":"new","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,)"
       R"("capacity":{"cpu":8000,"memMb":8000,"gpu":8},"labels":["kind","r0"],"sequence":2,)"
       R"("born":7})");
   cluster.Run(Milliseconds(500));
--- a/tests/platform/decoder_fuzz_test.cc
+++ b/tests/platform/decoder_fuzz_test.cc
@@ -20,8 +20,9 @@
     R"("maxAttempts":3,"slackFactor":2.5,"targetLatencyMs":900,"public":true}],)"
     R"("tenants":[{"name":"shop","apiKeys":["key"],"guaranteed":{"gpu":16}}]})";
 const char kMinionEntry[] =
-    R"({"service":"pool","address":"10.128.0.9:8080","zone":"casa","state":"ready","coldLeftMs":40,)"
-    R"("capacity":{"cpu":16000,"memMb":32768,"gpu":2},"labels":["a","r1"],"born":1700000000123})";
+    R"({"service":"pool","address":"10.128.0.9:8080","zone":"casa","version":"v1","slots":8,)"
+    R"("state":"ready","coldLeftMs":40,"capacity":{"cpu":16000,"memMb":32768,"gpu":2},)"
+    R"("labels":["a","r1"],"sequence":4,"born":1700000000123})";
 const char kWork[] =
     R"({"spec":"text","phases":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900,"affinity":"r1"},)"
     R"({"count":20,"cpu":2000,"gpu":1,"estimateMs":7000,"after":[0],"antiAffinity":2,"gang":true}]})";
--- a/tests/platform/platform_schema_test.cc
+++ b/tests/platform/platform_schema_test.cc
@@ -71,6 +71,13 @@
         with("\"cpu\":16000", "\"cpu\":99999999999999999999")}) {
     cr_expect_not(schema.DecodeMinion(MinionId("i"), odd).ok(), "%.200s", odd.c_str());
   }
+  for (const std::string& odd :
+       {with("\"version\":\"v1\",", ""), with("\"v1\"", "1"), with("\"slots\":8,", ""),
+        with("\"slots\":8", "\"slots\":\"8\""), with("\"slots\":8", "\"slots\":-1"),
+        with("\"sequence\":4,", ""), with("\"sequence\":4", "\"sequence\":null"),
+        with("\"sequence\":4", "\"sequence\":4.5")}) {
+    cr_expect_not(schema.DecodeMinion(MinionId("i"), odd).ok(), "%.200s", odd.c_str());
+  }
   cr_expect(schema.DecodeMinion(MinionId("i"), with("\"v1\"", R"("[[{\"\\")")).ok());
 }
 
