Tests: Play planned ends that only the store or only its history tells of

Without storing announcements, or without reading the history, the property still held, as the other stood in for it; a late heartbeat in planned_end_test showed the drain itself. Now a series of drains is told by the store alone, by its history alone, or by any, with late heartbeats from before the drain. planned_end_test has one more test; the store forgets its history in it.

--- a/tests/leader/planned_end_property_test.cc
+++ b/tests/leader/planned_end_property_test.cc
@@ -20,6 +20,17 @@
 constexpr int kShortestNoticeMs = 2'000;
 constexpr int kLongestNoticeMs = 7'000;
 constexpr Milliseconds kMaxSilence{3'000};
+/// From the announcement until a leader has certainly stored it.
+constexpr Milliseconds kTimeToStore{500};
+
+/// What tells a later leader of a drain.
+enum class Telling {
+  kAny,
+  /// A leader has stored it, and the store forgets its history.
+  kStoreAlone,
+  /// Nobody leads from the drain until the minion has left.
+  kHistoryAlone,
+};
 
 struct PlannedScenario : LeaseScenario {
   PlannedScenario() : LeaseScenario(kFleet) {}
@@ -66,6 +77,15 @@
     }
   }
 
+  /// Advances the time until a node leads, at most for 20 s.
+  void RunUntilLed() {
+    constexpr Milliseconds kStep{20};
+    for (Milliseconds waited{0}; waited < Milliseconds(20'000) && !LeaderIndex().has_value();
+         waited += kStep) {
+      cluster.Run(kStep);
+    }
+  }
+
   void EndLeaderAtAnyTime() {
     const LeaderEnd end = static_cast<LeaderEnd>(AnyFrom(0, kLeaderEnds));
     const Milliseconds time = AnyTime(1'000, static_cast<int>(kMaxSilence.count()));
@@ -121,21 +141,39 @@
     MinionOutage outage;
     outage.duration = AnyTime(200, 2'000);
     outage.comes_back = *rc::gen::element(MinionReturn::kSameId, MinionReturn::kNewId);
+    const Telling telling =
+        *rc::gen::element(Telling::kAny, Telling::kStoreAlone, Telling::kHistoryAlone);
     const bool ends_leaders = AnyFrom(0, 2) == 0;
+    const bool has_late_heartbeats = AnyFrom(0, 2) == 0;
     for (int rounds = AnyFrom(3, 9); rounds > 0; --rounds) {
       for (int waited = 0; waited < 1'000 && scenario.cluster.minions.RunningOn(id).empty();
            ++waited) {
         scenario.cluster.Run(Milliseconds(20));
       }
       scenario.cluster.Run(until_drain);
+      scenario.RunUntilLed();
       const std::vector<MinionId> holders = scenario.cluster.minions.RunningOn(id);
+      if (!holders.empty() && has_late_heartbeats) {
+        scenario.cluster.minions.RepeatEntryLater(holders.front(), notice - AnyTime(1, 900));
+      }
+      if (telling == Telling::kHistoryAlone) {
+        scenario.EndLeader(LeaderEnd::kAllNodesKilled, notice + AnyTime(100, 1'500));
+      }
       if (!holders.empty()) {
         scenario.cluster.minions.Drain(holders.front(), notice, outage);
       }
-      if (ends_leaders) {
+      scenario.cluster.Run(kTimeToStore);
+      if (telling == Telling::kStoreAlone) {
+        scenario.EndLeader(*rc::gen::element(LeaderEnd::kKilled, LeaderEnd::kResigned),
+                           kMaxSilence);
+      } else if (telling == Telling::kAny && ends_leaders) {
         scenario.EndLeaderAtAnyTime();
       }
-      scenario.cluster.Run(notice + Milliseconds(1));
+      scenario.cluster.Run(notice - kTimeToStore);
+      if (telling == Telling::kStoreAlone) {
+        scenario.cluster.store.CompactHistory();
+      }
+      scenario.cluster.Run(Milliseconds(1));
     }
     scenario.Settle();
     scenario.Check();
--- a/tests/leader/planned_end_test.cc
+++ b/tests/leader/planned_end_test.cc
@@ -14,7 +14,7 @@
 }
 
 /// Sixteen minions and three nodes. Each time that the job has started, its minion drains and
-/// leaves; `beside` is called with the minion once it drains.
+/// leaves; `beside` is called with the minion just before it drains.
 void CheckDrainsFailNoJob(int rounds, const MinionOutage& outage,
                           const std::function<void(CrashScenario&, const MinionId&)>& beside) {
   CrashScenario scenario(16);
@@ -25,8 +25,8 @@
     const std::vector<MinionId> holders = scenario.cluster.minions.RunningOn(job);
     cr_assert_not(holders.empty(), "after %d drains the job does not run", round);
     const MinionId& minion = holders.front();
-    scenario.cluster.minions.Drain(minion, kNotice, outage);
     beside(scenario, minion);
+    scenario.cluster.minions.Drain(minion, kNotice, outage);
     scenario.cluster.Run(kNotice + Milliseconds(1));
   }
   scenario.Run(kMaxTimeToGiveUp);
@@ -71,6 +71,18 @@
                        });
 }
 
+// The store forgets its history, so that only what the leader has stored tells of the drain.
+Test(planned_end, that_a_leader_has_stored_fails_no_job_without_history) {
+  for (const MinionReturn comes_back :
+       {MinionReturn::kSameId, MinionReturn::kNewId, MinionReturn::kNever}) {
+    CheckDrainsFailNoJob(6, ReturnAs(comes_back), [](CrashScenario& scenario, const MinionId&) {
+      KillLeaderIn(scenario, kNotice + Milliseconds(600));
+      scenario.cluster.timers.After(kNotice + Milliseconds(500),
+                                    [&scenario] { scenario.cluster.store.CompactHistory(); });
+    });
+  }
+}
+
 // No leader has seen the drain: all nodes are gone from before it until the successor is up. The
 // store's history still tells it.
 Test(planned_end, that_nobody_has_seen_fails_no_job) {
