Soak: Restart minions as planned, and write odd entries under their ids

Up to eight planned restarts and two entries with a field missing are drawn after all other steps, so that the steps of earlier seeds stay as they are. soak_plan_test counts 25 actions and knows which target minions.

--- a/src/libraries/soak/soak_faults.cc
+++ b/src/libraries/soak/soak_faults.cc
@@ -103,7 +103,9 @@
       {SoakAction::kNewManifest, &SoakFaults::ChangeManifest},
       {SoakAction::kEvacuation, &SoakFaults::Evacuate},
       {SoakAction::kMinionGone, &SoakFaults::LoseMinion},
-      {SoakAction::kKillLeader, &SoakFaults::KillLeader}};
+      {SoakAction::kKillLeader, &SoakFaults::KillLeader},
+      {SoakAction::kMinionDrains, &SoakFaults::DrainMinion},
+      {SoakAction::kOddEntry, &SoakFaults::WriteOddEntry}};
   return kKinds;
 }
 
@@ -223,6 +225,24 @@
 
 void SoakFaults::ChangeManifest(const SoakStep& /*step*/) { PutManifest(); }
 
+void SoakFaults::DrainMinion(const SoakStep& step) {
+  Control(fmt::format("drain?minion=minion-{}&notice={}", step.target, step.lasts.count()));
+}
+
+void SoakFaults::WriteOddEntry(const SoakStep& step) {
+  // The address answers nothing, and `slots` is missing.
+  const Json entry{{"service", "pool"},
+                   {"address", "127.0.0.1:9"},
+                   {"zone", "a"},
+                   {"version", "v1"},
+                   {"state", "ready"},
+                   {"capacity", {{"cpu", 8'000}, {"memMb", 8'000}, {"gpu", 8}}},
+                   {"labels", Json::array({"kind", "rack-0"})},
+                   {"born", m_loop.clock().WallNow().count()},
+                   {"sequence", 1}};
+  Control(fmt::format("put?key=servers/minion-{}", step.target), entry.dump());
+}
+
 void SoakFaults::Evacuate(const SoakStep& step) {
   Control("put?key=op/evacuate/a", "{}");
   m_loop.After(step.lasts * kEvacuationDurationFactor,
--- a/src/libraries/soak/soak_faults.h
+++ b/src/libraries/soak/soak_faults.h
@@ -87,6 +87,8 @@
   void Evacuate(const SoakStep& step);
   void LoseMinion(const SoakStep& step);
   void KillLeader(const SoakStep& step);
+  void DrainMinion(const SoakStep& step);
+  void WriteOddEntry(const SoakStep& step);
 
   absl::Status AddLink(Links& links, int offset, LoopbackAddress target);
   void SetLink(LoopbackProxy& link, const SoakStep& step);
--- a/src/libraries/soak/soak_plan.cc
+++ b/src/libraries/soak/soak_plan.cc
@@ -24,12 +24,16 @@
 /// Share of the minions that may be gone for good, as one in this many.
 constexpr int kOneInGoneMinions = 4;
 constexpr int kMaxKilledLeaders = 4;
+constexpr int kMaxPlannedEnds = 8;
+constexpr int kMaxOddEntries = 2;
+/// Minions that drain serve on for at least this long.
+constexpr Milliseconds kMinNotice{2'000};
 constexpr Milliseconds kMinLeaderTime{3'500};
 constexpr Milliseconds kMaxLeaderTime{7'000};
 /// The first actions of kActions, of which a plan is drawn; the rest follows a schedule of its own.
 constexpr std::size_t kDrawnActions = 21;
 
-constexpr std::array<EnumName<SoakAction>, 23> kActions{
+constexpr std::array<EnumName<SoakAction>, 25> kActions{
     {{SoakAction::kKillNode, "kill-node"},
      {SoakAction::kPauseNode, "pause-node"},
      {SoakAction::kStopNode, "stop-node"},
@@ -52,7 +56,9 @@
      {SoakAction::kNewManifest, "new-manifest"},
      {SoakAction::kEvacuation, "evacuation"},
      {SoakAction::kMinionGone, "minion-gone"},
-     {SoakAction::kKillLeader, "kill-leader"}}};
+     {SoakAction::kKillLeader, "kill-leader"},
+     {SoakAction::kMinionDrains, "minion-drains"},
+     {SoakAction::kOddEntry, "odd-entry"}}};
 
 constexpr std::array<EnumName<LinkState>, 5> kLinkStates{
     {{LinkState::kOpen, "open"},
@@ -78,6 +84,7 @@
       at += Between(kMinGap, kMaxGap);
     }
     AddLossesForGood(steps);
+    AddPlannedEnds(steps);
     std::stable_sort(steps.begin(), steps.end(), [](const SoakStep& left, const SoakStep& right) {
       return left.at < right.at;
     });
@@ -113,6 +120,24 @@
     }
   }
 
+  /// Minions restart as planned, one after another or several at once, and some get odd entries.
+  /// Drawn after all others, for the same reason.
+  void AddPlannedEnds(std::vector<SoakStep>& steps) {
+    for (int planned = Number(0, kMaxPlannedEnds); planned > 0; --planned) {
+      steps.push_back(SoakStep{.at = Between(kMinGap, m_size.duration),
+                               .action = SoakAction::kMinionDrains,
+                               .target = Number(0, m_size.minions - 1),
+                               .lasts = Between(kMinNotice, kMaxFaultDuration),
+                               .link = {.state = LinkState::kSilent}});
+    }
+    for (int odd = Number(0, kMaxOddEntries); odd > 0; --odd) {
+      steps.push_back(SoakStep{.at = Between(kMinGap, m_size.duration),
+                               .action = SoakAction::kOddEntry,
+                               .target = Number(0, m_size.minions - 1),
+                               .link = {.state = LinkState::kSilent}});
+    }
+  }
+
   SoakStep MakeStep(Milliseconds at) {
     SoakStep step;
     step.at = at;
--- a/src/libraries/soak/soak_plan.h
+++ b/src/libraries/soak/soak_plan.h
@@ -42,6 +42,10 @@
   kMinionGone,
   /// SIGKILL to the node that leads; the node's supervisor restarts it.
   kKillLeader,
+  /// The minion announces its end, leaves after `lasts`, and starts again under its id.
+  kMinionDrains,
+  /// Another writer puts an entry with a field missing under the minion's id.
+  kOddEntry,
 };
 
 struct SoakStep {
--- a/src/stand_ins/fleet/fleet_stand_in.cc
+++ b/src/stand_ins/fleet/fleet_stand_in.cc
@@ -165,6 +165,9 @@
     m_minions.Restart(MinionId(QueryValue(request, "minion")));
   } else if (action == "crash") {
     CrashMinion(request);
+  } else if (action == "drain") {
+    const Milliseconds notice(std::strtol(QueryValue(request, "notice").c_str(), nullptr, 10));
+    m_minions.Drain(MinionId(QueryValue(request, "minion")), notice);
   } else if (action == "know") {
     m_minions.RegisterJob(JobId(QueryValue(request, "job")), ReadRegisteredJob(request));
   } else if (action == "starts") {
--- a/src/stand_ins/fleet/fleet_stand_in.h
+++ b/src/stand_ins/fleet/fleet_stand_in.h
@@ -46,7 +46,8 @@
   /// Actions: "put" and "remove" write to the store as an operator; "forget" compacts its history;
   /// "fail-store" and "fail-minion" inject faults, the former with "key" only into writes of keys
   /// with that prefix; "restart" starts a new incarnation of a minion; "crash" ends a minion's
-  /// process for a few seconds, or for good with "back=never"; "know" registers a job's
+  /// process for a few seconds, or for good with "back=never"; "drain" lets a minion announce its
+  /// end and restart after "notice" milliseconds; "know" registers a job's
   /// specification; "broken" lists the violations; "starts" counts the starts of a job; "jobs"
   /// lists the records of all jobs; "running" lists the minions that run a job; "value" is that of
   /// a key.
--- a/tests/soak/soak_plan_test.cc
+++ b/tests/soak/soak_plan_test.cc
@@ -14,7 +14,8 @@
   return action == SoakAction::kNodesToMinion || action == SoakAction::kResetNodesToMinion ||
          action == SoakAction::kMinionRestarts || action == SoakAction::kMinionAnswersLost ||
          action == SoakAction::kMinionOrdersLate || action == SoakAction::kMinionRefuses ||
-         action == SoakAction::kMinionGone;
+         action == SoakAction::kMinionGone || action == SoakAction::kMinionDrains ||
+         action == SoakAction::kOddEntry;
 }
 
 }  // namespace
@@ -52,7 +53,7 @@
       free_from = step.at + step.lasts;
     }
   }
-  constexpr std::size_t kActions = 23;
+  constexpr std::size_t kActions = 25;
   cr_assert_eq(seen.size(), kActions);
   cr_assert_gt(overlaps, 0);
 }
