--- a/src/libraries/leader/leader_session_planned_ends.cc
+++ b/src/libraries/leader/leader_session_planned_ends.cc
@@ -14,7 +14,7 @@
 constexpr std::int64_t kMaxRecalledRevisions = 4'000;
 /// Where the store has forgotten that many changes, this part of them is asked for.
 constexpr std::int64_t kRecallPart = 4;
-/// After this time losses are judged by what is known.
+/// After this time the call is not sent again, and losses are judged by what is known.
 constexpr Milliseconds kMaxRecallTime{2'000};
 /// The call returns what has changed before, and need not wait for more.
 constexpr Milliseconds kRecallWait{10};
