Leader: Log how far behind the loop was when a call fails or a run is lost

The loop now knows until when all that was ready has been handled, and the lines have it as late_ms and unheard_ms.

--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -160,8 +160,10 @@
       silence.has_value()) {
     event.Field("silent_ms", (Now() - silence->since).count());
   }
-  event.Field("term_ms", (Now() - m_state.elected_at).count());
-  event.Write();
+  event.Field("late_ms", m_context.timers.Lateness().count())
+      .Field("unheard_ms", (Now() - m_context.timers.HeardUntil()).count())
+      .Field("term_ms", (Now() - m_state.elected_at).count())
+      .Write();
   if (loss == RunLoss::kRunLost) {
     m_context.metrics.Increment("papayalift_runs_lost_total{reason=\"" + reason + "\"}");
   }
--- a/src/libraries/leader/run_supervisor_calls.cc
+++ b/src/libraries/leader/run_supervisor_calls.cc
@@ -76,6 +76,8 @@
       .Field("runs", static_cast<std::int64_t>(minion.runs.size()))
       .Field("listed", minion.entry.has_value() ? 1 : 0)
       .Field("draining", m_state.IsLeaving(minion) ? 1 : 0)
+      .Field("late_ms", m_timers.Lateness().count())
+      .Field("unheard_ms", (Now() - m_timers.HeardUntil()).count())
       .Field("since_report_ms", (Now() - minion.last_report_at).count());
   if (minion.last_start_sent_at.has_value()) {
     event.Field("since_start_ms", (Now() - *minion.last_start_sent_at).count())
--- a/src/libraries/loop/event_loop.cc
+++ b/src/libraries/loop/event_loop.cc
@@ -120,8 +120,12 @@
 
 bool EventLoop::RunReadyCallbacks(int timeout_milliseconds) {
   std::array<epoll_event, kMaxEventsPerBatch> events{};
+  const Milliseconds polled_at = m_clock.Now();
   const int count =
       epoll_wait(m_descriptors.epoll, events.data(), kMaxEventsPerBatch, timeout_milliseconds);
+  const Milliseconds returned_at = m_clock.Now();
+  // After a wait, what is ready has just become so.
+  m_ready_since = returned_at > polled_at ? returned_at : m_heard_until;
   for (int index = 0; index < count; ++index) {
     if (count > kCallbacksPerUrgentCheck && index % kCallbacksPerUrgentCheck == 0) {
       RunUrgentCallbacks();
@@ -129,9 +133,36 @@
     const epoll_event& event = events.at(static_cast<std::size_t>(index));
     RunCallback(event.data.fd, event.events);
   }
+  RecordHandled(polled_at, count);
   return count == kMaxEventsPerBatch;
 }
 
+void EventLoop::RecordHandled(Milliseconds polled_at, int count) {
+  // NOTE: a wait that a signal has ended tells nothing: the process may have stood still meanwhile.
+  if (count < 0) {
+    return;
+  }
+  if (count < kMaxEventsPerBatch) {
+    m_heard_until = polled_at;
+    m_behind_since.reset();
+    return;
+  }
+  if (!m_behind_since.has_value()) {
+    m_behind_since = polled_at;
+    m_left_behind = static_cast<std::int64_t>(m_watched.size());
+  }
+  m_left_behind -= count;
+  if (m_left_behind <= 0) {
+    m_heard_until = *m_behind_since;
+    m_behind_since.reset();
+  }
+}
+
+Milliseconds EventLoop::HeardUntil(Urgency urgency) const {
+  return urgency == Urgency::kUrgent ? std::max(m_heard_until, m_urgent_heard_until)
+                                     : m_heard_until;
+}
+
 void EventLoop::RunDueTimers() {
   const Milliseconds now = m_clock.Now();
   if (const std::optional<Milliseconds> due = m_timers.next_due()) {
@@ -147,11 +178,15 @@
 
 void EventLoop::RunUrgentCallbacks() {
   std::array<epoll_event, kMaxEventsPerBatch> events{};
+  const Milliseconds polled_at = m_clock.Now();
   const int count = epoll_wait(m_descriptors.urgent_epoll, events.data(), kMaxEventsPerBatch, 0);
   for (int index = 0; index < count; ++index) {
     const epoll_event& event = events.at(static_cast<std::size_t>(index));
     RunCallback(event.data.fd, event.events);
   }
+  if (count >= 0 && count < kMaxEventsPerBatch) {
+    m_urgent_heard_until = polled_at;
+  }
   m_timers.RunDueUrgent(m_clock.Now());
 }
 
--- a/src/libraries/loop/event_loop.h
+++ b/src/libraries/loop/event_loop.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -54,7 +55,14 @@
   Milliseconds TakeMaxTimerDelay() { return std::exchange(m_max_timer_delay, Milliseconds(0)); }
 
   /// By how much timers have lately run late; falls slowly once they are on time again.
-  Milliseconds recent_timer_delay() const { return m_recent_timer_delay; }
+  Milliseconds Lateness() const override { return m_recent_timer_delay; }
+
+  Milliseconds HeardUntil() const override { return HeardUntil(Urgency::kNormal); }
+  /// All that descriptors of this urgency were ready for by this time has been handled.
+  Milliseconds HeardUntil(Urgency urgency) const;
+
+  /// For how long at most what is being handled has been ready.
+  Milliseconds UnheardFor() const { return m_clock.Now() - m_ready_since; }
 
   /// A signal handler writes one byte to this descriptor to end the wait of the loop.
   int wake_descriptor() const { return m_descriptors.wake_write; }
@@ -77,6 +85,8 @@
   void RunIteration();
   /// Runs the callbacks of some ready descriptors; returns whether more may be ready.
   bool RunReadyCallbacks(int timeout_milliseconds);
+  /// Takes note that `count` callbacks have run of those that were ready at `polled_at`.
+  void RecordHandled(Milliseconds polled_at, int count);
   void RunDueTimers();
   /// Runs the callbacks of urgent descriptors and then, as an answer that has arrived is not
   /// missing, the urgent timers that are due.
@@ -89,6 +99,13 @@
   bool m_stopped = false;
   Milliseconds m_max_timer_delay{0};
   Milliseconds m_recent_timer_delay{0};
+  Milliseconds m_heard_until{0};
+  Milliseconds m_urgent_heard_until{0};
+  Milliseconds m_ready_since{0};
+  /// While more is ready than one batch holds: a time by which all callbacks that were due then
+  /// will have run, and how many may be left. The system hands out ready descriptors in turn.
+  std::optional<Milliseconds> m_behind_since;
+  std::int64_t m_left_behind = 0;
   TimerQueue m_timers;
   std::unordered_map<int, WatchedDescriptor> m_watched;
   std::function<void()> m_after_iteration;
--- a/src/libraries/loop/timers.h
+++ b/src/libraries/loop/timers.h
@@ -20,6 +20,12 @@
   /// and for the callback that is running.
   virtual TimerId AfterUrgently(Milliseconds delay, std::function<void()> callback) = 0;
   virtual void Cancel(TimerId id) = 0;
+
+  /// By how much this process has lately been behind with its work.
+  virtual Milliseconds Lateness() const { return Milliseconds(0); }
+  /// All that had arrived by this time has been handled. What arrived later may lie unread, so its
+  /// absence proves nothing about its sender.
+  virtual Milliseconds HeardUntil() const { return clock().Now(); }
 };
 
 }  // namespace papayalift
