Http: Count an answer as missing only once all that arrived by its deadline is read

No minion and no link was disturbed. Cause: curl looks at a call's timeout before it reads the socket, so an answer that lay unread for longer than the timeout counted as missing. Change: the client keeps the deadlines itself. They count from when curl was asked to begin the call, and a call is given up only once the loop has handled all that was ready by its deadline (EventLoop::HeardUntil). On a punctual loop that is the timeout as before. The first of the new tests failed before; the two others guard the other way.

--- a/src/libraries/http/async_http_client.cc
+++ b/src/libraries/http/async_http_client.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <optional>
 #include <string_view>
 #include <unordered_set>
 #include <utility>
@@ -14,7 +15,11 @@
 
 namespace {
 
-constexpr long kConnectTimeoutMilliseconds = 1'000;
+constexpr Milliseconds kConnectTimeout{1'000};
+/// Until what had arrived by a call's deadline has been read.
+constexpr Milliseconds kUnreadCheckDelay{1};
+/// The deadlines of calls are this client's own, since curl's count what lies unread as missing.
+constexpr long kNoTimeoutMilliseconds = 24L * 60 * 60 * 1'000;
 constexpr std::size_t kMaxResponseBytes = 16UL * 1024 * 1024;
 constexpr std::size_t kMaxIdleHandles = 16;
 constexpr std::size_t kEngines = 64;
@@ -41,6 +46,12 @@
   HeaderList headers;
   std::string answer;
   bool sent = false;
+  const EventLoop& loop;
+  Milliseconds added_at{0};
+  /// Empty until curl has been asked to begin the call.
+  std::optional<Milliseconds> begun_at{};
+  Milliseconds deadline{0};
+  TimerId timer = 0;
 };
 
 std::size_t AppendResponse(char* bytes, std::size_t size, std::size_t count, void* target) {
@@ -61,6 +72,9 @@
     return CURL_PREREQFUNC_ABORT;
   }
   transfer.sent = true;
+  // The host has not kept this call waiting for as long as the connection lay ready and unseen.
+  transfer.deadline = transfer.begun_at.value_or(transfer.added_at) +
+                      transfer.request.call.timeout + transfer.loop.UnheardFor();
   return CURL_PREREQFUNC_OK;
 }
 
@@ -76,8 +90,7 @@
   return HeaderList(list);
 }
 
-/// `loop_delay` is how long an answer may lie unread: it must not count as missing for that.
-void Prepare(Transfer& transfer, Milliseconds loop_delay) {
+void Prepare(Transfer& transfer) {
   CURL* const handle = transfer.handle.get();
   const HttpCall& call = transfer.request.call;
   curl_easy_reset(handle);
@@ -86,10 +99,7 @@
   curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
-  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
-                   kConnectTimeoutMilliseconds + static_cast<long>(loop_delay.count()));
-  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>((call.timeout + loop_delay).count()));
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, kNoTimeoutMilliseconds);
   curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headers.get());
   curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, AppendResponse);
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
@@ -153,6 +163,7 @@
     m_is_closing = true;
     m_loop.Cancel(m_timer);
     for (Transfer* const transfer : m_running) {
+      m_loop.Cancel(transfer->timer);
       curl_multi_remove_handle(m_multi, transfer->handle.get());
       delete transfer;
     }
@@ -161,11 +172,12 @@
 
   void Send(AsyncHttpCall call, Callback callback) {
     Transfer* const transfer = new Transfer{std::move(call), std::move(callback), TakeHandle(),
-                                            HeaderList(),    std::string(),       false};
+                                            HeaderList(),    std::string(),       false,
+                                            m_loop,          m_loop.clock().Now()};
     transfer->headers = HeadersOf(transfer->request);
-    // A call is started by a timer and its answer read by a callback, and both may be late.
-    Prepare(*transfer, 2 * m_loop.recent_timer_delay());
+    Prepare(*transfer);
     m_running.insert(transfer);
+    m_added.push_back(transfer);
     curl_multi_add_handle(m_multi, transfer->handle.get());
   }
 
@@ -217,11 +229,43 @@
   }
 
   void PerformSocketAction(curl_socket_t socket, int mask) {
+    BeginAdded();
     int running = 0;
     curl_multi_socket_action(m_multi, socket, mask, &running);
     FinishCompletedTransfers();
   }
 
+  /// curl begins added calls with its next action, which may be late: their time counts from now.
+  void BeginAdded() {
+    const Milliseconds now = m_loop.clock().Now();
+    for (Transfer* const transfer : std::exchange(m_added, {})) {
+      const Milliseconds timeout = transfer->request.call.timeout;
+      transfer->begun_at = now;
+      transfer->deadline = now + std::min(kConnectTimeout, timeout);
+      ScheduleDeadline(transfer, transfer->deadline - now);
+    }
+  }
+
+  void ScheduleDeadline(Transfer* transfer, Milliseconds delay) {
+    std::function<void()> callback = [this, transfer] { CheckDeadline(transfer); };
+    transfer->timer = m_urgency == Urgency::kUrgent
+                          ? m_loop.AfterUrgently(delay, std::move(callback))
+                          : m_loop.After(delay, std::move(callback));
+  }
+
+  /// An answer is missing only if all that had arrived by the deadline has been read.
+  void CheckDeadline(Transfer* transfer) {
+    transfer->timer = 0;
+    const Milliseconds left = transfer->deadline - m_loop.clock().Now();
+    if (left.count() > 0) {
+      ScheduleDeadline(transfer, left);
+    } else if (m_loop.HeardUntil(m_urgency) < transfer->deadline) {
+      ScheduleDeadline(transfer, kUnreadCheckDelay);
+    } else {
+      Finish(transfer, CURLE_OPERATION_TIMEDOUT);
+    }
+  }
+
   void FinishCompletedTransfers() {
     int left = 0;
     std::vector<std::pair<Transfer*, CURLcode>> finished;
@@ -238,6 +282,7 @@
   void Finish(Transfer* transfer, CURLcode code) {
     const std::unique_ptr<Transfer> owned(transfer);
     HttpOutcome outcome = OutcomeOf(*owned, code);
+    m_loop.Cancel(owned->timer);
     curl_multi_remove_handle(m_multi, owned->handle.get());
     m_running.erase(transfer);
     if (m_idle.size() < kMaxIdleHandles) {
@@ -261,6 +306,8 @@
   TimerId m_timer = 0;
   bool m_is_closing = false;
   std::unordered_set<Transfer*> m_running;
+  /// Those of them that curl has not begun yet.
+  std::vector<Transfer*> m_added;
   std::vector<CurlHandle> m_idle;
 };
 
--- a/tests/loop/async_http_test.cc
+++ b/tests/loop/async_http_test.cc
@@ -1,7 +1,11 @@
 #include <criterion/criterion.h>
 #include <unistd.h>
 
+#include <array>
+#include <functional>
+
 #include "libraries/base/boot_clock.h"
+#include "libraries/base/manual_clock.h"
 #include "libraries/http/async_http_client.h"
 #include "libraries/http/async_http_server.h"
 
@@ -105,6 +109,64 @@
   cr_assert(result.result == HttpCallResult::kAnswered);
 }
 
+// The timeout of a call ran on while its answer lay unread (issue 65).
+Test(async_http, answer_that_arrives_in_time_and_is_read_late_is_not_missing) {
+  constexpr int kBehindMicroseconds = 600'000;
+  AsyncFixture fixture([](const HttpRequest&, const HttpResponder& respond) {
+    respond(HttpResponse{});
+    usleep(kBehindMicroseconds);
+  });
+  AsyncHttpCall call = fixture.Call(HttpMethod::kGet, "/read-late");
+  call.call.timeout = Milliseconds(200);
+  cr_assert(fixture.Send(std::move(call)).result == HttpCallResult::kAnswered);
+}
+
+// Guards the other way: lateness that is not there must not keep a silent host's call open.
+Test(async_http, silent_call_on_a_punctual_loop_is_given_up_at_its_timeout) {
+  constexpr Milliseconds kTimeout{200};
+  constexpr Milliseconds kMaxDelay{10};
+  ManualClock clock;
+  const std::unique_ptr<EventLoop> loop = EventLoop::Create(clock).value();
+  const std::unique_ptr<AsyncHttpServer> server =
+      AsyncHttpServer::Create(*loop, "127.0.0.1", 0, HttpServerLimits{},
+                              [](const HttpRequest&, const HttpResponder&) {})
+          .value();
+  AsyncHttpClient client(*loop, 10);
+  AsyncHttpCall call;
+  call.call.url = "http://127.0.0.1:" + std::to_string(server->port()) + "/silent";
+  call.call.timeout = kTimeout;
+  Milliseconds given_up_at{0};
+  const Milliseconds sent_at = clock.Now();
+  client.Send(call, [&](const HttpOutcome& outcome) {
+    cr_expect(outcome.result != HttpCallResult::kAnswered);
+    given_up_at = clock.Now();
+    loop->Stop();
+  });
+  const std::function<void()> step = [&] {
+    clock.Advance(Milliseconds(1));
+    loop->After(Milliseconds(0), step);
+  };
+  step();
+  loop->Run();
+  cr_expect_geq((given_up_at - sent_at).count(), kTimeout.count());
+  cr_expect_leq((given_up_at - sent_at).count(), (kTimeout + kMaxDelay).count());
+}
+
+// A loop that never catches up would otherwise keep silent calls for ever.
+Test(async_http, silent_call_beside_descriptors_that_are_always_ready_is_given_up) {
+  constexpr int kPipes = 100;
+  AsyncFixture fixture([](const HttpRequest&, const HttpResponder&) {});
+  for (int number = 0; number < kPipes; ++number) {
+    std::array<int, 2> ends{};
+    cr_assert_eq(pipe(ends.data()), 0);
+    cr_assert_eq(write(ends[1], "x", 1), 1);
+    cr_assert(fixture.loop->Watch(ends[0], Readiness{.readable = true}, [](Readiness) {}).ok());
+  }
+  AsyncHttpCall call = fixture.Call(HttpMethod::kGet, "/silent");
+  call.call.timeout = Milliseconds(200);
+  cr_assert(fixture.Send(std::move(call)).result == HttpCallResult::kUnclear);
+}
+
 Test(async_http, call_to_closed_port_is_not_sent) {
   AsyncFixture fixture([](const HttpRequest&, const HttpResponder&) {});
   AsyncHttpCall call = fixture.Call(HttpMethod::kPost, "/");
