Leader: Start no more than it can follow

Cause: a pass of the planner orders all that fits in the fleet. Change: StartWindow bounds the starts that no answer has confirmed yet. The reason is logged as leader_behind.

--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -157,7 +157,7 @@
 
 void LeaderSession::RunPlan() {
   const Milliseconds began_at = Now();
-  const PlanContents contents =
+  PlanContents contents =
       BuildPlanSnapshot(m_state, *m_context.view.manifest(),
                         PlanSettings{m_settings.max_heartbeat_age, m_settings.remote_factor},
                         m_context.timers.clock());
@@ -167,7 +167,12 @@
     m_last_pass_at = began_at;
     return;
   }
+  contents.snapshot.starts = UpdateStartWindow();
   Plan plan = PlanTasks(contents.snapshot);
+  m_is_start_limited =
+      std::any_of(plan.waits.begin(), plan.waits.end(), [](const PlannedWait& wait) {
+        return wait.reason == WaitReason::kLeaderBehind;
+      });
   RecordRackHolds(plan.waits, began_at);
   for (const PlannedStart& start : plan.starts) {
     ApplyStart(start);
@@ -183,6 +188,15 @@
                             static_cast<double>(m_last_plan_duration.count()));
 }
 
+StartAllowance LeaderSession::UpdateStartWindow() {
+  const std::int64_t out = m_state.CountStartsOut();
+  m_start_window.Update(out, m_context.timers.Lateness(), Now());
+  m_context.metrics.SetGauge("papayalift_starts_out", static_cast<double>(out));
+  m_context.metrics.SetGauge("papayalift_start_window",
+                             static_cast<double>(m_start_window.size()));
+  return m_start_window.AllowanceFor(out);
+}
+
 void LeaderSession::RecordRackHolds(const std::vector<PlannedWait>& waits, Milliseconds now) {
   for (const PlannedWait& wait : waits) {
     if (wait.reason != WaitReason::kRack) {
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -14,6 +14,7 @@
 #include "libraries/leader/lease_recorder.h"
 #include "libraries/leader/manifest_view.h"
 #include "libraries/leader/run_supervisor.h"
+#include "libraries/leader/start_window.h"
 #include "libraries/leader/wait_monitor.h"
 #include "libraries/metrics/metrics.h"
 #include "libraries/planner/plan.h"
@@ -200,6 +201,8 @@
   // Planning.
   void SchedulePlan();
   void RunPlan();
+  /// What the pass that begins may start, by how far this process is behind.
+  StartAllowance UpdateStartWindow();
   /// Adds the time since the last pass to what its steps were held back for their racks.
   void RecordRackHolds(const std::vector<PlannedWait>& waits, Milliseconds now);
   void ApplyStart(const PlannedStart& start);
@@ -250,6 +253,9 @@
   Milliseconds m_gone_hosts_dropped_at{0};
   Milliseconds m_last_plan_duration{0};
   WaitMonitor m_wait_monitor;
+  StartWindow m_start_window;
+  /// The last pass left tasks waiting because as many starts were out as the window allows.
+  bool m_is_start_limited = false;
   Milliseconds m_last_pass_at{0};
   std::shared_ptr<JobJournal> m_journal;
   std::shared_ptr<LeaseRecorder> m_lease_recorder;
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -192,6 +192,9 @@
 }
 
 void LeaderSession::OnStarted(const TrackedRun& run) {
+  if (m_is_start_limited) {
+    SchedulePlan();
+  }
   TrackedJob* const job = m_state.FindJob(run.task.job);
   if (job != nullptr && !job->has_started) {
     job->has_started = true;
--- a/src/libraries/leader/leader_state.cc
+++ b/src/libraries/leader/leader_state.cc
@@ -89,6 +89,21 @@
   return silent;
 }
 
+std::int64_t LeaderState::CountStartsOut() const {
+  const auto is_out = [](const auto& entry) {
+    const TrackedRun& run = entry.second;
+    return run.state == TrackedRunState::kDecided ||
+           (run.state == TrackedRunState::kOrdered && run.orders_sent > 0);
+  };
+  std::int64_t out = 0;
+  for (const auto& [id, minion] : minions) {
+    if (minion.unanswered_calls == 0) {
+      out += std::count_if(minion.runs.begin(), minion.runs.end(), is_out);
+    }
+  }
+  return out;
+}
+
 void LeaderState::AddRun(TrackedMinion& minion, TrackedRun run) {
   minion.allocated += run.needs;
   // A minion may report runs of jobs or steps that are not known.
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -337,6 +337,8 @@
     return may_grant_leases && !listed_as_silent.contains(id);
   }
   SilentRuns CountSilentRuns(Milliseconds now) const;
+  /// Starts of this leader that no answer has confirmed yet, on minions that answer.
+  std::int64_t CountStartsOut() const;
 
   /// Whether the minion's latest process has announced its end.
   bool IsLeaving(const TrackedMinion& minion) const {
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -1,6 +1,8 @@
 /// The input of a planning pass.
 #pragma once
 
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -157,12 +159,25 @@
   kByCost,
 };
 
+/// How many tasks one pass may start, whatever room there is. A step that is begun may exceed it, so
+/// that a gang is not passed over for ever.
+struct StartAllowance {
+  static constexpr std::int64_t kUnlimited = std::numeric_limits<std::int64_t>::max() / 2;
+
+  std::int64_t tasks = kUnlimited;
+  /// Including those within a guarantee, which come first.
+  std::int64_t guaranteed_tasks = kUnlimited;
+  /// Of one step without a guarantee that is not a gang.
+  std::int64_t tasks_per_step = kUnlimited;
+};
+
 struct PlanSnapshot {
   DelayPolicy policy = DelayPolicy::kByCost;
   std::vector<PlanMinion> minions;
   std::vector<PendingStep> pending_steps;
   std::vector<PlanVictim> victims;
   std::vector<PlanWorkspace> workspaces;
+  StartAllowance starts;
 };
 
 }  // namespace papayalift
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -48,7 +48,27 @@
     return allowed;
   }
 
+  /// Plans as many tasks of the step as may be started in this pass.
   void PlanStep(const PendingStep& pending) {
+    const std::int64_t waiting = static_cast<std::int64_t>(pending.task_indexes.size());
+    const std::int64_t allowed = StartsAllowed(pending);
+    if (allowed <= 0) {
+      Wait(pending, pending.task_indexes.size(), WaitReason::kLeaderBehind);
+    } else if (allowed < waiting && pending.spec.kind != WorkStepKind::kGang) {
+      PlanAllowedTasks(FirstTasks(pending, allowed));
+      Wait(pending, static_cast<std::size_t>(waiting - allowed), WaitReason::kLeaderBehind);
+    } else {
+      PlanAllowedTasks(pending);
+    }
+  }
+
+  std::int64_t StartsAllowed(const PendingStep& pending) const {
+    const StartAllowance& starts = m_snapshot.starts;
+    return pending.is_guaranteed ? starts.guaranteed_tasks - m_started
+                                 : std::min(starts.tasks - m_started, starts.tasks_per_step);
+  }
+
+  void PlanAllowedTasks(const PendingStep& pending) {
     const std::int64_t waiting = static_cast<std::int64_t>(pending.task_indexes.size());
     const std::int64_t allowed = m_quotas.TasksAllowed(pending);
     if (allowed == waiting) {
@@ -334,6 +354,7 @@
     for (const PlannedPlacement& placement : found.placements) {
       m_capacity.Allocate(placement.minion, pending.spec.needs, pending.spec.estimate);
     }
+    m_started += static_cast<std::int64_t>(found.placements.size());
     m_quotas.Add(pending, static_cast<std::int64_t>(found.placements.size()));
     std::string reason = found.meets_rack_preference ? "capacity on preferred racks"
                                                      : "no capacity on the preferred rack";
@@ -350,6 +371,8 @@
   WorkspaceQuotas m_quotas;
   std::vector<bool> m_is_stopped;
   bool m_has_reserved_minion = false;
+  /// Tasks that this pass starts.
+  std::int64_t m_started = 0;
   /// The last job that was given capacity of each service.
   std::map<ServiceId, JobId> m_served;
   Plan m_plan;
--- a/src/libraries/planner/wait_reason.cc
+++ b/src/libraries/planner/wait_reason.cc
@@ -9,7 +9,8 @@
 
 std::string WaitReasonText(WaitReason reason) {
   static constexpr std::array<const char*, kWaitReasons> kTexts = {
-      "no_capacity", "rack", "reserved", "stops", "isolation", "former_runs", "quota"};
+      "no_capacity", "rack",        "reserved", "stops",
+      "isolation",   "former_runs", "quota",    "leader_behind"};
   return kTexts[static_cast<std::size_t>(reason)];
 }
 
--- a/src/libraries/planner/wait_reason.h
+++ b/src/libraries/planner/wait_reason.h
@@ -23,9 +23,11 @@
   kFormerRuns,
   /// Its workspace has as much running as its quota allows.
   kQuota,
+  /// The leader is behind with its work, and has as many starts out as it can follow.
+  kLeaderBehind,
 };
 
-constexpr std::size_t kWaitReasons = 7;
+constexpr std::size_t kWaitReasons = 8;
 
 /// As named in logs and metrics, such as "no_capacity".
 std::string WaitReasonText(WaitReason reason);
--- a/tests/leader/fake_minion_port.h
+++ b/tests/leader/fake_minion_port.h
@@ -31,6 +31,11 @@
   int waiting_acknowledgements() const { return m_waiting_acknowledgements; }
   int starts() const { return m_starts; }
 
+  /// Answers are passed on by `deliver`, so that they wait for their turn in a slow process.
+  void SetDelivery(std::function<void(std::function<void()>)> deliver) {
+    m_deliver = std::move(deliver);
+  }
+
   /// Simulates the end of the process: no answer is delivered any more.
   void Detach() { m_is_detached = true; }
   /// While the process is frozen, answers wait.
@@ -43,6 +48,12 @@
     return [this, callback = std::move(callback)](const Answer& answer) {
       if (m_is_frozen) {
         m_late_answers.push_back([callback, answer] { callback(answer); });
+      } else if (!m_is_detached && m_deliver) {
+        m_deliver([this, callback, answer] {
+          if (!m_is_detached) {
+            callback(answer);
+          }
+        });
       } else if (!m_is_detached) {
         callback(answer);
       }
@@ -54,6 +65,7 @@
   bool m_is_detached = false;
   bool m_is_frozen = false;
   std::vector<std::function<void()>> m_late_answers;
+  std::function<void(std::function<void()>)> m_deliver;
   int m_starts = 0;
   int m_holds = 0;
   int m_holds_in_flight = 0;
--- a/tests/leader/fake_store_port.cc
+++ b/tests/leader/fake_store_port.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 void FakeStorePort::RunLater(Milliseconds delay, std::function<void()> action) {
-  m_timers.After(delay, [this, action = std::move(action)] {
+  WorldTimers().After(delay, [this, action = std::move(action)] {
     if (!m_is_detached) {
       action();
     }
@@ -23,7 +23,8 @@
 }
 
 void FakeStorePort::Commit(const Transaction& transaction,
-                           std::function<void(CommitAnswer)> callback) {
+                           std::function<void(CommitAnswer)> in_turn) {
+  const std::function<void(CommitAnswer)> callback = InTurn(std::move(in_turn));
   ++m_commits;
   m_max_entries =
       std::max(m_max_entries, transaction.comparisons().size() + transaction.writes().size());
@@ -45,14 +46,14 @@
     return;
   }
   if (fault == StoreFault::kAppliedLate) {
-    m_timers.After(kAppliedLateDelay, [this, transaction] { m_store.Apply(transaction); });
+    WorldTimers().After(kAppliedLateDelay, [this, transaction] { m_store.Apply(transaction); });
     RunLater(kCallTimeout, [callback] {
       callback(CommitAnswer{TransactionResult::kUnclear, {}, {}, "answer lost"});
     });
     return;
   }
   // A transaction in flight is applied even if its sender has ended.
-  m_timers.After(m_network_delay, [this, transaction, callback, fault] {
+  WorldTimers().After(m_network_delay, [this, transaction, callback, fault] {
     const CommitAnswer answer = m_store.Apply(transaction);
     if (fault == StoreFault::kAnswerLost) {
       RunLater(kCallTimeout, [callback] {
@@ -74,7 +75,8 @@
            [read = std::move(read), is_answered] { read(is_answered); });
 }
 
-void FakeStorePort::Read(const std::string& key, std::function<void(ReadAnswer)> callback) {
+void FakeStorePort::Read(const std::string& key, std::function<void(ReadAnswer)> in_turn) {
+  const std::function<void(ReadAnswer)> callback = InTurn(std::move(in_turn));
   ++m_reads;
   RunRead([this, key, callback](bool is_answered) {
     ReadAnswer answer;
@@ -90,7 +92,8 @@
   });
 }
 
-void FakeStorePort::ReadAll(const std::string& prefix, std::function<void(ReadAnswer)> callback) {
+void FakeStorePort::ReadAll(const std::string& prefix, std::function<void(ReadAnswer)> in_turn) {
+  const std::function<void(ReadAnswer)> callback = InTurn(std::move(in_turn));
   ++m_range_reads;
   // The answer holds what the store held half way, so later changes may overtake it.
   const std::shared_ptr<ReadAnswer> answer = std::make_shared<ReadAnswer>();
@@ -109,7 +112,8 @@
 }
 
 void FakeStorePort::Watch(const std::string& prefix, Revision after, Milliseconds wait,
-                          std::function<void(WatchAnswer)> callback) {
+                          std::function<void(WatchAnswer)> in_turn) {
+  const std::function<void(WatchAnswer)> callback = InTurn(std::move(in_turn));
   if (!m_is_reachable) {
     RunLater(wait + kCallTimeout, [callback] { callback(WatchAnswer{}); });
     return;
@@ -140,7 +144,8 @@
 }
 
 void FakeStorePort::GrantLease(Milliseconds time_to_live,
-                               std::function<void(LeaseAnswer)> callback) {
+                               std::function<void(LeaseAnswer)> in_turn) {
+  const std::function<void(LeaseAnswer)> callback = InTurn(std::move(in_turn));
   const bool is_reachable = m_is_reachable;
   RunLater(
       is_reachable ? kNetworkDelay : kCallTimeout, [this, time_to_live, callback, is_reachable] {
@@ -152,7 +157,8 @@
       });
 }
 
-void FakeStorePort::RenewLease(StoreLease lease, std::function<void(LeaseAnswer)> callback) {
+void FakeStorePort::RenewLease(StoreLease lease, std::function<void(LeaseAnswer)> in_turn) {
+  const std::function<void(LeaseAnswer)> callback = InTurn(std::move(in_turn));
   const bool is_lost = m_renewals_to_lose > 0;
   m_renewals_to_lose -= is_lost ? 1 : 0;
   const bool is_reachable = m_is_reachable && !is_lost;
@@ -165,7 +171,8 @@
   });
 }
 
-void FakeStorePort::RevokeLease(StoreLease lease, std::function<void(LeaseAnswer)> callback) {
+void FakeStorePort::RevokeLease(StoreLease lease, std::function<void(LeaseAnswer)> in_turn) {
+  const std::function<void(LeaseAnswer)> callback = InTurn(std::move(in_turn));
   const bool is_reachable = m_is_reachable;
   RunLater(is_reachable ? kNetworkDelay : kCallTimeout, [this, lease, callback, is_reachable] {
     LeaseAnswer answer;
--- a/tests/leader/fake_store_port.h
+++ b/tests/leader/fake_store_port.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libraries/loop/timers.h"
@@ -48,6 +50,12 @@
   void RefuseNextReads(int reads) { m_reads_to_refuse = reads; }
   /// While watches are silent, they report no changes.
   void SetWatchesSilent(bool is_silent) { m_watches_are_silent = is_silent; }
+  /// From now on the store and the network take no time of the process, and answers are passed on
+  /// by `deliver`, so that they wait for their turn in a slow process.
+  void SetDelivery(Timers& world, std::function<void(std::function<void()>)> deliver) {
+    m_world = &world;
+    m_deliver = std::move(deliver);
+  }
   /// Simulates the end of the process: no answer is delivered any more.
   void Detach() { m_is_detached = true; }
 
@@ -61,6 +69,21 @@
  private:
   static constexpr Milliseconds kNetworkDelay{2};
 
+  Timers& WorldTimers() { return m_world == nullptr ? m_timers : *m_world; }
+  /// The callback, so that it runs when the process has come to it.
+  template <typename Answer>
+  std::function<void(Answer)> InTurn(std::function<void(Answer)> callback) {
+    if (!m_deliver) {
+      return callback;
+    }
+    return [this, callback = std::move(callback)](const Answer& answer) {
+      m_deliver([this, callback, answer] {
+        if (!m_is_detached) {
+          callback(answer);
+        }
+      });
+    };
+  }
   void RunLater(Milliseconds delay, std::function<void()> action);
   /// Calls `read` with whether the read is answered, once it is answered or has failed.
   void RunRead(std::function<void(bool is_answered)> read);
@@ -68,6 +91,8 @@
                  const std::function<void(WatchAnswer)>& callback);
 
   Timers& m_timers;
+  Timers* m_world = nullptr;
+  std::function<void(std::function<void()>)> m_deliver;
   FleetStore& m_store;
   std::deque<StoreFault> m_faults;
   Milliseconds m_network_delay = kNetworkDelay;
--- a/tests/leader/test_cluster.cc
+++ b/tests/leader/test_cluster.cc
@@ -54,6 +54,16 @@
   m_minions.Thaw();
 }
 
+void ClusterNode::SlowDown(Milliseconds callback_time) {
+  m_process_timers.SetCallbackTime(callback_time);
+  m_minions.SetDelivery([this](std::function<void()> answer) {
+    m_process_timers.RunInTurn(Urgency::kNormal, std::move(answer));
+  });
+  m_store.SetDelivery(m_timers, [this](std::function<void()> answer) {
+    m_process_timers.RunInTurn(Urgency::kUrgent, std::move(answer));
+  });
+}
+
 JobReply ClusterNode::Ask(JobRequestKind kind, const std::string& path, const std::string& key,
                           const std::string& body) {
   const std::shared_ptr<std::optional<JobReply>> answer =
--- a/tests/leader/test_cluster.h
+++ b/tests/leader/test_cluster.h
@@ -32,6 +32,8 @@
   /// The process stands still until it is thawed, while all others go on.
   void Freeze();
   void Thaw();
+  /// From now on the process is slow: each callback takes that long, and others wait meanwhile.
+  void SlowDown(Milliseconds callback_time);
 
   /// Sends a request and advances the clock until the reply arrives; kUnclear after 4 seconds.
   JobReply Ask(JobRequestKind kind, const std::string& path, const std::string& key,
