Leader: Give up no run for a lease that expired after what was last heard

A lease's expiry was compared with the present, not with the time until which the leader has handled all that arrived, so a leader that was late took its own lateness for the minion's silence. Change: a lease counts as expired once all that arrived by its end is handled; the timer looks again each millisecond until then. On a punctual loop that is at once.

--- a/src/libraries/leader/minion_leases.cc
+++ b/src/libraries/leader/minion_leases.cc
@@ -195,7 +195,8 @@
 
 bool MinionLeases::HaveExpired(const TrackedMinion& minion, const TrackedRun& run) const {
   const bool is_start_open = !run.is_process_shown && run.starts_in_flight > 0;
-  return !is_start_open && Now() > ExpiryOf(minion, run).at;
+  // What arrived since the expiry may still tell of the run's end.
+  return !is_start_open && m_timers.HeardUntil() > ExpiryOf(minion, run).at;
 }
 
 LeaseExpiry MinionLeases::LatestExpiryOf(const TrackedMinion& minion) const {
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -316,6 +316,17 @@
   }
 }
 
+void RunSupervisor::GiveUpOnceHeard(TrackedMinion& minion) {
+  const bool is_unheard =
+      std::any_of(minion.runs.begin(), minion.runs.end(), [this, &minion](const auto& entry) {
+        const Milliseconds expiry = m_leases.ExpiryOf(minion, entry.second).at;
+        return Now() > expiry && m_timers.HeardUntil() <= expiry;
+      });
+  if (is_unheard && !minion.answers()) {
+    GiveUpOnceExpired(minion);
+  }
+}
+
 void RunSupervisor::GiveUpOnceExpired(TrackedMinion& minion) {
   if (minion.runs.empty()) {
     return;
@@ -337,6 +348,7 @@
                                           TrackedMinion& found = *self->m_state.FindMinion(id);
                                           found.give_up_timer = 0;
                                           self->GiveUpLostRunsOf(found);
+                                          self->GiveUpOnceHeard(found);
                                         });
 }
 
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -135,6 +135,8 @@
                const std::string& reason);
   void GiveUpLostRunsOf(TrackedMinion& minion);
   void GiveUpOnceExpired(TrackedMinion& minion);
+  /// Looks again soon if a lease has expired, but not all that arrived by then has been handled.
+  void GiveUpOnceHeard(TrackedMinion& minion);
   /// Why the run can't be active any more although its minion has not reported its end; nullptr if
   /// it may be.
   const char* ReasonToGiveUp(const TrackedMinion& minion, const TrackedRun& run) const;
--- a/tests/leader/run_supervisor_test.cc
+++ b/tests/leader/run_supervisor_test.cc
@@ -83,4 +83,18 @@
   cr_assert(fixture.losses[0] == RunLoss::kRunLost);
 }
 
+// A verdict fell on what had not been read, though its answer lay there (issue 65).
+Test(run_supervisor, lease_is_not_taken_as_expired_before_all_that_arrived_by_then_is_heard) {
+  SupervisorFixture fixture;
+  fixture.StartWithTermAge(Milliseconds(0));
+  fixture.timers.Run(Milliseconds(100));
+  fixture.fleet.SetReachable(fixture.id, false);
+  fixture.timers.SetHeardUntil(fixture.timers.clock().Now() + Milliseconds(2'000));
+  fixture.timers.Run(Milliseconds(30'000));
+  cr_expect(fixture.losses.empty());
+  fixture.timers.SetHeardUntil(std::nullopt);
+  fixture.timers.Run(Milliseconds(10));
+  cr_expect_eq(fixture.losses.size(), 1);
+}
+
 }  // namespace papayalift
--- a/tests/leader/virtual_timers.h
+++ b/tests/leader/virtual_timers.h
@@ -1,6 +1,7 @@
 /// Timers on a virtual clock that only advances in Run().
 #pragma once
 
+#include <optional>
 #include <utility>
 
 #include "libraries/base/manual_clock.h"
@@ -17,6 +18,10 @@
     return After(delay, std::move(callback));
   }
   void Cancel(TimerId id) override { m_timers.Cancel(id); }
+  Milliseconds HeardUntil() const override { return m_heard_until.value_or(m_clock.Now()); }
+
+  /// What has arrived since then lies unread; nullopt: nothing does.
+  void SetHeardUntil(std::optional<Milliseconds> until) { m_heard_until = until; }
 
   /// Advances the clock by `time` and runs all timers that fall due, in order.
   void Run(Milliseconds time);
@@ -26,6 +31,7 @@
 
  private:
   ManualClock m_clock;
+  std::optional<Milliseconds> m_heard_until;
   TimerQueue m_timers;
 };
 
