Election: Take the term of a weaker node oneself once it is ended

Cause: a stronger node ended the weaker one's term and then waited to hear of it by its watch, like all others. A node that hears late leaves the term to whoever is quickest, and that may be a weaker node again. Change: it has a lease granted first, ends the term, and claims it with the answer. If another is quicker, the claim fails as before. The test failed before: with the stronger node's watch silent, a second weak node was elected.

--- a/src/libraries/leader/leader_election.cc
+++ b/src/libraries/leader/leader_election.cc
@@ -168,18 +168,36 @@
         .Field("cpu_milli", CpuMilli(m_settings.processor_share))
         .Field("contact_age_ms", contact_age().count())
         .Write();
-    m_store.RevokeLease(holder.lease, [this, holder](const LeaseAnswer& answer) {
+    TakeOver(holder);
+  });
+}
+
+void LeaderElection::TakeOver(const TermRecord& holder) {
+  // NOTE: the lease is granted first, so that this node claims the term as soon as it is free. To
+  // wait for the watch would leave it to whoever is quickest, and that may be a weaker node again.
+  m_store.GrantLease(m_settings.time_to_live, [this, holder](const LeaseAnswer& granted) {
+    if (granted.result != LeaseResult::kOk) {
+      RetryTakeover(holder, granted.error);
+      return;
+    }
+    m_store.RevokeLease(holder.lease, [this, holder, granted](const LeaseAnswer& answer) {
       if (answer.result == LeaseResult::kFailed) {
-        LogEvent(LogLevel::kWarning, "election",
-                 "the term of a weaker node could not be ended; trying again")
-            .Reason(answer.error)
-            .Write();
-        ScheduleTakeover(holder);
+        RetryTakeover(holder, answer.error);
+      } else if (!m_resigned && !m_is_leader && m_holder.value_or(holder) == holder) {
+        ClaimTerm(granted.lease);
       }
     });
   });
 }
 
+void LeaderElection::RetryTakeover(const TermRecord& holder, const std::string& error) {
+  LogEvent(LogLevel::kWarning, "election",
+           "the term of a weaker node could not be ended; trying again")
+      .Reason(error)
+      .Write();
+  ScheduleTakeover(holder);
+}
+
 Milliseconds LeaderElection::ClaimDelay() const {
   const Milliseconds jitter(
       static_cast<std::int64_t>(Hash64(m_settings.node) % kMaxClaimJitterMilliseconds));
--- a/src/libraries/leader/leader_election.h
+++ b/src/libraries/leader/leader_election.h
@@ -69,6 +69,9 @@
   void EndPreviousTerm(StoreLease lease);
   void UpdateHolder(const StoreItem& item);
   void ScheduleTakeover(const TermRecord& holder);
+  /// Ends the holder's term and claims it.
+  void TakeOver(const TermRecord& holder);
+  void RetryTakeover(const TermRecord& holder, const std::string& error);
   Milliseconds ClaimDelay() const;
   void WatchTerm(Revision after);
   void OnTermChanged(const WatchAnswer& answer);
--- a/tests/leader/leader_election_test.cc
+++ b/tests/leader/leader_election_test.cc
@@ -156,6 +156,23 @@
   cr_assert(strong.election.is_leader());
 }
 
+// The term was left to whoever heard first that it was free: a weaker node, which was to be replaced
+// again 1.5 s later (issue 65).
+Test(leader_election, node_that_ends_a_weaker_ones_term_takes_it_though_its_watch_is_silent) {
+  VirtualTimers timers;
+  FleetStore store(timers);
+  Candidate weak(timers, store, "weak", 0.12);
+  timers.Run(Milliseconds(1'000));
+  Candidate other_weak(timers, store, "other", 0.12);
+  Candidate strong(timers, store, "strong", 0.5);
+  timers.Run(Milliseconds(1'000));
+  strong.port.SetWatchesSilent(true);
+  timers.Run(Milliseconds(3'000));
+  cr_expect(strong.election.is_leader());
+  cr_expect(other_weak.terms.empty());
+  cr_expect_eq(weak.terms.size(), 1);
+}
+
 Test(leader_election, equal_node_does_not_take_over) {
   VirtualTimers timers;
   FleetStore store(timers);
