--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -168,13 +168,16 @@
 }
 
 void LeaderSession::RereadIfWatchesAreSilent() {
+  // What this process has not handled yet, or asked for late, is not the watches' silence.
+  const Milliseconds silence = m_context.timers.HeardUntil() - m_state.registry_heard_at -
+                               m_context.timers.Lateness();
   if (!m_state.has_heartbeats || m_is_registry_read_in_flight || Now() < m_next_reread_at ||
-      Now() - m_state.registry_heard_at < kMaxWatchSilence ||
+      silence < kMaxWatchSilence ||
       m_context.election.contact_age() >= kMaxWatchSilence) {
     return;
   }
   LogEvent(LogLevel::kWarning, "leader", "watches report no heartbeats; reading all again")
-      .Field("silent_ms", (Now() - m_state.registry_heard_at).count())
+      .Field("silent_ms", silence.count())
       .Field("store_contact_age_ms", m_context.election.contact_age().count())
       .Write();
   // NOTE: writes that find a minion's entry unchanged show that it stands, not that others beat on.
