Planner: Give each standing job a task first while the leader is behind

Cause: what the leader could follow went to jobs in the planner's order, so the last in it got nothing; and the window grew only with starts that were out at the next pass, though a fast start is answered by then, so it stayed small after the leader had caught up. Change: while behind, a job without runs that has waited for a second gets one task before others get more, after what is within a guarantee. The window grows when it has held tasks back, by doubling up to the size with which the leader last fell behind, slowly beyond.

--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -143,9 +143,11 @@
     return;
   }
   m_is_plan_scheduled = true;
-  // Planning runs less often the longer it takes, so that the rest of the node keeps up.
+  // Planning runs less often the longer it takes, so that the rest of the node keeps up. It never
+  // takes more than half of the time.
   const Milliseconds delay =
-      std::clamp(m_last_plan_duration * kPlanDelayPerPlanDuration, kMinPlanDelay, kMaxPlanDelay);
+      std::clamp(m_last_plan_duration * kPlanDelayPerPlanDuration, kMinPlanDelay,
+                 std::max(kMaxPlanDelay, m_last_plan_duration));
   m_context.timers.After(delay, [weak = weak_from_this()] {
     const Self self = weak.lock();
     if (self != nullptr && !self->m_is_closed) {
@@ -169,10 +171,7 @@
   }
   contents.snapshot.starts = UpdateStartWindow();
   Plan plan = PlanTasks(contents.snapshot);
-  m_is_start_limited =
-      std::any_of(plan.waits.begin(), plan.waits.end(), [](const PlannedWait& wait) {
-        return wait.reason == WaitReason::kLeaderBehind;
-      });
+  RecordHeldBackStarts(plan.waits);
   RecordRackHolds(plan.waits, began_at);
   for (const PlannedStart& start : plan.starts) {
     ApplyStart(start);
@@ -192,11 +191,18 @@
   const std::int64_t out = m_state.CountStartsOut();
   m_start_window.Update(out, m_context.timers.Lateness(), Now());
   m_context.metrics.SetGauge("papayalift_starts_out", static_cast<double>(out));
-  m_context.metrics.SetGauge("papayalift_start_window",
-                             static_cast<double>(m_start_window.size()));
+  m_context.metrics.SetGauge("papayalift_start_window", static_cast<double>(m_start_window.size()));
   return m_start_window.AllowanceFor(out);
 }
 
+void LeaderSession::RecordHeldBackStarts(const std::vector<PlannedWait>& waits) {
+  std::int64_t held_back = 0;
+  for (const PlannedWait& wait : waits) {
+    held_back += wait.reason == WaitReason::kLeaderBehind ? wait.tasks : 0;
+  }
+  m_start_window.RecordHeldBack(held_back);
+}
+
 void LeaderSession::RecordRackHolds(const std::vector<PlannedWait>& waits, Milliseconds now) {
   for (const PlannedWait& wait : waits) {
     if (wait.reason != WaitReason::kRack) {
--- a/src/libraries/leader/leader_session.h
+++ b/src/libraries/leader/leader_session.h
@@ -203,6 +203,7 @@
   void RunPlan();
   /// What the pass that begins may start, by how far this process is behind.
   StartAllowance UpdateStartWindow();
+  void RecordHeldBackStarts(const std::vector<PlannedWait>& waits);
   /// Adds the time since the last pass to what its steps were held back for their racks.
   void RecordRackHolds(const std::vector<PlannedWait>& waits, Milliseconds now);
   void ApplyStart(const PlannedStart& start);
@@ -254,8 +255,6 @@
   Milliseconds m_last_plan_duration{0};
   WaitMonitor m_wait_monitor;
   StartWindow m_start_window;
-  /// The last pass left tasks waiting because as many starts were out as the window allows.
-  bool m_is_start_limited = false;
   Milliseconds m_last_pass_at{0};
   std::shared_ptr<JobJournal> m_journal;
   std::shared_ptr<LeaseRecorder> m_lease_recorder;
--- a/src/libraries/leader/leader_session_runs.cc
+++ b/src/libraries/leader/leader_session_runs.cc
@@ -192,7 +192,7 @@
 }
 
 void LeaderSession::OnStarted(const TrackedRun& run) {
-  if (m_is_start_limited) {
+  if (m_start_window.has_held_back()) {
     SchedulePlan();
   }
   TrackedJob* const job = m_state.FindJob(run.task.job);
--- a/src/libraries/leader/start_window.cc
+++ b/src/libraries/leader/start_window.cc
@@ -14,9 +14,11 @@
 constexpr Milliseconds kCaughtUpLateness{100};
 /// What a smaller window brings shows after this time.
 constexpr Milliseconds kShrinkInterval{500};
-constexpr std::int64_t kMinSize = 16;
-constexpr std::int64_t kMaxSize = 1L << 16;
-/// While behind, each pass starts no more tasks of one step than this, so that each job gets a turn.
+constexpr std::int64_t kMinSize = 32;
+/// By which it grows in each pass beyond the size that is known to be safe.
+constexpr std::int64_t kSlowGrowth = 4;
+/// While behind, each pass starts no more tasks of one step than this, so that each job gets a
+/// turn.
 constexpr std::int64_t kTasksPerStepWhileBehind = 4;
 /// Jobs within their guarantee may start this many tasks in each pass, whatever is out.
 constexpr std::int64_t kMinGuaranteedStarts = 16;
@@ -32,17 +34,23 @@
     m_is_behind = false;
     LogChange("the leader has caught up", out, lateness);
   }
-  if (!m_is_behind && out * 2 >= m_size) {
-    m_size = std::min(kMaxSize, m_size * 2);
+  if (!m_is_behind && has_held_back()) {
+    Grow();
   }
 }
 
+void StartWindow::Grow() {
+  m_size = m_size < m_safe_size ? std::min(m_safe_size, m_size * 2)
+                                : std::min(kMaxSize, m_size + kSlowGrowth);
+}
+
 void StartWindow::Shrink(std::int64_t out, Milliseconds lateness, Milliseconds now) {
   if (now < m_next_shrink_at) {
     return;
   }
   m_next_shrink_at = now + std::max(kShrinkInterval, lateness);
-  m_size = std::max(kMinSize, std::min(m_size, out) / 2);
+  m_size = std::max(kMinSize, m_size / 2);
+  m_safe_size = m_size;
   if (!m_is_behind) {
     m_is_behind = true;
     LogChange("the leader is behind and starts less", out, lateness);
--- a/src/libraries/planner/plan_snapshot.h
+++ b/src/libraries/planner/plan_snapshot.h
@@ -159,8 +159,8 @@
   kByCost,
 };
 
-/// How many tasks one pass may start, whatever room there is. A step that is begun may exceed it, so
-/// that a gang is not passed over for ever.
+/// How many tasks one pass may start, whatever room there is. A step that is begun may exceed it,
+/// so that a gang is not passed over for ever.
 struct StartAllowance {
   static constexpr std::int64_t kUnlimited = std::numeric_limits<std::int64_t>::max() / 2;
 
@@ -169,6 +169,9 @@
   std::int64_t guaranteed_tasks = kUnlimited;
   /// Of one step without a guarantee that is not a gang.
   std::int64_t tasks_per_step = kUnlimited;
+
+  /// The leader is behind, so what it can follow is shared out among jobs.
+  bool is_limited() const { return tasks_per_step < kUnlimited; }
 };
 
 struct PlanSnapshot {
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -30,8 +30,11 @@
         m_is_stopped(snapshot.victims.size(), false) {}
 
   Plan Run() {
-    const std::vector<const PendingStep*> order =
+    std::vector<const PendingStep*> order =
         OrderSteps(m_snapshot, FindWorkspacesOverShare(m_snapshot));
+    if (m_snapshot.starts.is_limited()) {
+      PutStandingJobsFirst(order);
+    }
     ReserveForGangs(WithinQuota(order), m_capacity);
     for (const PendingStep* const pending : order) {
       PlanStep(*pending);
@@ -40,6 +43,20 @@
   }
 
  private:
+  /// While not all can be started that has room, a job of which nothing has run for a while gets
+  /// one task before others get more, and after what is within a guarantee.
+  static void PutStandingJobsFirst(std::vector<const PendingStep*>& order) {
+    std::stable_partition(order.begin(), order.end(), [](const PendingStep* step) {
+      return step->is_guaranteed || IsStanding(*step);
+    });
+    std::stable_partition(order.begin(), order.end(),
+                          [](const PendingStep* step) { return step->is_guaranteed; });
+  }
+
+  static bool IsStanding(const PendingStep& step) {
+    return !step.job_has_runs && step.waited >= kMaxWaitBesideRoom;
+  }
+
   /// The steps that their quotas let start, for which minions are worth holding.
   std::vector<const PendingStep*> WithinQuota(const std::vector<const PendingStep*>& steps) const {
     std::vector<const PendingStep*> allowed;
@@ -64,8 +81,12 @@
 
   std::int64_t StartsAllowed(const PendingStep& pending) const {
     const StartAllowance& starts = m_snapshot.starts;
-    return pending.is_guaranteed ? starts.guaranteed_tasks - m_started
-                                 : std::min(starts.tasks - m_started, starts.tasks_per_step);
+    if (pending.is_guaranteed) {
+      return starts.guaranteed_tasks - m_started;
+    }
+    const std::int64_t per_step =
+        starts.is_limited() && IsStanding(pending) ? 1 : starts.tasks_per_step;
+    return std::min(starts.tasks - m_started, per_step);
   }
 
   void PlanAllowedTasks(const PendingStep& pending) {
