Http: Listen again after a full server has closed connections

Cause: a server that is full stops listening, and listens again in the run after the one that closed a connection. Nothing asked for that run, as no descriptor was ready. Change: once a full server closes a connection, it is run once more.

--- a/src/libraries/http/async_http_server.cc
+++ b/src/libraries/http/async_http_server.cc
@@ -160,14 +160,23 @@
     RequestTimeoutMonitor& monitor = daemon.m_timeout_monitor;
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
       monitor.OnConnectionClosed(connection);
+      daemon.ListenAgainIfFull();
       return;
     }
     monitor.OnConnectionOpened(connection, DescriptorOf(connection));
+    daemon.m_is_full = daemon.m_is_full || monitor.connections() >= daemon.m_limits.connections;
     if (IsNearLimit(monitor.connections(), daemon.m_limits.connections)) {
       daemon.m_budget.EndStalledBody(&daemon);
     }
   }
 
+  /// NOTE: a full daemon stops listening, and listens again in the run after the one that has
+  /// closed a connection. If nothing else happens there is no such run, and callers wait for ever.
+  void ListenAgainIfFull() {
+    m_needs_rerun = m_needs_rerun || m_is_full;
+    m_is_full = false;
+  }
+
   void CheckSlowRequests() {
     m_timeout_monitor.AbortLateRequests();
     m_budget.EndSlowBodies();
@@ -303,6 +312,8 @@
   bool m_is_closing = false;
   bool m_is_running = false;
   bool m_needs_rerun = false;
+  /// There were as many connections as are allowed, and none has been closed since.
+  bool m_is_full = false;
   MHD_Daemon* m_daemon = nullptr;
   std::uint16_t m_port = 0;
   int m_descriptor = -1;
