Http: Make room on an address that is full, not only on one that fills

What callers saw: with 4,000 connections that send 40 KB in one-byte chunks and stop short of the end, an ordinary request got no answer within 20 s while they stayed; 3,001 waited to be accepted, and no processor time was used. Cause: a stalled body was closed only when another connection was accepted. A crowd that comes within a second leaves none old enough, and a full server accepts none. Change: each second asks for room too, in both servers. Accepting then goes on by itself.

--- a/src/libraries/http/async_http_server.cc
+++ b/src/libraries/http/async_http_server.cc
@@ -180,6 +180,10 @@
   void CheckSlowRequests() {
     m_timeout_monitor.AbortLateRequests();
     m_budget.EndSlowBodies();
+    // A full daemon accepts none that could ask for room.
+    if (IsNearLimit(m_timeout_monitor.connections(), m_limits.connections)) {
+      m_budget.EndStalledBody(this);
+    }
     m_check_timer = m_loop.After(kCheckInterval, [this] { CheckSlowRequests(); });
   }
 
--- a/src/libraries/http/http_server.cc
+++ b/src/libraries/http/http_server.cc
@@ -144,7 +144,7 @@
       return absl::UnavailableError(fmt::format("can't listen on {}:{}", address, port));
     }
     BoundReceiveBuffers(m_daemon);
-    m_timeout_monitor.Start([this] { m_budget.EndSlowBodies(); });
+    m_timeout_monitor.Start([this] { EndHopelessBodies(); });
     m_port = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
     return absl::OkStatus();
   }
@@ -158,6 +158,14 @@
     }
   }
 
+  /// Also makes room for a connection: a full daemon accepts none that could ask for it.
+  void EndHopelessBodies() {
+    m_budget.EndSlowBodies();
+    if (IsNearLimit(m_timeout_monitor.connections(), m_limits.connections)) {
+      m_budget.EndStalledBody(this);
+    }
+  }
+
   void CloseAfterResponses() { m_is_closing = true; }
 
   std::uint16_t port() const { return m_port; }
