--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -143,9 +143,11 @@
     return;
   }
   m_is_plan_scheduled = true;
-  // Planning runs less often the longer it takes, so that the rest of the node keeps up.
+  // Planning runs less often the longer it takes, so that the rest of the node keeps up. It never
+  // takes more than half of the time.
   const Milliseconds delay =
-      std::clamp(m_last_plan_duration * kPlanDelayPerPlanDuration, kMinPlanDelay, kMaxPlanDelay);
+      std::clamp(m_last_plan_duration * kPlanDelayPerPlanDuration, kMinPlanDelay,
+                 std::max(kMaxPlanDelay, m_last_plan_duration));
   m_context.timers.After(delay, [weak = weak_from_this()] {
     const Self self = weak.lock();
     if (self != nullptr && !self->m_is_closed) {
@@ -157,7 +159,7 @@
 
 void LeaderSession::RunPlan() {
   const Milliseconds began_at = Now();
-  const PlanContents contents =
+  PlanContents contents =
       BuildPlanSnapshot(m_state, *m_context.view.manifest(),
                         PlanSettings{m_settings.max_heartbeat_age, m_settings.remote_factor},
                         m_context.timers.clock());
@@ -167,7 +169,9 @@
     m_last_pass_at = began_at;
     return;
   }
+  contents.snapshot.starts = UpdateStartWindow();
   Plan plan = PlanTasks(contents.snapshot);
+  RecordHeldBackStarts(plan.waits);
   RecordRackHolds(plan.waits, began_at);
   for (const PlannedStart& start : plan.starts) {
     ApplyStart(start);
@@ -183,6 +187,22 @@
                             static_cast<double>(m_last_plan_duration.count()));
 }
 
+StartAllowance LeaderSession::UpdateStartWindow() {
+  const std::int64_t out = m_state.CountStartsOut();
+  m_start_window.Update(out, m_context.timers.Lateness(), Now());
+  m_context.metrics.SetGauge("papayalift_starts_out", static_cast<double>(out));
+  m_context.metrics.SetGauge("papayalift_start_window", static_cast<double>(m_start_window.size()));
+  return m_start_window.AllowanceFor(out);
+}
+
+void LeaderSession::RecordHeldBackStarts(const std::vector<PlannedWait>& waits) {
+  std::int64_t held_back = 0;
+  for (const PlannedWait& wait : waits) {
+    held_back += wait.reason == WaitReason::kLeaderBehind ? wait.tasks : 0;
+  }
+  m_start_window.RecordHeldBack(held_back);
+}
+
 void LeaderSession::RecordRackHolds(const std::vector<PlannedWait>& waits, Milliseconds now) {
   for (const PlannedWait& wait : waits) {
     if (wait.reason != WaitReason::kRack) {
--- a/src/libraries/planner/task_planner.cc
+++ b/src/libraries/planner/task_planner.cc
@@ -30,8 +30,11 @@
         m_is_stopped(snapshot.victims.size(), false) {}
 
   Plan Run() {
-    const std::vector<const PendingStep*> order =
+    std::vector<const PendingStep*> order =
         OrderSteps(m_snapshot, FindWorkspacesOverShare(m_snapshot));
+    if (m_snapshot.starts.is_limited()) {
+      PutStandingJobsFirst(order);
+    }
     ReserveForGangs(WithinQuota(order), m_capacity);
     for (const PendingStep* const pending : order) {
       PlanStep(*pending);
@@ -40,6 +43,20 @@
   }
 
  private:
+  /// While not all can be started that has room, a job of which nothing has run for a while gets
+  /// one task before others get more, and after what is within a guarantee.
+  static void PutStandingJobsFirst(std::vector<const PendingStep*>& order) {
+    std::stable_partition(order.begin(), order.end(), [](const PendingStep* step) {
+      return step->is_guaranteed || IsStanding(*step);
+    });
+    std::stable_partition(order.begin(), order.end(),
+                          [](const PendingStep* step) { return step->is_guaranteed; });
+  }
+
+  static bool IsStanding(const PendingStep& step) {
+    return !step.job_has_runs && step.waited >= kMaxWaitBesideRoom;
+  }
+
   /// The steps that their quotas let start, for which minions are worth holding.
   std::vector<const PendingStep*> WithinQuota(const std::vector<const PendingStep*>& steps) const {
     std::vector<const PendingStep*> allowed;
@@ -48,7 +65,31 @@
     return allowed;
   }
 
+  /// Plans as many tasks of the step as may be started in this pass.
   void PlanStep(const PendingStep& pending) {
+    const std::int64_t waiting = static_cast<std::int64_t>(pending.task_indexes.size());
+    const std::int64_t allowed = StartsAllowed(pending);
+    if (allowed <= 0) {
+      Wait(pending, pending.task_indexes.size(), WaitReason::kLeaderBehind);
+    } else if (allowed < waiting && pending.spec.kind != WorkStepKind::kGang) {
+      PlanAllowedTasks(FirstTasks(pending, allowed));
+      Wait(pending, static_cast<std::size_t>(waiting - allowed), WaitReason::kLeaderBehind);
+    } else {
+      PlanAllowedTasks(pending);
+    }
+  }
+
+  std::int64_t StartsAllowed(const PendingStep& pending) const {
+    const StartAllowance& starts = m_snapshot.starts;
+    if (pending.is_guaranteed) {
+      return starts.guaranteed_tasks - m_started;
+    }
+    const std::int64_t per_step =
+        starts.is_limited() && IsStanding(pending) ? 1 : starts.tasks_per_step;
+    return std::min(starts.tasks - m_started, per_step);
+  }
+
+  void PlanAllowedTasks(const PendingStep& pending) {
     const std::int64_t waiting = static_cast<std::int64_t>(pending.task_indexes.size());
     const std::int64_t allowed = m_quotas.TasksAllowed(pending);
     if (allowed == waiting) {
@@ -334,6 +375,7 @@
     for (const PlannedPlacement& placement : found.placements) {
       m_capacity.Allocate(placement.minion, pending.spec.needs, pending.spec.estimate);
     }
+    m_started += static_cast<std::int64_t>(found.placements.size());
     m_quotas.Add(pending, static_cast<std::int64_t>(found.placements.size()));
     std::string reason = found.meets_rack_preference ? "capacity on preferred racks"
                                                      : "no capacity on the preferred rack";
@@ -350,6 +392,8 @@
   WorkspaceQuotas m_quotas;
   std::vector<bool> m_is_stopped;
   bool m_has_reserved_minion = false;
+  /// Tasks that this pass starts.
+  std::int64_t m_started = 0;
   /// The last job that was given capacity of each service.
   std::map<ServiceId, JobId> m_served;
   Plan m_plan;
