Leader: Say how the window grows where it is declared, and reset what it held back

Read as a newcomer: the comment of StartWindow told its first form; a call's time of adding was never used, as a call is begun before it is sent. A pass without pending steps left the count of held back tasks as it was, so each answered start planned again.

--- a/src/libraries/http/async_http_client.cc
+++ b/src/libraries/http/async_http_client.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <optional>
 #include <string_view>
 #include <unordered_set>
 #include <utility>
@@ -47,9 +46,8 @@
   std::string answer;
   bool sent = false;
   const EventLoop& loop;
-  Milliseconds added_at{0};
-  /// Empty until curl has been asked to begin the call.
-  std::optional<Milliseconds> begun_at{};
+  /// When curl was asked to begin the call.
+  Milliseconds begun_at{0};
   Milliseconds deadline{0};
   TimerId timer = 0;
 };
@@ -73,8 +71,8 @@
   }
   transfer.sent = true;
   // The host has not kept this call waiting for as long as the connection lay ready and unseen.
-  transfer.deadline = transfer.begun_at.value_or(transfer.added_at) +
-                      transfer.request.call.timeout + transfer.loop.UnheardFor();
+  transfer.deadline =
+      transfer.begun_at + transfer.request.call.timeout + transfer.loop.UnheardFor();
   return CURL_PREREQFUNC_OK;
 }
 
@@ -173,7 +171,7 @@
   void Send(AsyncHttpCall call, Callback callback) {
     Transfer* const transfer = new Transfer{std::move(call), std::move(callback), TakeHandle(),
                                             HeaderList(),    std::string(),       false,
-                                            m_loop,          m_loop.clock().Now()};
+                                            m_loop};
     transfer->headers = HeadersOf(transfer->request);
     Prepare(*transfer);
     m_running.insert(transfer);
--- a/src/libraries/leader/leader_session.cc
+++ b/src/libraries/leader/leader_session.cc
@@ -166,6 +166,7 @@
   if (contents.snapshot.pending_steps.empty()) {
     m_wait_monitor.Record(contents.waits_for_ends, contents.inputs, contents.snapshot.workspaces,
                           Now());
+    m_start_window.RecordHeldBack(0);
     m_last_pass_at = began_at;
     return;
   }
--- a/src/libraries/leader/start_window.h
+++ b/src/libraries/leader/start_window.h
@@ -10,8 +10,9 @@
 
 /// Each start costs a write, an order, reports and another write for its end. A leader that orders
 /// more than it can follow hears of ends late, renews leases late and starts urgent work late. So
-/// the window is halved while the leader is behind, and doubled while it is not and the window is
-/// in use.
+/// the window is halved while the leader is behind, and grows while it is not and tasks were held
+/// back: by doubling up to the size with which it last fell behind, and slowly beyond, since what a
+/// larger window brings shows only later.
 class StartWindow {
  public:
   /// `out` is the number of starts that no answer has confirmed yet, `lateness` how far the process
