--- a/src/libraries/leader/leader_session_watches.cc
+++ b/src/libraries/leader/leader_session_watches.cc
@@ -169,11 +169,10 @@
 
 void LeaderSession::RereadIfWatchesAreSilent() {
   // What this process has not handled yet, or asked for late, is not the watches' silence.
-  const Milliseconds silence = m_context.timers.HeardUntil() - m_state.registry_heard_at -
-                               m_context.timers.Lateness();
+  const Milliseconds silence =
+      m_context.timers.HeardUntil() - m_state.registry_heard_at - m_context.timers.Lateness();
   if (!m_state.has_heartbeats || m_is_registry_read_in_flight || Now() < m_next_reread_at ||
-      silence < kMaxWatchSilence ||
-      m_context.election.contact_age() >= kMaxWatchSilence) {
+      silence < kMaxWatchSilence || m_context.election.contact_age() >= kMaxWatchSilence) {
     return;
   }
   LogEvent(LogLevel::kWarning, "leader", "watches report no heartbeats; reading all again")
--- a/tests/leader/leader_election_test.cc
+++ b/tests/leader/leader_election_test.cc
@@ -156,8 +156,8 @@
   cr_assert(strong.election.is_leader());
 }
 
-// The term was left to whoever heard first that it was free: a weaker node, which was to be replaced
-// again 1.5 s later (issue 65).
+// The term was left to whoever heard first that it was free: a weaker node, which was to be
+// replaced again 1.5 s later (issue 65).
 Test(leader_election, node_that_ends_a_weaker_ones_term_takes_it_though_its_watch_is_silent) {
   VirtualTimers timers;
   FleetStore store(timers);
