Leader: Log what a start's answer says of the process that it met

The logs told neither by what a start's answer was taken for one of the process that had reported last, nor that process's clock beside the answer's, so that the hypotheses of the postmortem could not be told apart. One line for each answered start.

--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -137,6 +137,7 @@
     minion.clock_read_at = Now();
   }
   if (answer.result == OrderResult::kDone) {
+    LogStartAnswer(minion, *run, answer);
     RecordAnswer(minion);
     run->answered_at = Now();
     if (run->state == TrackedRunState::kOrdered) {
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -145,6 +145,9 @@
                         const std::string& detail);
   void LogFirstFailedCall(const TrackedMinion& minion, const char* call, OrderResult result,
                           const std::string& detail) const;
+  /// What a start's answer says of the process that it met.
+  void LogStartAnswer(const TrackedMinion& minion, const TrackedRun& run,
+                      const OrderAnswer& answer) const;
   void LogSilence(const TrackedMinion& minion, const std::string& detail) const;
   static void RecordAnswer(TrackedMinion& minion);
   TrackedRun* FindRun(const TaskName& task, const MinionId& minion, AttemptNumber attempt);
--- a/src/libraries/leader/run_supervisor_calls.cc
+++ b/src/libraries/leader/run_supervisor_calls.cc
@@ -86,6 +86,22 @@
   event.Write();
 }
 
+void RunSupervisor::LogStartAnswer(const TrackedMinion& minion, const TrackedRun& run,
+                                   const OrderAnswer& answer) const {
+  constexpr std::int64_t kNoClock = -1;
+  LogEvent(LogLevel::kInfo, "runs", "a start was answered")
+      .Job(run.task.job)
+      .Field("task", FormatTaskName(run.task))
+      .Field("attempt", run.attempt.value())
+      .Field("minion", minion.id.text())
+      .Field("incarnation", minion.incarnation.value())
+      .Field("process_shown", run.is_process_shown ? 1 : 0)
+      .Field("clock_ms", answer.clock.has_value() ? answer.clock->value() : kNoClock)
+      .Field("least_clock_ms", m_leases.MinClock(minion).value())
+      .Field("process_seen_ms", (Now() - minion.process_seen_at).count())
+      .Write();
+}
+
 void RunSupervisor::LogSilence(const TrackedMinion& minion, const std::string& detail) const {
   const LeaseExpiry expiry = m_leases.LatestExpiryOf(minion);
   LogEvent(LogLevel::kWarning, "runs", "minion does not answer")
