Tests: Let the clock of each simulated process begin at any figure

The users' pages say of a clock only that it is the process's own and starts anew; the users' minions begin at any figure, ours began at 0, so that no test could meet an answer whose clock is above the time since the last report but is one of a new process.

The fixture of run_supervisor_test rested on a clock at 0 as well: it now takes the clock from a report.

--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "libraries/base/hash.h"
+
 namespace papayalift {
 
 namespace {
@@ -18,6 +20,13 @@
 /// Clock rate of every second minion, relative to real time.
 constexpr double kSlowClockRate = 0.98;
 
+/// What the clock of a process shows as it starts: any figure, above or below the former process's.
+std::int64_t ClockAtStart(const MinionId& id, Milliseconds started_at) {
+  constexpr std::uint64_t kMaxClockAtStart = 10'000'000;
+  const std::string process = fmt::format("{} {}", id.text(), started_at.count());
+  return static_cast<std::int64_t>(Hash64(process) % kMaxClockAtStart);
+}
+
 std::string AddressOfMachine(std::size_t number) {
   constexpr std::size_t kHostsPerNetwork = 250;
   return fmt::format("10.0.{}.{}:80", number / kHostsPerNetwork, number % kHostsPerNetwork + 1);
@@ -100,7 +109,8 @@
 MinionTime FleetMinions::ClockOf(const Minion& minion) const {
   const double uptime = static_cast<double>((m_timers.clock().Now() - minion.started_at).count());
   const bool is_slow = minion.id.text().back() % 2 == 0;
-  return MinionTime(static_cast<std::int64_t>(uptime * (is_slow ? kSlowClockRate : 1)));
+  return MinionTime(ClockAtStart(minion.id, minion.started_at) +
+                    static_cast<std::int64_t>(uptime * (is_slow ? kSlowClockRate : 1)));
 }
 
 const StepSpec* FleetMinions::StepOf(const TaskName& task) const {
--- a/tests/leader/restarted_minion_test.cc
+++ b/tests/leader/restarted_minion_test.cc
@@ -11,11 +11,12 @@
 struct RestartCluster : TestCluster {
   RestartCluster() : TestCluster(1, 6) { Run(Milliseconds(12'000)); }
 
-  void SubmitJob() {
+  void SubmitJob() { SubmitTasks(id, 1, 8); }
+  void SubmitTasks(const JobId& job_id, int count, std::int64_t accelerators) {
     RegisteredJob job;
-    job.work.steps = {MakeStep(1, 8)};
+    job.work.steps = {MakeStep(count, accelerators)};
     job.duration = Milliseconds(20'000);
-    Submit(id, job);
+    Submit(job_id, job);
   }
   MinionId Holder() {
     cr_assert_eq(minions.RunningOn(id).size(), 1);
@@ -128,6 +129,36 @@
   }
 }
 
+// A report was awaited from the process that had crashed, and the new one's clock showed more than
+// the time since the last report (issue 68).
+Test(restarted_minion, that_takes_a_start_while_its_crash_is_not_heard_of_runs_no_task_twice) {
+  for (int second = 0; second < 12; ++second) {
+    RestartCluster cluster;
+    cluster.Run(Milliseconds(1'000 * second));
+    cluster.SubmitTasks(MakeJobId(2), 6, 5);
+    cluster.Run(Milliseconds(2'000));
+    for (int number = 0; number < 6; ++number) {
+      const MinionId minion("m" + std::to_string(number));
+      cluster.minions.SetCutOffFromStore(minion, true);
+      cluster.minions.Crash(
+          minion, MinionOutage{Milliseconds(600), MinionReturn::kSameId, OutageKind::kSilent});
+    }
+    cluster.Run(Milliseconds(600));
+    cluster.SubmitTasks(cluster.id, 1, 3);
+    while (cluster.minions.RunningOn(cluster.id).empty()) {
+      cluster.Run(Milliseconds(1));
+    }
+    cluster.Run(Milliseconds(150 * second));
+    cluster.CutOff(cluster.Holder(), Milliseconds(9'000));
+    for (int number = 0; number < 6; ++number) {
+      const MinionId minion("m" + std::to_string(number));
+      cluster.minions.SetCutOffFromStore(minion, false);
+      cluster.minions.SendHeartbeat(minion);
+    }
+    cluster.ExpectDoneWithoutViolations();
+  }
+}
+
 // What a minion that answers only holds for the lease that was named to it must not wait longer.
 Test(restarted_minion, that_is_gone_for_good_gives_its_task_up_within_the_longest_lease) {
   RestartCluster cluster;
--- a/tests/leader/run_supervisor_test.cc
+++ b/tests/leader/run_supervisor_test.cc
@@ -19,10 +19,16 @@
     TrackedMinion& minion = state.minions[id];
     minion.id = id;
     minion.has_reported = true;
-    minion.clock_read_at = timers.clock().Now();
+    port.Hold(MinionAddress{id, ""}, HoldOrder{}, [this, &minion](const HoldAnswer& answer) {
+      minion.incarnation = answer.report.incarnation;
+      minion.clock = answer.report.clock;
+      minion.clock_read_at = timers.clock().Now();
+    });
+    timers.Run(Milliseconds(10));
     run().task = task;
     run().attempt = AttemptNumber(1);
     run().minion = id;
+    run().incarnation = minion.incarnation;
     state.may_grant_leases = true;
     supervisor = std::make_shared<RunSupervisor>(
         timers, port, state, SupervisorSettings{}, [this] { return confirmed_at; },
