Leader: Take only a report or a connection as proof of an order's receiver

Cause: a start that was decided before the crash was heard of is carried out by the new process. Its answer was taken for one of the process that had reported last if its clock showed more than the time since that report, as "each process's clock starts at 0". The users' pages don't say so, and the users' processes begin at any figure. So nearly every answer passed, the run's lease was counted on the former process's clock (3.5 s), and the new process kept the run for 10 s. A report would have told, but the call that waited for one (2 s, and 0.9 s more) had gone to the former process.

Class: something that a process says of itself, or that stays the same over processes (id, address, clock, no 421), is taken for the identity of a process. Now only two things show it: a report, which names its process, and the connection. What was established before the latest report was asked for leads to the process that sent it, or to none that still runs. The HTTP client tells when the connection of each call was established. After a start over a later connection the next report is asked for at once, beside a call that waits if need be, so the doubt lasts for one exchange and a minion that is silent is given up as early as before.

The same cause elsewhere, mended with it: a refused start's clock was taken over as the known process's; ends were acknowledged while the process was in doubt; a later start's lease did not count for earlier runs on an unknown process; a second copy of a start, answered after a report had listed the first, counted as known; and the lease record of a leader with a start under way named the short lease.

The test cluster's connections end with their processes, and a call takes one that is idle or opens one. leader_session_test counted two calls for an end beside a run; the start before it goes over a new connection and so costs one more.

--- a/src/libraries/http/async_http_client.cc
+++ b/src/libraries/http/async_http_client.cc
@@ -1,14 +1,18 @@
 #include "libraries/http/async_http_client.h"
 
 #include <curl/curl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <optional>
 #include <string_view>
 #include <unordered_set>
 #include <utility>
 
 #include "libraries/base/hash.h"
+#include "libraries/http/connection_ages.h"
 
 namespace papayalift {
 
@@ -46,6 +50,10 @@
   std::string answer;
   bool sent = false;
   const EventLoop& loop;
+  ConnectionAges& connections;
+  /// The socket that curl has opened for the call, if it has.
+  std::optional<int> opened_socket = {};
+  std::optional<Milliseconds> connection_opened_at = {};
   /// When curl was asked to begin the call.
   Milliseconds begun_at{0};
   Milliseconds deadline{0};
@@ -63,19 +71,38 @@
 
 // NOTE: curl resends a request by itself when a kept connection breaks before the first byte of the
 // response. This callback prevents the second send.
-int BeforeSend(void* target, char* /*remote_ip*/, char* /*local_ip*/, int /*remote_port*/,
-               int /*local_port*/) {
+int BeforeSend(void* target, char* remote_ip, char* /*local_ip*/, int remote_port, int local_port) {
   Transfer& transfer = *static_cast<Transfer*>(target);
   if (transfer.sent || (transfer.request.call.may_send && !transfer.request.call.may_send())) {
     return CURL_PREREQFUNC_ABORT;
   }
   transfer.sent = true;
+  const ConnectionEnds ends{remote_ip, remote_port, local_port};
+  if (transfer.opened_socket.has_value()) {
+    transfer.connections.RecordOpened(*transfer.opened_socket, ends, transfer.loop.clock().Now());
+  }
+  transfer.connection_opened_at = transfer.connections.OpenedAt(ends);
   // The host has not kept this call waiting for as long as the connection lay ready and unseen.
   transfer.deadline =
       transfer.begun_at + transfer.request.call.timeout + transfer.loop.UnheardFor();
   return CURL_PREREQFUNC_OK;
 }
 
+curl_socket_t OpenSocket(void* target, curlsocktype /*purpose*/, struct curl_sockaddr* address) {
+  Transfer& transfer = *static_cast<Transfer*>(target);
+  const int opened = socket(address->family, address->socktype, address->protocol);
+  if (opened >= 0) {
+    transfer.opened_socket = opened;
+  }
+  return opened;
+}
+
+/// Connections outlive the calls that opened them.
+int CloseSocket(void* target, curl_socket_t closed) {
+  static_cast<ConnectionAges*>(target)->RecordClosed(closed);
+  return close(closed);
+}
+
 HeaderList HeadersOf(const AsyncHttpCall& request) {
   // NOTE: an empty Expect header keeps curl from waiting for "100 Continue" before a long body.
   curl_slist* list = curl_slist_append(nullptr, "Expect:");
@@ -103,6 +130,10 @@
   curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
   curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, BeforeSend);
   curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
+  curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, OpenSocket);
+  curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, &transfer);
+  curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, CloseSocket);
+  curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, &transfer.connections);
   curl_easy_setopt(handle, CURLOPT_PRIVATE, &transfer);
   const long idle_seconds = static_cast<long>(transfer.request.max_connection_idle.count());
   if (idle_seconds == 0) {
@@ -126,6 +157,7 @@
   curl_easy_getinfo(transfer.handle.get(), CURLINFO_NUM_CONNECTS, &new_connections);
   outcome.connection =
       transfer.sent && new_connections == 0 ? ConnectionOrigin::kKept : ConnectionOrigin::kNew;
+  outcome.connection_opened_at = transfer.connection_opened_at;
   if (code == CURLE_OK) {
     long status = 0;
     curl_easy_getinfo(transfer.handle.get(), CURLINFO_RESPONSE_CODE, &status);
@@ -171,7 +203,7 @@
   void Send(AsyncHttpCall call, Callback callback) {
     Transfer* const transfer = new Transfer{std::move(call), std::move(callback), TakeHandle(),
                                             HeaderList(),    std::string(),       false,
-                                            m_loop};
+                                            m_loop,          m_connections};
     transfer->headers = HeadersOf(transfer->request);
     Prepare(*transfer);
     m_running.insert(transfer);
@@ -300,6 +332,8 @@
 
   EventLoop& m_loop;
   const Urgency m_urgency;
+  /// NOTE: declared before the handles, whose last sockets curl closes with them.
+  ConnectionAges m_connections;
   CURLM* m_multi = nullptr;
   TimerId m_timer = 0;
   bool m_is_closing = false;
--- a/src/libraries/http/http_message.h
+++ b/src/libraries/http/http_message.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "libraries/base/units.h"
@@ -85,6 +86,9 @@
   std::string error;
   /// Only set by AsyncHttpClient.
   ConnectionOrigin connection = ConnectionOrigin::kNew;
+  /// When the connection that the request was sent over was established; empty if none was sent.
+  /// Only set by AsyncHttpClient.
+  std::optional<Milliseconds> connection_opened_at;
   /// The host refused the connection: no process listens there. Only set by AsyncHttpClient.
   bool is_connection_refused = false;
 };
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -55,11 +55,12 @@
   /// When the minion confirmed the run. Reports requested after this time must list it.
   std::optional<Milliseconds> answered_at;
   std::optional<Milliseconds> stop_answered_at;
-  /// The run is certainly on the process `incarnation`: a report of it has listed the run, or the
-  /// answer to its start has shown its clock.
+  /// No later process than the one that reported last can have received its starts.
   bool is_process_shown = false;
   /// Start orders whose outcome is not known yet.
   int starts_in_flight = 0;
+  /// When the outcome of a start was last known.
+  Milliseconds start_outcome_at{0};
   /// Until then a process that this leader does not know may hold a lease for the run; empty if
   /// only the known one can have received its starts.
   std::optional<Milliseconds> unknown_process_until;
@@ -231,13 +232,16 @@
   MinionIncarnation incarnation;
   /// A report was received in this term.
   bool has_reported = false;
+  /// Number of reports received in this term.
+  int reports = 0;
   MinionTime clock;
   /// When `clock` was read, on this process's clock.
   Milliseconds clock_read_at{0};
-  /// When the call was sent whose report last showed the process `incarnation`.
+  /// The process `incarnation` has certainly still run then: its latest report was asked for.
   Milliseconds process_seen_at{0};
-  /// An order was answered by a process that did not show that it is the one that reported last.
-  bool is_process_in_doubt = false;
+  /// When a start was last answered by a process that may be another than the one that reported
+  /// last; empty once a report that was asked for later has come.
+  std::optional<Milliseconds> in_doubt_since;
   /// The highest token of the orders sent to it in this term; 0 before the first.
   FencingToken token;
   /// Orders meant for a former process may still reach its process, and are to be barred by a
@@ -258,6 +262,8 @@
   std::set<EndNumber> unsaved_ends;
   EndNumber last_acknowledgement_sent;
   bool is_hold_in_flight = false;
+  /// A hold call beside the one that waits, to learn which process has taken a start.
+  bool is_look_in_flight = false;
   TimerId hold_timer = 0;
   /// Gives its runs up when its leases have expired.
   TimerId give_up_timer = 0;
--- a/src/libraries/leader/minion_leases.cc
+++ b/src/libraries/leader/minion_leases.cc
@@ -40,7 +40,7 @@
 bool MinionLeases::IsProcessKnown(const TrackedMinion& minion) const {
   const bool is_later_registered =
       minion.entry.has_value() && minion.entry->incarnation > minion.incarnation;
-  return !minion.is_process_in_doubt && !is_later_registered;
+  return !minion.in_doubt_since.has_value() && !is_later_registered;
 }
 
 std::optional<MinionTime> MinionLeases::NextLeaseOfHold(const TrackedMinion& minion,
@@ -81,35 +81,23 @@
   return token < minion.token;
 }
 
-void MinionLeases::RecordStartSent(TrackedRun& run) const { ++run.starts_in_flight; }
-
-void MinionLeases::RecordHold(TrackedMinion& minion) const {
-  for (auto& [task, run] : minion.runs) {
-    if (!run.is_process_shown && run.unknown_process_until.has_value()) {
-      AssumeUnknownProcess(run, Now() + kMaxOrderDelay);
-    }
-  }
+void MinionLeases::RecordStartSent(TrackedMinion& minion, TrackedRun& run) const {
+  ExtendUnknownProcesses(minion, Now() + kMaxOrderDelay);
+  ++run.starts_in_flight;
+  run.is_process_shown = false;
 }
 
-bool MinionLeases::ShowsKnownProcess(const TrackedMinion& minion, const OrderAnswer& answer) const {
-  // A later process has started after the last report was asked for, and no clock is fast.
-  return answer.clock.has_value() &&
-         answer.clock->value() > (Now() - minion.process_seen_at).count();
+void MinionLeases::RecordHold(TrackedMinion& minion) const {
+  ExtendUnknownProcesses(minion, Now() + kMaxOrderDelay);
 }
 
-bool MinionLeases::CheckReceiver(TrackedMinion& minion, const OrderAnswer& answer) const {
-  if (answer.result == OrderResult::kUnclear) {
-    return answer.is_connection_kept && !minion.is_process_in_doubt;
-  }
-  const bool shows_process = ShowsKnownProcess(minion, answer);
-  minion.is_process_in_doubt = minion.is_process_in_doubt || !shows_process;
-  return shows_process;
+bool MinionLeases::IsOnlyCopyShown(const TrackedRun& run) {
+  return run.is_process_shown && run.orders_sent == 1;
 }
 
-void MinionLeases::RecordStopAnswer(TrackedMinion& minion, const OrderAnswer& answer) const {
-  if (!IsNotReceived(answer.result)) {
-    CheckReceiver(minion, answer);
-  }
+bool MinionLeases::HasMetKnownProcess(const TrackedMinion& minion, const OrderAnswer& answer) {
+  return minion.has_reported && answer.connection_opened_at.has_value() &&
+         *answer.connection_opened_at <= minion.process_seen_at;
 }
 
 void MinionLeases::RecordStartAnswer(TrackedMinion& minion, TrackedRun* run,
@@ -117,6 +105,7 @@
                                      const OrderAnswer& answer) const {
   if (run != nullptr) {
     --run->starts_in_flight;
+    run->start_outcome_at = Now();
   }
   if (IsNotReceived(answer.result)) {
     return;
@@ -126,31 +115,59 @@
     const Milliseconds elapsed = Now() - minion.clock_read_at;
     AssumeForeignLease(minion, MinionTime(minion.clock.value() + elapsed.count()));
   }
-  const bool met_known_process = CheckReceiver(minion, answer);
-  const bool is_done = answer.result == OrderResult::kDone;
-  if (is_done && met_known_process && minion.is_barring_late_orders &&
+  const bool met_known_process = HasMetKnownProcess(minion, answer);
+  if (met_known_process && answer.clock.has_value()) {
+    RecordClock(minion, order, answer);
+  }
+  const bool is_answered = answer.result != OrderResult::kUnclear;
+  if (is_answered && !met_known_process) {
+    minion.in_doubt_since = Now();
+  }
+  if (run == nullptr || IsOnlyCopyShown(*run)) {
+    return;
+  }
+  if (met_known_process) {
+    run->is_process_shown = run->is_process_shown || answer.result == OrderResult::kDone;
+  } else if (!is_answered || answer.result == OrderResult::kDone) {
+    run->is_process_shown = false;
+    AssumeUnknownProcess(*run, is_answered ? Now() : Now() + kMaxOrderDelay);
+  }
+}
+
+void MinionLeases::RecordClock(TrackedMinion& minion, const StartOrder& order,
+                               const OrderAnswer& answer) const {
+  if (answer.result == OrderResult::kDone && minion.is_barring_late_orders &&
       order.token == minion.token) {
     minion.is_barring_late_orders = false;
     AssumeForeignLease(minion, *answer.clock);
   }
-  if (run == nullptr || run->is_process_shown) {
-    return;
-  }
-  if (is_done && met_known_process) {
-    run->is_process_shown = true;
-  } else if (is_done) {
-    AssumeUnknownProcess(*run, Now());
-  } else if (answer.result == OrderResult::kUnclear && !met_known_process) {
-    AssumeUnknownProcess(*run, Now() + kMaxOrderDelay);
+  if (answer.result == OrderResult::kLeaseExpired && *answer.clock > MinClock(minion)) {
+    // The next start is to be based on what the minion has just said.
+    minion.clock = *answer.clock;
+    minion.clock_read_at = Now();
   }
 }
 
-void MinionLeases::RecordReport(TrackedMinion& minion, Milliseconds sent_at, FencingToken token,
+bool MinionLeases::IsOutdated(const TrackedMinion& minion, int reports_before,
+                              const HoldReport& report) {
+  return minion.reports > reports_before &&
+         (report.incarnation != minion.incarnation || report.clock < minion.clock);
+}
+
+void MinionLeases::RecordReport(TrackedMinion& minion, Milliseconds asked_at, FencingToken token,
                                 const HoldReport& report, bool is_new_process) const {
   minion.clock = report.clock;
   minion.clock_read_at = Now();
-  minion.process_seen_at = sent_at;
-  minion.is_process_in_doubt = false;
+  minion.process_seen_at = asked_at;
+  if (minion.in_doubt_since.has_value() && asked_at >= *minion.in_doubt_since) {
+    minion.in_doubt_since.reset();
+  }
+  for (auto& [task, run] : minion.runs) {
+    if (run.orders_sent > 0 && run.starts_in_flight == 0 && run.start_outcome_at <= asked_at) {
+      run.is_process_shown = true;
+      run.unknown_process_until.reset();
+    }
+  }
   const bool has_barred_late_orders = minion.is_barring_late_orders && token == minion.token;
   if (has_barred_late_orders) {
     minion.is_barring_late_orders = false;
@@ -170,6 +187,15 @@
   run.unknown_process_until = std::max(run.unknown_process_until.value_or(until), until);
 }
 
+void MinionLeases::ExtendUnknownProcesses(TrackedMinion& minion,
+                                          Milliseconds carried_out_by) const {
+  for (auto& [task, run] : minion.runs) {
+    if (!run.is_process_shown && run.unknown_process_until.has_value()) {
+      AssumeUnknownProcess(run, carried_out_by);
+    }
+  }
+}
+
 LeaseExpiry MinionLeases::ExpiryOf(const TrackedMinion& minion, const TrackedRun& run) const {
   LeaseExpiry expiry{m_former_leases_end(minion.id), LeaseOrigin::kFormerLeader};
   const auto extend = [&expiry](Milliseconds at, LeaseOrigin origin) {
@@ -190,13 +216,16 @@
   if (!run.is_process_shown && run.unknown_process_until.has_value()) {
     extend(*run.unknown_process_until, LeaseOrigin::kUnknownProcess);
   }
+  if (run.starts_in_flight > 0 && !IsOnlyCopyShown(run)) {
+    extend(Now() + kMaxOrderDelay + LongestRealTime(m_settings.longest_lease),
+           LeaseOrigin::kUnknownProcess);
+  }
   return expiry;
 }
 
 bool MinionLeases::HaveExpired(const TrackedMinion& minion, const TrackedRun& run) const {
-  const bool is_start_open = !run.is_process_shown && run.starts_in_flight > 0;
   // What arrived since the expiry may still tell of the run's end.
-  return !is_start_open && m_timers.HeardUntil() > ExpiryOf(minion, run).at;
+  return m_timers.HeardUntil() > ExpiryOf(minion, run).at;
 }
 
 LeaseExpiry MinionLeases::LatestExpiryOf(const TrackedMinion& minion) const {
--- a/src/libraries/leader/minion_leases.h
+++ b/src/libraries/leader/minion_leases.h
@@ -31,11 +31,13 @@
 
 /// Leases are named as times on the clock of a minion's process, and each process has a clock of
 /// its own that starts anew. So it counts which process an order has met:
-/// - A run that a report lists is on the process that reports. An answer that shows a clock beyond
-///   what a later process can show comes from the process that reported last, and so does whatever
-///   is sent over a connection that had such answers.
+/// - Only reports name their process. A run that a report lists is on the process that reports.
+/// - A process that reports has received all orders that were answered or failed before the report
+///   was asked for, unless an earlier process has. So has it whatever is sent over a connection
+///   that was established before that, since no connection outlives its process.
 /// - Any other start may have been taken by a process that this leader does not know, which may
-///   have granted it the longest lease.
+///   have granted it the longest lease. Ids, addresses and clocks show no process: each process's
+///   clock begins at any figure.
 /// - Orders meant for a former process are barred by the first order with a token above theirs. The
 ///   first start on a new process has one.
 class MinionLeases {
@@ -68,39 +70,45 @@
   MinionTime MinClock(const TrackedMinion& minion) const;
 
   // What happens to orders and reports, in the order of the events.
-  void RecordStartSent(TrackedRun& run) const;
+  void RecordStartSent(TrackedMinion& minion, TrackedRun& run) const;
   /// A hold that names a lease was sent, or its answer has not come.
   void RecordHold(TrackedMinion& minion) const;
   /// `meant_for` is the process to which the start was sent. `run` is null if it was resolved
   /// before.
   void RecordStartAnswer(TrackedMinion& minion, TrackedRun* run, const StartOrder& order,
                          MinionIncarnation meant_for, const OrderAnswer& answer) const;
-  void RecordStopAnswer(TrackedMinion& minion, const OrderAnswer& answer) const;
-  /// A report of the minion was received. `is_new_process` if its process has not reported in this
-  /// term.
-  void RecordReport(TrackedMinion& minion, Milliseconds sent_at, FencingToken token,
+  /// Whether a report may be older than one that was received before it. `reports_before`: how many
+  /// had been received when it was asked for.
+  static bool IsOutdated(const TrackedMinion& minion, int reports_before, const HoldReport& report);
+  /// A report of the minion was received. `asked_at`: a time at which its process has certainly
+  /// run. `is_new_process` if its process has not reported in this term.
+  void RecordReport(TrackedMinion& minion, Milliseconds asked_at, FencingToken token,
                     const HoldReport& report, bool is_new_process) const;
 
-  /// When all leases of the run have certainly expired, if its minion does not answer until then.
+  /// When all leases of the run have certainly expired, if its minion does not answer until then. A
+  /// start of the run that is under way may still reach a process that this leader does not know.
   LeaseExpiry ExpiryOf(const TrackedMinion& minion, const TrackedRun& run) const;
-  /// Whether they have expired by now. While a start of the run is under way, which may still reach
-  /// a process that this leader does not know, they have not.
+  /// Whether they have expired by now.
   bool HaveExpired(const TrackedMinion& minion, const TrackedRun& run) const;
   /// Of that run of the minion for which it is the latest.
   LeaseExpiry LatestExpiryOf(const TrackedMinion& minion) const;
 
  private:
   bool IsProcessKnown(const TrackedMinion& minion) const;
-  /// Whether the answer can only come from the process that reported last.
-  bool ShowsKnownProcess(const TrackedMinion& minion, const OrderAnswer& answer) const;
-  /// Notes whether the answer, if it is one of a process, shows the known one. Returns whether no
-  /// other can have received the order.
-  bool CheckReceiver(TrackedMinion& minion, const OrderAnswer& answer) const;
+  /// Whether a report has listed the run, and only one start of it was sent.
+  static bool IsOnlyCopyShown(const TrackedRun& run);
+  /// Whether no later process than the one that reported last can have received the order.
+  static bool HasMetKnownProcess(const TrackedMinion& minion, const OrderAnswer& answer);
+  /// Takes what the answer of the known process tells of its clock.
+  void RecordClock(TrackedMinion& minion, const StartOrder& order, const OrderAnswer& answer) const;
   /// Notes that orders that this leader did not mean for the minion's process may have been carried
   /// out by it until `clock`.
   void AssumeForeignLease(TrackedMinion& minion, MinionTime clock) const;
-  /// Another process may have carried out the run's start, or a hold after it, until then.
+  /// Another process may have carried out the run's start, or a later order that names a lease,
+  /// until then.
   void AssumeUnknownProcess(TrackedRun& run, Milliseconds carried_out_by) const;
+  /// The same for all runs of the minion of which it is not known which process has them.
+  void ExtendUnknownProcesses(TrackedMinion& minion, Milliseconds carried_out_by) const;
   Milliseconds Now() const { return m_timers.clock().Now(); }
 
   Timers& m_timers;
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -81,7 +81,7 @@
     minion.last_started_task = task;
   }
   ++run.orders_sent;
-  m_leases.RecordStartSent(run);
+  m_leases.RecordStartSent(minion, run);
   const StartOrder order{task, attempt, payload, *lease, m_leases.NextToken(minion), checkpoint};
   m_minions.Start(minion.destination(), order,
                   [weak = weak_from_this(), order, minion_id,
@@ -130,12 +130,6 @@
   if (run == nullptr) {
     return;
   }
-  if (answer.result == OrderResult::kLeaseExpired && answer.clock.has_value() &&
-      *answer.clock > m_leases.MinClock(minion)) {
-    // The next start is to be based on what the minion has just said.
-    minion.clock = *answer.clock;
-    minion.clock_read_at = Now();
-  }
   if (answer.result == OrderResult::kDone) {
     LogStartAnswer(minion, *run, answer);
     RecordAnswer(minion);
@@ -238,7 +232,6 @@
 void RunSupervisor::OnStopAnswer(const StopOrder& order, const MinionId& minion_id,
                                  const OrderAnswer& answer) {
   TrackedMinion& minion = *m_state.FindMinion(minion_id);
-  m_leases.RecordStopAnswer(minion, answer);
   if (answer.result == OrderResult::kFenced && StepDownIfSuperseded(minion, order.token)) {
     return;
   }
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -75,8 +75,8 @@
   /// Stops the run, also if the outcome of its start is not known yet.
   void Stop(TrackedRun& run, const std::string& reason);
 
-  /// Sends a hold call, which renews the lease, acknowledges ends and requests a report; does
-  /// nothing if one is in flight.
+  /// Sends a hold call, which renews the lease, acknowledges ends and requests a report. If one is
+  /// in flight, sends another only if it is in doubt which process has taken a start.
   void RequestHold(TrackedMinion& minion);
 
   /// Minions with runs at the beginning of the term that have not reported in it yet.
@@ -104,6 +104,8 @@
     Milliseconds at{0};
     FencingToken token;
     bool names_lease = false;
+    /// How many reports had been received by then.
+    int reports_before = 0;
   };
 
   void SendStart(const TaskName& task, const MinionId& minion, AttemptNumber attempt,
@@ -117,6 +119,9 @@
   void OnStopAnswer(const StopOrder& order, const MinionId& minion, const OrderAnswer& answer);
   void SendStopLater(const TaskName& task, const MinionId& minion, AttemptNumber attempt);
   void SendHold(TrackedMinion& minion);
+  /// Requests a report at once, beside a hold call that waits.
+  void SendLook(TrackedMinion& minion);
+  void OnLookAnswer(const MinionId& id, const SentHold& sent, const HoldAnswer& answer);
   void RequestHoldLater(TrackedMinion& minion, Milliseconds delay);
   void RequestNextFirstReports();
   void OnHoldAnswer(const MinionId& id, const SentHold& sent, const HoldAnswer& answer);
@@ -125,7 +130,10 @@
   /// A minion has refused an order with the token. Steps down if another leader has given it a
   /// higher one; returns false if it was this leader.
   bool StepDownIfSuperseded(const TrackedMinion& minion, FencingToken token) const;
-  void ProcessReport(TrackedMinion& minion, const SentHold& sent, const HoldReport& report);
+  void OnReport(TrackedMinion& minion, const SentHold& sent, const HoldAnswer& answer);
+  /// `asked_at`: a time at which the process that sent the report has certainly run.
+  void ProcessReport(TrackedMinion& minion, Milliseconds asked_at, const SentHold& sent,
+                     const HoldReport& report);
   void UpdateIncarnation(TrackedMinion& minion, MinionIncarnation incarnation);
   void ProcessEndedRuns(const MinionId& id, const HoldReport& report);
   void ProcessActiveRuns(TrackedMinion& minion, const HoldReport& report);
--- a/src/libraries/leader/run_supervisor_calls.cc
+++ b/src/libraries/leader/run_supervisor_calls.cc
@@ -88,7 +88,7 @@
 
 void RunSupervisor::LogStartAnswer(const TrackedMinion& minion, const TrackedRun& run,
                                    const OrderAnswer& answer) const {
-  constexpr std::int64_t kNoClock = -1;
+  constexpr std::int64_t kUnknown = -1;
   LogEvent(LogLevel::kInfo, "runs", "a start was answered")
       .Job(run.task.job)
       .Field("task", FormatTaskName(run.task))
@@ -96,7 +96,10 @@
       .Field("minion", minion.id.text())
       .Field("incarnation", minion.incarnation.value())
       .Field("process_shown", run.is_process_shown ? 1 : 0)
-      .Field("clock_ms", answer.clock.has_value() ? answer.clock->value() : kNoClock)
+      .Field("connection_ms", answer.connection_opened_at.has_value()
+                                  ? (Now() - *answer.connection_opened_at).count()
+                                  : kUnknown)
+      .Field("clock_ms", answer.clock.has_value() ? answer.clock->value() : kUnknown)
       .Field("least_clock_ms", m_leases.MinClock(minion).value())
       .Field("process_seen_ms", (Now() - minion.process_seen_at).count())
       .Write();
--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -39,7 +39,13 @@
 }
 
 void RunSupervisor::RequestHold(TrackedMinion& minion) {
-  if (minion.is_hold_in_flight || m_is_closed) {
+  if (m_is_closed) {
+    return;
+  }
+  if (minion.is_hold_in_flight) {
+    if (minion.in_doubt_since.has_value() && !minion.is_look_in_flight) {
+      SendLook(minion);
+    }
     return;
   }
   m_timers.Cancel(minion.hold_timer);
@@ -109,7 +115,7 @@
   // one would delete ends that were never reported. Ends are therefore only acknowledged if no
   // earlier call is unanswered, and by a call that does not wait: a minion that started anew in the
   // meantime has no ends when the call arrives, but may have some when a wait is over.
-  const bool acknowledges = minion.is_incarnation_confirmed &&
+  const bool acknowledges = minion.is_incarnation_confirmed && !minion.in_doubt_since.has_value() &&
                             minion.acknowledgeable_end() > minion.last_acknowledgement_sent;
   const bool waits = lease.has_value() && !minion.runs.empty() && minion.unsaved_ends.empty() &&
                      minion.unanswered_calls == 0 && !acknowledges && !HasUnconfirmedStop(minion);
@@ -127,8 +133,8 @@
   minion.is_hold_in_flight = true;
   m_minions.Hold(minion.destination(), order,
                  [weak = weak_from_this(), id = minion.id,
-                  sent = SentHold{Now(), order.token, order.lease_until.has_value()}](
-                     const HoldAnswer& answer) {
+                  sent = SentHold{Now(), order.token, order.lease_until.has_value(),
+                                  minion.reports}](const HoldAnswer& answer) {
                    const Self self = weak.lock();
                    if (self != nullptr && !self->m_is_closed) {
                      self->OnHoldAnswer(id, sent, answer);
@@ -157,23 +163,11 @@
     RecordOutcome(id);
     return;
   }
-  if (minion.unanswered_calls > 1) {
-    LogEvent(LogLevel::kInfo, "runs", "minion answers again")
-        .Field("minion", id.text())
-        .Field("silent_calls", minion.unanswered_calls)
-        .Write();
-  }
-  RecordAnswer(minion);
-  minion.is_incarnation_confirmed = true;
-  minion.last_report_at = Now();
-  ProcessReport(minion, sent, answer.report);
+  OnReport(minion, sent, answer);
   if (m_is_closed) {
     return;
   }
   RecordOutcome(id);
-  if (m_state.listed_as_silent.contains(id)) {
-    m_callbacks.on_heard(id);
-  }
   if (!minion.unsaved_ends.empty()) {
     // Acknowledge() requests the next hold earlier, once the ends are stored.
     RequestHoldLater(minion, kUnsavedEndsDelay);
@@ -187,6 +181,69 @@
   }
 }
 
+void RunSupervisor::OnReport(TrackedMinion& minion, const SentHold& sent,
+                             const HoldAnswer& answer) {
+  if (minion.unanswered_calls > 1) {
+    LogEvent(LogLevel::kInfo, "runs", "minion answers again")
+        .Field("minion", minion.id.text())
+        .Field("silent_calls", minion.unanswered_calls)
+        .Write();
+  }
+  RecordAnswer(minion);
+  if (MinionLeases::IsOutdated(minion, sent.reports_before, answer.report)) {
+    LogEvent(LogLevel::kInfo, "runs",
+             "a report is left out, as a later one may have come before it")
+        .Field("minion", minion.id.text())
+        .Field("incarnation", answer.report.incarnation.value())
+        .Field("known_incarnation", minion.incarnation.value())
+        .Field("age_ms", (Now() - sent.at).count())
+        .Write();
+    return;
+  }
+  minion.is_incarnation_confirmed = true;
+  minion.last_report_at = Now();
+  ++minion.reports;
+  // NOTE: a connection is only established with a process that runs.
+  const Milliseconds asked_at = std::max(sent.at, answer.connection_opened_at.value_or(sent.at));
+  const MinionId id = minion.id;
+  ProcessReport(minion, asked_at, sent, answer.report);
+  if (!m_is_closed && m_state.listed_as_silent.contains(id)) {
+    m_callbacks.on_heard(id);
+  }
+}
+
+void RunSupervisor::SendLook(TrackedMinion& minion) {
+  minion.is_look_in_flight = true;
+  const HoldOrder order{m_leases.NextToken(minion), std::nullopt, EndNumber(0), Milliseconds(0)};
+  m_minions.Hold(
+      minion.destination(), order,
+      [weak = weak_from_this(), id = minion.id,
+       sent = SentHold{Now(), order.token, false, minion.reports}](const HoldAnswer& answer) {
+        const Self self = weak.lock();
+        if (self != nullptr && !self->m_is_closed) {
+          self->OnLookAnswer(id, sent, answer);
+        }
+      });
+}
+
+void RunSupervisor::OnLookAnswer(const MinionId& id, const SentHold& sent,
+                                 const HoldAnswer& answer) {
+  TrackedMinion& minion = *m_state.FindMinion(id);
+  minion.is_look_in_flight = false;
+  if (answer.result == OrderResult::kFenced) {
+    StepDownIfSuperseded(minion, sent.token);
+    return;
+  }
+  if (answer.result != OrderResult::kDone) {
+    RecordFailedCall(minion, "hold", answer.result, answer.detail);
+    return;
+  }
+  OnReport(minion, sent, answer);
+  if (!m_is_closed && minion.in_doubt_since.has_value()) {
+    RequestHold(minion);
+  }
+}
+
 void RunSupervisor::RecordOutcome(const MinionId& id) {
   if (m_awaited_outcomes.erase(id) > 0 && m_awaited_outcomes.empty()) {
     m_callbacks.on_all_asked();
--- a/src/libraries/leader/run_supervisor_reports.cc
+++ b/src/libraries/leader/run_supervisor_reports.cc
@@ -21,14 +21,14 @@
 
 }  // namespace
 
-void RunSupervisor::ProcessReport(TrackedMinion& minion, const SentHold& sent,
-                                  const HoldReport& report) {
+void RunSupervisor::ProcessReport(TrackedMinion& minion, Milliseconds asked_at,
+                                  const SentHold& sent, const HoldReport& report) {
   const MinionId id = minion.id;
   const bool is_first_contact = !minion.has_reported;
   const bool is_first_report = is_first_contact || minion.incarnation != report.incarnation;
   UpdateIncarnation(minion, report.incarnation);
   minion.has_reported = true;
-  m_leases.RecordReport(minion, sent.at, sent.token, report,
+  m_leases.RecordReport(minion, asked_at, sent.token, report,
                         is_first_report && !(is_first_contact && m_state.is_first_leader));
   ProcessEndedRuns(id, report);
   if (m_is_closed) {
--- a/src/libraries/work/run_messages.h
+++ b/src/libraries/work/run_messages.h
@@ -106,9 +106,8 @@
   /// The minion's clock when it answered; empty if the answer did not contain it.
   std::optional<MinionTime> clock;
   std::string detail;
-  /// An earlier call had been answered over the connection, so no other process than the one that
-  /// answered it can have received the order.
-  bool is_connection_kept = false;
+  /// When the connection that the order was sent over was established; empty if that is not known.
+  std::optional<Milliseconds> connection_opened_at = std::nullopt;
 };
 
 struct ActiveRun {
@@ -152,6 +151,8 @@
   OrderResult result = OrderResult::kUnclear;
   HoldReport report;
   std::string detail;
+  /// As in OrderAnswer.
+  std::optional<Milliseconds> connection_opened_at;
 };
 
 }  // namespace papayalift
--- a/src/stand_ins/fleet/fleet_minions.cc
+++ b/src/stand_ins/fleet/fleet_minions.cc
@@ -142,10 +142,7 @@
                          const std::function<void(OrderAnswer)>& answer) {
   Minion& minion = m_minions.at(address.id);
   if (FailsCall(minion, address, kOrderTimeout, [answer](OrderResult result) {
-        // Callers keep connections, which no other process than the one that ended can read.
-        OrderAnswer gone{result, {}, "gone"};
-        gone.is_connection_kept = true;
-        answer(gone);
+        answer(OrderAnswer{result, {}, "gone"});
       })) {
     return;
   }
@@ -274,10 +271,7 @@
                         const std::function<void(OrderAnswer)>& answer) {
   Minion& minion = m_minions.at(address.id);
   if (FailsCall(minion, address, kOrderTimeout, [answer](OrderResult result) {
-        // Callers keep connections, which no other process than the one that ended can read.
-        OrderAnswer gone{result, {}, "gone"};
-        gone.is_connection_kept = true;
-        answer(gone);
+        answer(OrderAnswer{result, {}, "gone"});
       })) {
     return;
   }
--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -122,6 +122,9 @@
   bool Has(const MinionId& id) const { return m_minions.contains(id); }
   /// Whether the minion's process runs.
   bool IsUp(const MinionId& id) const;
+  /// When the process started with which a connection can be established now; nullopt if there is
+  /// none.
+  std::optional<Milliseconds> ListeningSince(const MinionId& id) const;
   /// Every reachable minion writes its entry again with other counters.
   void SendHeartbeats();
   void SendHeartbeat(const MinionId& id);
--- a/src/stand_ins/fleet/fleet_minions_crashes.cc
+++ b/src/stand_ins/fleet/fleet_minions_crashes.cc
@@ -23,6 +23,13 @@
   return found != m_minions.end() && !found->second.outage.has_value();
 }
 
+std::optional<Milliseconds> FleetMinions::ListeningSince(const MinionId& id) const {
+  const Minion& minion = m_minions.at(id);
+  const bool listens =
+      !minion.outage.has_value() && !minion.cut_off_from_callers.has_value() && minion.is_reachable;
+  return listens ? std::optional(minion.started_at) : std::nullopt;
+}
+
 MinionId FleetMinions::NewestOn(const MinionId& id) const {
   MinionId newest = id;
   while (m_minions.at(newest).successor.has_value()) {
--- a/tests/leader/fake_minion_port.cc
+++ b/tests/leader/fake_minion_port.cc
@@ -13,7 +13,7 @@
   ++m_starts;
   m_timers.After(kNetworkDelay,
                  [this, minion, order, guarded = Guard<OrderAnswer>(std::move(callback))] {
-                   m_minions.Start(minion, order, guarded);
+                   m_minions.Start(minion, order, Connect(minion.id, guarded));
                  });
 }
 
@@ -21,7 +21,7 @@
                           std::function<void(OrderAnswer)> callback) {
   m_timers.After(kNetworkDelay,
                  [this, minion, order, guarded = Guard<OrderAnswer>(std::move(callback))] {
-                   m_minions.Stop(minion, order, guarded);
+                   m_minions.Stop(minion, order, Connect(minion.id, guarded));
                  });
 }
 
@@ -37,7 +37,7 @@
     callback(answer);
   };
   m_timers.After(kNetworkDelay, [this, minion, order, guarded = Guard<HoldAnswer>(counted)] {
-    m_minions.Hold(minion, order, guarded);
+    m_minions.Hold(minion, order, Connect(minion.id, guarded));
   });
 }
 
--- a/tests/leader/fake_minion_port.h
+++ b/tests/leader/fake_minion_port.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "leader/fake_connections.h"
 #include "libraries/loop/timers.h"
 #include "libraries/work/minion_port.h"
 #include "stand_ins/fleet/fleet_minions.h"
@@ -43,6 +44,21 @@
   void Thaw();
 
  private:
+  /// Takes a connection for a call that arrives now. The result passes the answer on, and releases
+  /// the connection.
+  template <typename Answer>
+  std::function<void(Answer)> Connect(const MinionId& minion,
+                                      std::function<void(Answer)> callback) {
+    std::shared_ptr<FakeConnection> connection =
+        m_connections.Take(minion, m_minions.ListeningSince(minion), m_timers.clock().Now());
+    return [this, minion, connection = std::move(connection),
+            callback = std::move(callback)](Answer answer) {
+      m_connections.Release(minion, connection, answer.result != OrderResult::kUnclear);
+      answer.connection_opened_at = connection->opened_at;
+      callback(answer);
+    };
+  }
+
   template <typename Answer>
   std::function<void(Answer)> Guard(std::function<void(Answer)> callback) {
     return [this, callback = std::move(callback)](const Answer& answer) {
@@ -62,6 +78,7 @@
 
   Timers& m_timers;
   FleetMinions& m_minions;
+  FakeConnections m_connections;
   bool m_is_detached = false;
   bool m_is_frozen = false;
   std::vector<std::function<void()>> m_late_answers;
--- a/tests/leader/leader_session_test.cc
+++ b/tests/leader/leader_session_test.cc
@@ -385,9 +385,15 @@
   cluster.Submit(MakeJobId(2), MakeSingleStepJob(MakeStep(1, 1), Milliseconds(300)));
   cluster.Run(Milliseconds(1'500));
   cr_assert(cluster.StateOf(MakeJobId(2)) == WorkState::kDone);
-  // The waiting call that brings the end was sent before; after it one acknowledges, one waits.
-  cr_assert_eq(cluster.node(0).minions().holds() - before, 2);
+  // The start goes over a new connection, so that one call learns which process it has met. The
+  // waiting call that brings the end was sent before; after it one acknowledges, one waits.
+  cr_assert_eq(cluster.node(0).minions().holds() - before, 3);
   cr_assert_eq(cluster.node(0).minions().acknowledging_holds(), 1);
+  cluster.Submit(MakeJobId(3), MakeSingleStepJob(MakeStep(1, 1), Milliseconds(300)));
+  cluster.Run(Milliseconds(1'500));
+  cr_assert(cluster.StateOf(MakeJobId(3)) == WorkState::kDone);
+  cr_assert_eq(cluster.node(0).minions().holds() - before, 5);
+  cr_assert_eq(cluster.node(0).minions().acknowledging_holds(), 2);
   cr_assert_eq(cluster.node(0).minions().waiting_acknowledgements(), 0);
   AssertNoViolations(cluster);
 }
--- a/tests/leader/run_supervisor_test.cc
+++ b/tests/leader/run_supervisor_test.cc
@@ -23,6 +23,7 @@
       minion.incarnation = answer.report.incarnation;
       minion.clock = answer.report.clock;
       minion.clock_read_at = timers.clock().Now();
+      minion.process_seen_at = timers.clock().Now();
     });
     timers.Run(Milliseconds(10));
     run().task = task;
--- a/tests/loop/async_http_test.cc
+++ b/tests/loop/async_http_test.cc
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <functional>
+#include <optional>
 
 #include "libraries/base/boot_clock.h"
 #include "libraries/base/manual_clock.h"
@@ -177,6 +178,48 @@
   cr_assert(outcome.is_connection_refused);
 }
 
+// A start's receiver was taken from the clock in its answer (issue 68).
+Test(async_http, outcome_tells_when_its_connection_was_established) {
+  constexpr int kPauseMicroseconds = 20'000;
+  const AsyncHttpHandler handler = [](const HttpRequest&, const HttpResponder& respond) {
+    respond(HttpResponse{});
+  };
+  AsyncFixture fixture(handler);
+  const Milliseconds began_at = fixture.clock.Now();
+  const AsyncHttpCall call = fixture.Call(HttpMethod::kPost, "/");
+  const std::optional<Milliseconds> first = fixture.Send(call).connection_opened_at;
+  const Milliseconds ended_at = fixture.clock.Now();
+  cr_assert(first.has_value());
+  cr_expect(*first >= began_at && *first <= ended_at);
+  usleep(kPauseMicroseconds);
+  const HttpOutcome kept = fixture.Send(call);
+  cr_assert(kept.connection == ConnectionOrigin::kKept);
+  cr_expect(kept.connection_opened_at == first);
+
+  AsyncHttpCall fresh = call;
+  fresh.max_connection_idle = std::chrono::seconds(0);
+  cr_expect(fixture.Send(fresh).connection_opened_at > ended_at);
+
+  const std::uint16_t port = fixture.server->port();
+  fixture.server.reset();
+  fixture.server =
+      AsyncHttpServer::Create(*fixture.loop, "127.0.0.1", port, HttpServerLimits{}, handler)
+          .value();
+  usleep(kPauseMicroseconds);
+  const Milliseconds restarted_at = fixture.clock.Now();
+  const HttpOutcome after = fixture.Send(call);
+  cr_assert(after.result == HttpCallResult::kAnswered);
+  cr_expect(after.connection_opened_at >= restarted_at);
+}
+
+Test(async_http, call_without_a_connection_tells_none) {
+  AsyncFixture fixture([](const HttpRequest&, const HttpResponder&) {});
+  AsyncHttpCall call = fixture.Call(HttpMethod::kPost, "/");
+  // Nothing listens on the discard port.
+  call.call.url = "http://127.0.0.1:9/";
+  cr_expect(!fixture.Send(std::move(call)).connection_opened_at.has_value());
+}
+
 Test(async_http, late_response_to_disconnected_client_is_ignored) {
   HttpResponder kept;
   AsyncFixture fixture([&kept](const HttpRequest&, const HttpResponder& respond) {
