Leader: Call an idle minion that is not registered yet at intervals

A minion that starts anew and answers before its registration is heard of was called again without a pause: its process is not the registered one, so a report is wanted, and the call has no run to wait for. Clocks that begin at 0 hid it, as no start was refused as late.

Now such calls follow at the delay of a retry, 300 ms, unless ends are to be acknowledged. The new test of restarted_minion_test failed before.

--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -28,6 +28,11 @@
   });
 }
 
+/// Whether the minion has neither runs nor ends that can be acknowledged.
+bool HasNothingToRenew(const TrackedMinion& minion) {
+  return minion.runs.empty() && minion.acknowledgeable_end() <= minion.last_acknowledgement_sent;
+}
+
 }  // namespace
 
 bool RunSupervisor::NeedsHold(const TrackedMinion& minion) const {
@@ -176,6 +181,9 @@
     RequestHoldLater(minion, kRetryDelay);
   } else if (HasUnconfirmedStop(minion)) {
     RequestHoldLater(minion, kUnconfirmedStopDelay);
+  } else if (NeedsHold(minion) && HasNothingToRenew(minion)) {
+    // Its registration is not heard of yet, and the call does not wait.
+    RequestHoldLater(minion, kRetryDelay);
   } else if (NeedsHold(minion)) {
     RequestHold(minion);
   }
--- a/tests/leader/restarted_minion_test.cc
+++ b/tests/leader/restarted_minion_test.cc
@@ -159,6 +159,26 @@
   }
 }
 
+// Minions whose registration was not heard of yet were called again without a pause (issue 68).
+Test(restarted_minion, that_is_idle_and_not_registered_yet_is_called_at_intervals) {
+  constexpr std::int64_t kRetryDelayMs = 300;
+  constexpr std::int64_t kWatchedMs = 3'000;
+  RestartCluster cluster;
+  for (int number = 0; number < 6; ++number) {
+    const MinionId minion("m" + std::to_string(number));
+    cluster.minions.SetCutOffFromStore(minion, true);
+    cluster.minions.Restart(minion);
+  }
+  RegisteredJob job;
+  job.work.steps = {MakeStep(6, 8)};
+  job.duration = Milliseconds(100);
+  cluster.Submit(cluster.id, job);
+  cluster.Run(Milliseconds(2'000));
+  const int before = cluster.node(0).minions().holds();
+  cluster.Run(Milliseconds(kWatchedMs));
+  cr_expect_leq(cluster.node(0).minions().holds() - before, 6 * (kWatchedMs / kRetryDelayMs + 1));
+}
+
 // What a minion that answers only holds for the lease that was named to it must not wait longer.
 Test(restarted_minion, that_is_gone_for_good_gives_its_task_up_within_the_longest_lease) {
   RestartCluster cluster;
