Leader: List no silent minion while a start to it is under way

Such a minion is now listed with the next failed call after the start's outcome; until then the next leader waits for it as for any that is not listed, 10.4 s from the end of the term.

--- a/src/libraries/leader/minion_leases.cc
+++ b/src/libraries/leader/minion_leases.cc
@@ -216,16 +216,21 @@
   if (!run.is_process_shown && run.unknown_process_until.has_value()) {
     extend(*run.unknown_process_until, LeaseOrigin::kUnknownProcess);
   }
-  if (run.starts_in_flight > 0 && !IsOnlyCopyShown(run)) {
-    extend(Now() + kMaxOrderDelay + LongestRealTime(m_settings.longest_lease),
-           LeaseOrigin::kUnknownProcess);
-  }
   return expiry;
 }
 
+bool MinionLeases::HasOpenStart(const TrackedRun& run) {
+  return run.starts_in_flight > 0 && !IsOnlyCopyShown(run);
+}
+
 bool MinionLeases::HaveExpired(const TrackedMinion& minion, const TrackedRun& run) const {
   // What arrived since the expiry may still tell of the run's end.
-  return m_timers.HeardUntil() > ExpiryOf(minion, run).at;
+  return !HasOpenStart(run) && m_timers.HeardUntil() > ExpiryOf(minion, run).at;
+}
+
+bool MinionLeases::IsBounded(const TrackedMinion& minion) {
+  return std::none_of(minion.runs.begin(), minion.runs.end(),
+                      [](const auto& entry) { return HasOpenStart(entry.second); });
 }
 
 LeaseExpiry MinionLeases::LatestExpiryOf(const TrackedMinion& minion) const {
--- a/src/libraries/leader/minion_leases.h
+++ b/src/libraries/leader/minion_leases.h
@@ -85,11 +85,14 @@
   void RecordReport(TrackedMinion& minion, Milliseconds asked_at, FencingToken token,
                     const HoldReport& report, bool is_new_process) const;
 
-  /// When all leases of the run have certainly expired, if its minion does not answer until then. A
-  /// start of the run that is under way may still reach a process that this leader does not know.
+  /// When all leases of the run have certainly expired, if its minion does not answer until then.
+  /// Starts that are under way are not counted.
   LeaseExpiry ExpiryOf(const TrackedMinion& minion, const TrackedRun& run) const;
-  /// Whether they have expired by now.
+  /// Whether they have expired by now. While a start of the run is under way, which may still reach
+  /// a process that this leader does not know, they have not.
   bool HaveExpired(const TrackedMinion& minion, const TrackedRun& run) const;
+  /// Whether it is known when the leases of its runs expire: no start is under way.
+  static bool IsBounded(const TrackedMinion& minion);
   /// Of that run of the minion for which it is the latest.
   LeaseExpiry LatestExpiryOf(const TrackedMinion& minion) const;
 
@@ -97,6 +100,8 @@
   bool IsProcessKnown(const TrackedMinion& minion) const;
   /// Whether a report has listed the run, and only one start of it was sent.
   static bool IsOnlyCopyShown(const TrackedRun& run);
+  /// Whether a start of the run is under way that may reach another process than the known one.
+  static bool HasOpenStart(const TrackedRun& run);
   /// Whether no later process than the one that reported last can have received the order.
   static bool HasMetKnownProcess(const TrackedMinion& minion, const OrderAnswer& answer);
   /// Takes what the answer of the known process tells of its clock.
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -272,7 +272,8 @@
 
 std::optional<Milliseconds> RunSupervisor::LeasesLeft(const MinionId& id) const {
   const TrackedMinion* const minion = m_state.FindMinion(id);
-  if (minion == nullptr || minion->runs.empty() || minion->answers()) {
+  if (minion == nullptr || minion->runs.empty() || minion->answers() ||
+      !MinionLeases::IsBounded(*minion)) {
     return std::nullopt;
   }
   return std::max(Milliseconds(0), m_leases.LatestExpiryOf(*minion).at - Now());
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -91,7 +91,7 @@
   void GiveUpLostRuns();
 
   /// Within which time all leases of the minion have expired; nullopt if it has answered the last
-  /// call or has no runs.
+  /// call, has no runs, or a start is under way to it. The outcome of that is followed by on_silent.
   std::optional<Milliseconds> LeasesLeft(const MinionId& id) const;
 
   void Close() { m_is_closed = true; }
