Leader: Count late orders to a new process until they are barred

The late order names a time on the former process's clock, so the new one grants the longest lease from when it carries it out, and the leader gave all its runs up 10 s after the new process's first report.

Cause: "late orders are barred" was taken as done with the decision to bar them. The first order with a higher token went out with the next hold, and the hold that waited, sent to the former process, took up to 2.9 s to fail.

Now a report that shows a new process beside a waiting hold ends that hold: the next goes out at once and bars late orders. Until that is shown to have come, the lease counts as for an order that is carried out 12 s after the first report. And when a waiting hold's report comes after a later one, the process is not taken as last seen at the earlier time.

--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -249,6 +249,8 @@
   bool needs_higher_token = false;
   /// An order with such a token was sent, and nothing shows yet that it was received.
   bool is_barring_late_orders = false;
+  /// When its process first reported, if another had reported in this term before.
+  Milliseconds new_process_at{0};
   /// The latest lease end that an order of this term has named.
   std::optional<MinionTime> lease_until;
   /// The latest lease end that its process may have been granted by orders meant for a former
@@ -262,6 +264,8 @@
   std::set<EndNumber> unsaved_ends;
   EndNumber last_acknowledgement_sent;
   bool is_hold_in_flight = false;
+  /// Of the latest hold. The answers to earlier ones are ignored.
+  int hold_number = 0;
   /// A hold call beside the one that waits, to learn which process has taken a start.
   bool is_look_in_flight = false;
   TimerId hold_timer = 0;
--- a/src/libraries/leader/minion_leases.cc
+++ b/src/libraries/leader/minion_leases.cc
@@ -158,7 +158,7 @@
                                 const HoldReport& report, bool is_new_process) const {
   minion.clock = report.clock;
   minion.clock_read_at = Now();
-  minion.process_seen_at = asked_at;
+  minion.process_seen_at = is_new_process ? asked_at : std::max(minion.process_seen_at, asked_at);
   if (minion.in_doubt_since.has_value() && asked_at >= *minion.in_doubt_since) {
     minion.in_doubt_since.reset();
   }
@@ -216,6 +216,12 @@
   if (!run.is_process_shown && run.unknown_process_until.has_value()) {
     extend(*run.unknown_process_until, LeaseOrigin::kUnknownProcess);
   }
+  if (minion.needs_higher_token || minion.is_barring_late_orders) {
+    // An order meant for the former process names a time on its clock, so that the lease that the
+    // new one grants has no other bound than the longest.
+    extend(minion.new_process_at + kMaxOrderDelay + LongestRealTime(m_settings.longest_lease),
+           LeaseOrigin::kLateOrder);
+  }
   return expiry;
 }
 
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -91,7 +91,8 @@
   void GiveUpLostRuns();
 
   /// Within which time all leases of the minion have expired; nullopt if it has answered the last
-  /// call, has no runs, or a start is under way to it. The outcome of that is followed by on_silent.
+  /// call, has no runs, or a start is under way to it. The outcome of that is followed by
+  /// on_silent.
   std::optional<Milliseconds> LeasesLeft(const MinionId& id) const;
 
   void Close() { m_is_closed = true; }
@@ -106,6 +107,8 @@
     bool names_lease = false;
     /// How many reports had been received by then.
     int reports_before = 0;
+    /// TrackedMinion::hold_number; that of a call beside it is 0.
+    int number = 0;
   };
 
   void SendStart(const TaskName& task, const MinionId& minion, AttemptNumber attempt,
--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -136,10 +136,11 @@
     minion.last_acknowledgement_sent = order.acknowledged;
   }
   minion.is_hold_in_flight = true;
+  ++minion.hold_number;
   m_minions.Hold(minion.destination(), order,
                  [weak = weak_from_this(), id = minion.id,
-                  sent = SentHold{Now(), order.token, order.lease_until.has_value(),
-                                  minion.reports}](const HoldAnswer& answer) {
+                  sent = SentHold{Now(), order.token, order.lease_until.has_value(), minion.reports,
+                                  minion.hold_number}](const HoldAnswer& answer) {
                    const Self self = weak.lock();
                    if (self != nullptr && !self->m_is_closed) {
                      self->OnHoldAnswer(id, sent, answer);
@@ -150,6 +151,9 @@
 void RunSupervisor::OnHoldAnswer(const MinionId& id, const SentHold& sent,
                                  const HoldAnswer& answer) {
   TrackedMinion& minion = *m_state.FindMinion(id);
+  if (sent.number != minion.hold_number) {
+    return;
+  }
   minion.is_hold_in_flight = false;
   if (m_first_reports_in_flight.erase(id) > 0) {
     RequestNextFirstReports();
@@ -226,7 +230,7 @@
   m_minions.Hold(
       minion.destination(), order,
       [weak = weak_from_this(), id = minion.id,
-       sent = SentHold{Now(), order.token, false, minion.reports}](const HoldAnswer& answer) {
+       sent = SentHold{Now(), order.token, false, minion.reports, 0}](const HoldAnswer& answer) {
         const Self self = weak.lock();
         if (self != nullptr && !self->m_is_closed) {
           self->OnLookAnswer(id, sent, answer);
@@ -246,8 +250,17 @@
     RecordFailedCall(minion, "hold", answer.result, answer.detail);
     return;
   }
+  const MinionIncarnation waited_for = minion.incarnation;
   OnReport(minion, sent, answer);
-  if (!m_is_closed && minion.in_doubt_since.has_value()) {
+  if (m_is_closed) {
+    return;
+  }
+  if (minion.incarnation != waited_for && minion.is_hold_in_flight) {
+    // NOTE: the call that waits was meant for the former process. The next one bars late orders.
+    ++minion.hold_number;
+    minion.is_hold_in_flight = false;
+    RequestHold(minion);
+  } else if (minion.in_doubt_since.has_value()) {
     RequestHold(minion);
   }
 }
--- a/src/libraries/leader/run_supervisor_reports.cc
+++ b/src/libraries/leader/run_supervisor_reports.cc
@@ -64,6 +64,7 @@
     // The process may still be met by orders meant for the former one.
     minion.needs_higher_token = true;
     minion.is_barring_late_orders = false;
+    minion.new_process_at = Now();
     if (!m_state.planned_ends.IsAnnounced(minion.id, minion.incarnation)) {
       minion.vanished_at =
           minion.previous_silence.has_value() ? minion.previous_silence->since : Now();
--- a/tests/leader/restarted_minion_test.cc
+++ b/tests/leader/restarted_minion_test.cc
@@ -27,6 +27,19 @@
     Run(time);
     minions.SetReachable(minion, true);
   }
+  void RunUntilStarted() {
+    while (minions.RunningOn(id).empty()) {
+      Run(Milliseconds(1));
+    }
+  }
+  /// Minions that were cut off from the store write their entries again.
+  void ReconnectToStore() {
+    for (int number = 0; number < 6; ++number) {
+      const MinionId minion("m" + std::to_string(number));
+      minions.SetCutOffFromStore(minion, false);
+      minions.SendHeartbeat(minion);
+    }
+  }
   void ExpectDoneWithoutViolations() {
     Run(Milliseconds(30'000));
     cr_expect(StateOf(id) == WorkState::kDone);
@@ -80,9 +93,7 @@
       cluster.minions.FailNextHolds(minion, {OrderFault::kAnswerLost});
     }
     cluster.SubmitJob();
-    while (cluster.minions.RunningOn(cluster.id).empty()) {
-      cluster.Run(Milliseconds(1));
-    }
+    cluster.RunUntilStarted();
     cluster.Run(Milliseconds(cut_after));
     cluster.CutOff(cluster.Holder(), Milliseconds(9'000));
     cluster.ExpectDoneWithoutViolations();
@@ -145,20 +156,49 @@
     }
     cluster.Run(Milliseconds(600));
     cluster.SubmitTasks(cluster.id, 1, 3);
-    while (cluster.minions.RunningOn(cluster.id).empty()) {
-      cluster.Run(Milliseconds(1));
-    }
+    cluster.RunUntilStarted();
     cluster.Run(Milliseconds(150 * second));
     cluster.CutOff(cluster.Holder(), Milliseconds(9'000));
-    for (int number = 0; number < 6; ++number) {
-      const MinionId minion("m" + std::to_string(number));
-      cluster.minions.SetCutOffFromStore(minion, false);
-      cluster.minions.SendHeartbeat(minion);
-    }
+    cluster.ReconnectToStore();
     cluster.ExpectDoneWithoutViolations();
   }
 }
 
+// Only a higher token bars an order meant for the former process, whose lease is as long as can be.
+Test(restarted_minion, that_takes_a_late_start_before_late_orders_are_barred_runs_no_task_twice) {
+  for (const OutageKind restart : {OutageKind::kSilent, OutageKind::kRefused}) {
+    for (const int cut_after : {0, 3, 4, 5, 6, 7, 20, 100, 300, 700}) {
+      RestartCluster cluster;
+      const bool is_noticed_late = restart == OutageKind::kSilent;
+      if (is_noticed_late) {
+        cluster.SubmitTasks(MakeJobId(2), 6, 5);
+        cluster.Run(Milliseconds(2'000));
+      }
+      for (int number = 0; number < 6; ++number) {
+        const MinionId minion("m" + std::to_string(number));
+        cluster.minions.SetCutOffFromStore(minion, true);
+        cluster.minions.Crash(minion, MinionOutage{Milliseconds(is_noticed_late ? 600 : 1),
+                                                   MinionReturn::kSameId, restart});
+      }
+      cluster.Run(Milliseconds(601));
+      for (int number = 0; number < 6; ++number) {
+        cluster.minions.FailNextOrders(MinionId("m" + std::to_string(number)),
+                                       {OrderFault::kNone, OrderFault::kLate});
+      }
+      cluster.SubmitTasks(cluster.id, 3, 1);
+      cluster.RunUntilStarted();
+      cluster.Run(Milliseconds(cut_after));
+      const MinionId holder = cluster.minions.RunningOn(cluster.id).front();
+      cluster.minions.SetReachable(holder, false);
+      cluster.ReconnectToStore();
+      cluster.Run(Milliseconds(14'000));
+      cluster.minions.SetReachable(holder, true);
+      cluster.Run(Milliseconds(30'000));
+      cluster.ExpectDoneWithoutViolations();
+    }
+  }
+}
+
 // Minions whose registration was not heard of yet were called again without a pause (issue 68).
 Test(restarted_minion, that_is_idle_and_not_registered_yet_is_called_at_intervals) {
   constexpr std::int64_t kRetryDelayMs = 300;
