Tests: Name leases on the minions' own clocks in two fixtures

standstill_meter_test and idle_job_check_test named leases as times on clocks that begin at 0. The leases now last as long as before from the minion's clock; no bound has changed.

--- a/src/stand_ins/fleet/fleet_minions.h
+++ b/src/stand_ins/fleet/fleet_minions.h
@@ -122,6 +122,7 @@
   bool Has(const MinionId& id) const { return m_minions.contains(id); }
   /// Whether the minion's process runs.
   bool IsUp(const MinionId& id) const;
+  MinionTime ClockNow(const MinionId& id) const { return ClockOf(m_minions.at(id)); }
   /// When the process started with which a connection can be established now; nullopt if there is
   /// none.
   std::optional<Milliseconds> ListeningSince(const MinionId& id) const;
--- a/tests/leader/idle_job_check_test.cc
+++ b/tests/leader/idle_job_check_test.cc
@@ -31,9 +31,9 @@
       StartOrder order;
       order.task = TaskName{MakeJobId(2), 0, 0, index};
       order.attempt = AttemptNumber(1);
-      order.lease_until = MinionTime(100'000);
-      order.token = FencingToken(1);
       const MinionAddress address{MinionId("m" + std::to_string(index)), ""};
+      order.lease_until = MinionTime(minions.ClockNow(address.id).value() + 100'000);
+      order.token = FencingToken(1);
       minions.Start(address, order, [](const OrderAnswer& /*answer*/) {});
     }
   }
--- a/tests/leader/standstill_meter_test.cc
+++ b/tests/leader/standstill_meter_test.cc
@@ -35,8 +35,9 @@
     StartOrder order;
     order.task = TaskName{kJob, 0, 0, 0};
     order.attempt = AttemptNumber(attempt);
-    order.lease_until = MinionTime(9'000);
-    minions.Start(MinionAddress{NumberedMinion(number), ""}, order, [](const OrderAnswer&) {});
+    const MinionId id = NumberedMinion(number);
+    order.lease_until = MinionTime(minions.ClockNow(id).value() + 9'000);
+    minions.Start(MinionAddress{id, ""}, order, [](const OrderAnswer&) {});
   }
 
   void LoseMinion(int number) {
