Stand-ins: Let no connection outlive the process of a simulated minion

In the stand-in of real processes (soak, platform_day, gone_minion_try) one process serves all minions, so a call over a connection opened before a minion's restart was carried out by its new process. No minion does that, and the soak could neither show nor refute what the mend rests on.

Cause: the stand-in told its minions apart by the id in a call, and knew nothing of the connection that had brought it.

Change: AsyncHttpServer tells when it accepted a request's connection, and MinionWire gives no answer to a call over one that is not newer than the process on the minion's machine, and closes it. A connection may carry calls to several minions; its age against each process's start counts.

Known limit: a connection counts from when the stand-in accepts it, so one that lies in the system's queue while a process ends and the next one starts counts as one to the next.

--- a/src/libraries/http/async_http_server.cc
+++ b/src/libraries/http/async_http_server.cc
@@ -159,10 +159,12 @@
     Daemon& daemon = *static_cast<Daemon*>(context);
     RequestTimeoutMonitor& monitor = daemon.m_timeout_monitor;
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+      daemon.m_opened_at.erase(connection);
       monitor.OnConnectionClosed(connection);
       daemon.ListenAgainIfFull();
       return;
     }
+    daemon.m_opened_at[connection] = daemon.m_loop.clock().Now();
     monitor.OnConnectionOpened(connection, DescriptorOf(connection));
     daemon.m_is_full = daemon.m_is_full || monitor.connections() >= daemon.m_limits.connections;
     if (IsNearLimit(monitor.connections(), daemon.m_limits.connections)) {
@@ -254,6 +256,7 @@
     }
     exchange.request.method = known->method;
     exchange.request.path = url;
+    exchange.request.connection_opened_at = m_opened_at.at(connection);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, CollectQuery, &exchange.request);
     MHD_get_connection_values(connection, MHD_HEADER_KIND, CollectHeader, &exchange.request);
     exchange.dispatched = true;
@@ -324,6 +327,7 @@
   TimerId m_timer = 0;
   TimerId m_check_timer = 0;
   std::unordered_map<const void*, std::shared_ptr<Exchange>> m_exchanges;
+  std::unordered_map<const MHD_Connection*, Milliseconds> m_opened_at;
 };
 
 AsyncHttpServer::AsyncHttpServer(std::unique_ptr<Daemon> daemon) : m_daemon(std::move(daemon)) {}
--- a/src/libraries/http/http_message.h
+++ b/src/libraries/http/http_message.h
@@ -22,6 +22,9 @@
   /// Keyed by lower-case name; only AsyncHttpServer fills it.
   std::map<std::string, std::string> headers;
   std::string body;
+  /// When the server accepted the connection that has brought the request, on its loop's clock.
+  /// Only set by AsyncHttpServer.
+  std::optional<Milliseconds> connection_opened_at;
 };
 
 /// Writes the next piece of a streamed body into `piece`; returns false at its end. May block.
--- a/src/stand_ins/fleet/minion_wire.cc
+++ b/src/stand_ins/fleet/minion_wire.cc
@@ -98,6 +98,13 @@
 
 }  // namespace
 
+bool MinionWire::IsToFormerProcess(const HttpRequest& request, const MinionId& called) const {
+  const std::optional<Milliseconds> listening_since =
+      m_minions.ListeningSince(m_minions.NewestOn(called));
+  // Within one millisecond the order is not known: a connection that is lost harms no caller.
+  return listening_since.has_value() && request.connection_opened_at <= listening_since;
+}
+
 void MinionWire::Handle(const HttpRequest& request, const HttpResponder& respond) {
   const auto instance = request.headers.find("x-expect-instance");
   if (instance == request.headers.end() || !m_minions.Has(MinionId(instance->second))) {
@@ -105,6 +112,10 @@
     return;
   }
   const MinionAddress minion{MinionId(instance->second), ""};
+  if (IsToFormerProcess(request, minion.id)) {
+    respond(NoAnswer());
+    return;
+  }
   const auto respond_to_order = [respond](const OrderAnswer& answer) {
     RespondToOrder(answer, respond);
   };
--- a/src/stand_ins/fleet/minion_wire.h
+++ b/src/stand_ins/fleet/minion_wire.h
@@ -10,10 +10,15 @@
  public:
   explicit MinionWire(FleetMinions& minions) : m_minions(minions) {}
 
-  /// Dispatches to the minion that the request's header names.
+  /// Dispatches to the minion that the request's header names. A request over a connection that is
+  /// not newer than the process on that minion's machine gets no answer, and its connection is
+  /// closed: as one process serves all minions here, the connection has outlived the process that
+  /// it was opened to.
   void Handle(const HttpRequest& request, const HttpResponder& respond);
 
  private:
+  bool IsToFormerProcess(const HttpRequest& request, const MinionId& called) const;
+
   FleetMinions& m_minions;
 };
 
--- a/tests/loop/async_http_test.cc
+++ b/tests/loop/async_http_test.cc
@@ -212,6 +212,31 @@
   cr_expect(after.connection_opened_at >= restarted_at);
 }
 
+Test(async_http, request_tells_when_its_connection_was_accepted) {
+  constexpr int kPauseMicroseconds = 20'000;
+  std::optional<Milliseconds> opened_at;
+  AsyncFixture fixture([&opened_at](const HttpRequest& request, const HttpResponder& respond) {
+    opened_at = request.connection_opened_at;
+    respond(HttpResponse{});
+  });
+  const AsyncHttpCall call = fixture.Call(HttpMethod::kPost, "/");
+  const Milliseconds began_at = fixture.clock.Now();
+  fixture.Send(call);
+  const Milliseconds ended_at = fixture.clock.Now();
+  const std::optional<Milliseconds> first = opened_at;
+  cr_assert(first.has_value());
+  cr_expect(*first >= began_at && *first <= ended_at);
+
+  usleep(kPauseMicroseconds);
+  cr_assert(fixture.Send(call).connection == ConnectionOrigin::kKept);
+  cr_expect(opened_at == first);
+
+  AsyncHttpCall fresh = call;
+  fresh.max_connection_idle = std::chrono::seconds(0);
+  fixture.Send(fresh);
+  cr_expect(opened_at > ended_at);
+}
+
 Test(async_http, call_without_a_connection_tells_none) {
   AsyncFixture fixture([](const HttpRequest&, const HttpResponder&) {});
   AsyncHttpCall call = fixture.Call(HttpMethod::kPost, "/");
