Leader: Acknowledge ends only over a connection to the process that reported them

Cause: a process counts its ends anew, and an acknowledgement names only a count. One that was sent before the restart was heard of reached the next process. "It does not wait, so it finds no ends there" is no proof: it may be carried out seconds late, and a start without an answer yet may have been carried out, and its run ended, before it. Traced in both orders with logs: the acknowledgement of ends 1 to 4 of the former process forgets end 1 of the next; the first report of that one lists no run, which counts as a crash under its task ("the minion no longer has the run"), and it starts again.

Now an acknowledgement names by when its connection must have been established: before the latest report was asked for. The HTTP client sends it over a kept one or not at all. Without one, a call for a report comes first, at once, and the acknowledgement follows over its connection. After three in a row that found none the next may open one: where no connection outlasts a call, ends would else never be acknowledged. No call waits while ends are to be acknowledged.

--- a/src/libraries/http/async_http_client.cc
+++ b/src/libraries/http/async_http_client.cc
@@ -76,8 +76,14 @@
   if (transfer.sent || (transfer.request.call.may_send && !transfer.request.call.may_send())) {
     return CURL_PREREQFUNC_ABORT;
   }
-  transfer.sent = true;
   const ConnectionEnds ends{remote_ip, remote_port, local_port};
+  if (transfer.request.connection_opened_by.has_value()) {
+    const std::optional<Milliseconds> opened_at = transfer.connections.OpenedAt(ends);
+    if (!opened_at.has_value() || *opened_at > *transfer.request.connection_opened_by) {
+      return CURL_PREREQFUNC_ABORT;
+    }
+  }
+  transfer.sent = true;
   if (transfer.opened_socket.has_value()) {
     transfer.connections.RecordOpened(*transfer.opened_socket, ends, transfer.loop.clock().Now());
   }
@@ -90,6 +96,9 @@
 
 curl_socket_t OpenSocket(void* target, curlsocktype /*purpose*/, struct curl_sockaddr* address) {
   Transfer& transfer = *static_cast<Transfer*>(target);
+  if (transfer.request.connection_opened_by.has_value()) {
+    return CURL_SOCKET_BAD;
+  }
   const int opened = socket(address->family, address->socktype, address->protocol);
   if (opened >= 0) {
     transfer.opened_socket = opened;
@@ -170,7 +179,8 @@
   outcome.result = transfer.sent ? HttpCallResult::kUnclear : HttpCallResult::kNotSent;
   long os_error = 0;
   curl_easy_getinfo(transfer.handle.get(), CURLINFO_OS_ERRNO, &os_error);
-  outcome.is_connection_refused = code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
+  outcome.is_connection_refused = transfer.opened_socket.has_value() &&
+                                  code == CURLE_COULDNT_CONNECT && os_error == ECONNREFUSED;
   return outcome;
 }
 
--- a/src/libraries/http/async_http_client.h
+++ b/src/libraries/http/async_http_client.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,9 @@
   std::vector<std::string> headers;
   /// A kept connection that was idle for longer is not reused; 0 always opens a new connection.
   std::chrono::seconds max_connection_idle{10};
+  /// If set, only a kept connection that was established by then is used; the call ends as kNotSent
+  /// without one.
+  std::optional<Milliseconds> connection_opened_by = std::nullopt;
 };
 
 /// Must be used on the loop's thread only. Never sends a failed call a second time by itself.
--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -261,6 +261,8 @@
   /// Reported ends that are not stored yet.
   std::set<EndNumber> unsaved_ends;
   EndNumber last_acknowledgement_sent;
+  /// Acknowledgements in a row that were not sent, as no connection to its process was kept.
+  int unsent_acknowledgements = 0;
   bool is_hold_in_flight = false;
   /// A hold call beside the one that waits, to learn which process has taken a start.
   bool is_look_in_flight = false;
@@ -279,7 +281,7 @@
   std::optional<MinionSilence> previous_silence;
   /// When the minion last left the registry, or started a new incarnation, without an announcement.
   std::optional<Milliseconds> vanished_at;
-  /// Every call since the last report was answered, so the minion has not restarted.
+  /// Every call since the last report was answered, so there is no sign of a restart.
   bool is_incarnation_confirmed = false;
   MinionHealth health;
 
--- a/src/libraries/leader/run_supervisor.h
+++ b/src/libraries/leader/run_supervisor.h
@@ -106,6 +106,8 @@
     bool names_lease = false;
     /// How many reports had been received by then.
     int reports_before = 0;
+    /// It acknowledges ends, and only the process that has reported them can receive it.
+    bool is_bound = false;
   };
 
   void SendStart(const TaskName& task, const MinionId& minion, AttemptNumber attempt,
@@ -127,6 +129,8 @@
   void OnHoldAnswer(const MinionId& id, const SentHold& sent, const HoldAnswer& answer);
   void RecordOutcome(const MinionId& id);
   void OnHoldFailed(TrackedMinion& minion, const HoldAnswer& answer);
+  /// No connection to the process that has reported the ends is kept.
+  void OnAcknowledgementNotSent(TrackedMinion& minion);
   /// A minion has refused an order with the token. Steps down if another leader has given it a
   /// higher one; returns false if it was this leader.
   bool StepDownIfSuperseded(const TrackedMinion& minion, FencingToken token) const;
--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -21,6 +21,10 @@
 /// no end that would cut a wait short.
 constexpr Milliseconds kUnconfirmedStopDelay{100};
 
+/// After as many acknowledgements that were not sent, its connections are taken not to outlast a
+/// call. The next one may open its own, or the minion's ends would never be acknowledged.
+constexpr int kMaxUnsentAcknowledgements = 3;
+
 /// Whether a run is to be stopped of which no answer has shown that it began.
 bool HasUnconfirmedStop(const TrackedMinion& minion) {
   return std::any_of(minion.runs.begin(), minion.runs.end(), [](const auto& entry) {
@@ -112,16 +116,19 @@
       minion.unanswered_calls == 0 ? m_leases.NextLeaseOfHold(minion, m_settings.usual_lease)
                                    : std::optional<MinionTime>();
   // NOTE: a new incarnation restarts its end numbers, so an acknowledgement meant for the previous
-  // one would delete ends that were never reported. Ends are therefore only acknowledged if no
-  // earlier call is unanswered, and by a call that does not wait: a minion that started anew in the
-  // meantime has no ends when the call arrives, but may have some when a wait is over.
-  const bool acknowledges = minion.is_incarnation_confirmed && !minion.in_doubt_since.has_value() &&
-                            minion.acknowledgeable_end() > minion.last_acknowledgement_sent;
+  // one would delete ends that were never reported. Such a call may also be carried out late.
+  // Ends are therefore only acknowledged over a connection that leads to the process that has
+  // reported last, and if no earlier call is unanswered.
+  const bool has_new_ends = minion.acknowledgeable_end() > minion.last_acknowledgement_sent;
+  const bool acknowledges =
+      has_new_ends && minion.is_incarnation_confirmed && !minion.in_doubt_since.has_value();
+  const bool is_bound = acknowledges && minion.unsent_acknowledgements < kMaxUnsentAcknowledgements;
   const bool waits = lease.has_value() && !minion.runs.empty() && minion.unsaved_ends.empty() &&
-                     minion.unanswered_calls == 0 && !acknowledges && !HasUnconfirmedStop(minion);
-  const HoldOrder order{m_leases.NextToken(minion), lease,
-                        acknowledges ? minion.acknowledgeable_end() : EndNumber(0),
-                        waits ? m_settings.hold_wait : Milliseconds(0)};
+                     minion.unanswered_calls == 0 && !has_new_ends && !HasUnconfirmedStop(minion);
+  const HoldOrder order{
+      m_leases.NextToken(minion), lease, acknowledges ? minion.acknowledgeable_end() : EndNumber(0),
+      waits ? m_settings.hold_wait : Milliseconds(0),
+      is_bound ? std::optional<Milliseconds>(minion.process_seen_at) : std::nullopt};
   if (order.lease_until.has_value()) {
     minion.lease_until =
         std::max(minion.lease_until.value_or(*order.lease_until), *order.lease_until);
@@ -129,12 +136,13 @@
   }
   if (acknowledges) {
     minion.last_acknowledgement_sent = order.acknowledged;
+    minion.unsent_acknowledgements = is_bound ? minion.unsent_acknowledgements : 0;
   }
   minion.is_hold_in_flight = true;
   m_minions.Hold(minion.destination(), order,
                  [weak = weak_from_this(), id = minion.id,
-                  sent = SentHold{Now(), order.token, order.lease_until.has_value(),
-                                  minion.reports}](const HoldAnswer& answer) {
+                  sent = SentHold{Now(), order.token, order.lease_until.has_value(), minion.reports,
+                                  is_bound}](const HoldAnswer& answer) {
                    const Self self = weak.lock();
                    if (self != nullptr && !self->m_is_closed) {
                      self->OnHoldAnswer(id, sent, answer);
@@ -155,6 +163,10 @@
     }
     return;
   }
+  if (answer.result == OrderResult::kNotSent && sent.is_bound) {
+    OnAcknowledgementNotSent(minion);
+    return;
+  }
   if (answer.result != OrderResult::kDone) {
     if (sent.names_lease) {
       m_leases.RecordHold(minion);
@@ -163,6 +175,9 @@
     RecordOutcome(id);
     return;
   }
+  if (sent.is_bound) {
+    minion.unsent_acknowledgements = 0;
+  }
   OnReport(minion, sent, answer);
   if (m_is_closed) {
     return;
@@ -250,6 +265,14 @@
   }
 }
 
+void RunSupervisor::OnAcknowledgementNotSent(TrackedMinion& minion) {
+  ++minion.unsent_acknowledgements;
+  minion.last_acknowledgement_sent = EndNumber(0);
+  // The next report comes over a connection that leads to its process.
+  minion.is_incarnation_confirmed = false;
+  RequestHold(minion);
+}
+
 void RunSupervisor::OnHoldFailed(TrackedMinion& minion, const HoldAnswer& answer) {
   // The call may have carried an acknowledgement, which must be sent again.
   minion.last_acknowledgement_sent = EndNumber(0);
--- a/src/libraries/leader/run_supervisor_reports.cc
+++ b/src/libraries/leader/run_supervisor_reports.cc
@@ -57,6 +57,7 @@
         .Write();
     minion.last_end = EndNumber(0);
     minion.last_acknowledgement_sent = EndNumber(0);
+    minion.unsent_acknowledgements = 0;
     minion.unsaved_ends.clear();
     // Times on the former process's clock.
     minion.lease_until.reset();
--- a/src/libraries/work/run_messages.h
+++ b/src/libraries/work/run_messages.h
@@ -78,6 +78,9 @@
   EndNumber acknowledged;
   /// How long the minion may wait for a run to end before it answers; 0 to answer at once.
   Milliseconds wait{0};
+  /// If set, it is only sent over a connection that was established by then, and ends as kNotSent
+  /// if none is kept.
+  std::optional<Milliseconds> connection_opened_by = std::nullopt;
 };
 
 enum class OrderResult {
--- a/tests/leader/fake_connections.h
+++ b/tests/leader/fake_connections.h
@@ -28,10 +28,18 @@
   std::shared_ptr<FakeConnection> Take(const MinionId& minion,
                                        std::optional<Milliseconds> listening_since,
                                        Milliseconds now);
+  /// An idle connection that was established by then; nullptr if none is kept.
+  std::shared_ptr<FakeConnection> TakeOpenedBy(const MinionId& minion,
+                                               std::optional<Milliseconds> listening_since,
+                                               Milliseconds opened_by);
   void Release(const MinionId& minion, const std::shared_ptr<FakeConnection>& connection,
                bool is_answered);
 
  private:
+  /// Those that are kept, without those whose process has ended.
+  std::vector<std::shared_ptr<FakeConnection>>& KeptTo(const MinionId& minion,
+                                                       std::optional<Milliseconds> listening_since);
+
   std::map<MinionId, std::vector<std::shared_ptr<FakeConnection>>> m_connections;
   /// Over which the latest call to each minion went.
   std::map<MinionId, FakeConnection> m_latest;
--- a/tests/leader/fake_minion_port.cc
+++ b/tests/leader/fake_minion_port.cc
@@ -37,10 +37,27 @@
     callback(answer);
   };
   m_timers.After(kNetworkDelay, [this, minion, order, guarded = Guard<HoldAnswer>(counted)] {
-    m_minions.Hold(minion, order, Connect(minion.id, guarded));
+    HoldNow(minion, order, guarded);
   });
 }
 
+void FakeMinionPort::HoldNow(const MinionAddress& minion, const HoldOrder& order,
+                             const std::function<void(HoldAnswer)>& callback) {
+  if (!order.connection_opened_by.has_value()) {
+    m_minions.Hold(minion, order, Connect(minion.id, callback));
+    return;
+  }
+  const std::shared_ptr<FakeConnection> kept = m_connections.TakeOpenedBy(
+      minion.id, m_minions.ListeningSince(minion.id), *order.connection_opened_by);
+  if (kept == nullptr) {
+    HoldAnswer not_sent;
+    not_sent.result = OrderResult::kNotSent;
+    callback(not_sent);
+    return;
+  }
+  m_minions.Hold(minion, order, ConnectOver(kept, minion.id, callback));
+}
+
 void FakeMinionPort::Thaw() {
   m_is_frozen = false;
   for (const std::function<void()>& deliver : std::exchange(m_late_answers, {})) {
--- a/tests/leader/fake_minion_port.h
+++ b/tests/leader/fake_minion_port.h
@@ -49,8 +49,15 @@
   template <typename Answer>
   std::function<void(Answer)> Connect(const MinionId& minion,
                                       std::function<void(Answer)> callback) {
-    std::shared_ptr<FakeConnection> connection =
-        m_connections.Take(minion, m_minions.ListeningSince(minion), m_timers.clock().Now());
+    return ConnectOver(
+        m_connections.Take(minion, m_minions.ListeningSince(minion), m_timers.clock().Now()),
+        minion, std::move(callback));
+  }
+
+  template <typename Answer>
+  std::function<void(Answer)> ConnectOver(std::shared_ptr<FakeConnection> connection,
+                                          const MinionId& minion,
+                                          std::function<void(Answer)> callback) {
     return [this, minion, connection = std::move(connection),
             callback = std::move(callback)](Answer answer) {
       m_connections.Release(minion, connection, answer.result != OrderResult::kUnclear);
@@ -59,6 +66,9 @@
     };
   }
 
+  void HoldNow(const MinionAddress& minion, const HoldOrder& order,
+               const std::function<void(HoldAnswer)>& callback);
+
   template <typename Answer>
   std::function<void(Answer)> Guard(std::function<void(Answer)> callback) {
     return [this, callback = std::move(callback)](const Answer& answer) {
--- a/tests/loop/async_http_test.cc
+++ b/tests/loop/async_http_test.cc
@@ -212,6 +212,37 @@
   cr_expect(after.connection_opened_at >= restarted_at);
 }
 
+// An acknowledgement of ends must not reach a process that started anew (issue 62).
+Test(async_http, call_bound_to_a_kept_connection_opens_none) {
+  constexpr int kPauseMicroseconds = 20'000;
+  int requests = 0;
+  AsyncFixture fixture([&requests](const HttpRequest&, const HttpResponder& respond) {
+    ++requests;
+    respond(HttpResponse{});
+  });
+  const AsyncHttpCall call = fixture.Call(HttpMethod::kPost, "/");
+  AsyncHttpCall bound = call;
+  bound.connection_opened_by = fixture.clock.Now();
+  const HttpOutcome none = fixture.Send(bound);
+  cr_expect(none.result == HttpCallResult::kNotSent);
+  cr_expect(!none.is_connection_refused);
+  usleep(kPauseMicroseconds);
+  const std::optional<Milliseconds> opened_at = fixture.Send(call).connection_opened_at;
+  cr_assert(opened_at.has_value());
+
+  // The kept one is too new.
+  cr_expect(fixture.Send(bound).result == HttpCallResult::kNotSent);
+  cr_expect_eq(requests, 1);
+
+  const std::optional<Milliseconds> next_opened_at = fixture.Send(call).connection_opened_at;
+  bound.connection_opened_by = next_opened_at;
+  const HttpOutcome kept = fixture.Send(bound);
+  cr_expect(kept.result == HttpCallResult::kAnswered);
+  cr_expect(kept.connection == ConnectionOrigin::kKept);
+  cr_expect(kept.connection_opened_at == next_opened_at);
+  cr_expect_eq(requests, 3);
+}
+
 Test(async_http, call_without_a_connection_tells_none) {
   AsyncFixture fixture([](const HttpRequest&, const HttpResponder&) {});
   AsyncHttpCall call = fixture.Call(HttpMethod::kPost, "/");
