--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -263,6 +263,8 @@
   /// Reported ends that are not stored yet.
   std::set<EndNumber> unsaved_ends;
   EndNumber last_acknowledgement_sent;
+  /// Acknowledgements in a row that were not sent, as no connection to its process was kept.
+  int unsent_acknowledgements = 0;
   bool is_hold_in_flight = false;
   /// Of the latest hold. The answers to earlier ones are ignored.
   int hold_number = 0;
@@ -283,7 +285,7 @@
   std::optional<MinionSilence> previous_silence;
   /// When the minion last left the registry, or started a new incarnation, without an announcement.
   std::optional<Milliseconds> vanished_at;
-  /// Every call since the last report was answered, so the minion has not restarted.
+  /// Every call since the last report was answered, so there is no sign of a restart.
   bool is_incarnation_confirmed = false;
   MinionHealth health;
 
