Leader: Count an unanswered start for all runs on an unknown process

A task would run twice: three starts go to a minion whose new process nobody has heard of, one of them gets no answer and is carried out 3 s later, and the minion is cut off before it reports. The late order extends the lease of all that runs there; the two runs whose starts were answered were given up 10 s after their answers.

--- a/src/libraries/leader/minion_leases.cc
+++ b/src/libraries/leader/minion_leases.cc
@@ -120,9 +120,13 @@
     RecordClock(minion, order, answer);
   }
   const bool is_answered = answer.result != OrderResult::kUnclear;
+  const Milliseconds carried_out_by = is_answered ? Now() : Now() + kMaxOrderDelay;
   if (is_answered && !met_known_process) {
     minion.in_doubt_since = Now();
   }
+  if (!met_known_process) {
+    ExtendUnknownProcesses(minion, carried_out_by);
+  }
   if (run == nullptr || IsOnlyCopyShown(*run)) {
     return;
   }
@@ -130,7 +134,7 @@
     run->is_process_shown = run->is_process_shown || answer.result == OrderResult::kDone;
   } else if (!is_answered || answer.result == OrderResult::kDone) {
     run->is_process_shown = false;
-    AssumeUnknownProcess(*run, is_answered ? Now() : Now() + kMaxOrderDelay);
+    AssumeUnknownProcess(*run, carried_out_by);
   }
 }
 
