Leader: Repeat no start to a minion that the lease record lists

Cause: a repeated start took the lease of the first and so passed by MayGrantLease, on which the record rests: a listed minion is granted nothing. Now it is held back and the run stopped. run_supervisor_test's new test failed before (2 starts).

--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -63,8 +63,9 @@
   TrackedMinion& minion = *m_state.FindMinion(minion_id);
   TrackedRun& run = *FindRun(task, minion_id, attempt);
   // A repeated order keeps the lease of the first, or a minion that is gone would keep its room for
-  // longer with each repetition.
-  const bool is_repeated = run.orders_sent > 0 && minion.lease_until.has_value();
+  // longer with each repetition. A minion that the lease record lists gets none.
+  const bool is_repeated =
+      run.orders_sent > 0 && minion.lease_until.has_value() && m_state.MayGrantLease(minion_id);
   const std::optional<MinionTime> lease =
       is_repeated ? minion.lease_until : m_leases.NextLeaseOfStart(minion, m_settings.start_lease);
   if (!lease.has_value()) {
@@ -185,11 +186,12 @@
     if (self == nullptr || self->m_is_closed) {
       return;
     }
-    const TrackedRun* const run = self->FindRun(order.task, minion_id, order.attempt);
+    TrackedRun* const run = self->FindRun(order.task, minion_id, order.attempt);
     // A report may have listed the run, or it may have been stopped, in the meantime.
-    if (run != nullptr && run->state == TrackedRunState::kOrdered) {
-      self->SendStart(order.task, minion_id, order.attempt, order.payload, order.checkpoint);
+    if (run == nullptr || run->state != TrackedRunState::kOrdered) {
+      return;
     }
+    self->SendStart(order.task, minion_id, order.attempt, order.payload, order.checkpoint);
   });
 }
 
--- a/tests/leader/run_supervisor_test.cc
+++ b/tests/leader/run_supervisor_test.cc
@@ -90,6 +90,18 @@
   cr_assert(fixture.losses[0] == RunLoss::kRunLost);
 }
 
+// Its new process took the repeated start, and the next leader went by the record (issue 68).
+Test(run_supervisor, start_is_not_repeated_to_a_minion_that_the_lease_record_lists) {
+  SupervisorFixture fixture;
+  fixture.fleet.FailNextOrders(fixture.id, {OrderFault::kLost});
+  fixture.StartWithTermAge(Milliseconds(0));
+  fixture.timers.Run(Milliseconds(700));
+  fixture.confirmed_at = fixture.timers.clock().Now();
+  fixture.state.listed_as_silent.insert(fixture.id);
+  fixture.timers.Run(Milliseconds(1'000));
+  cr_assert_eq(fixture.port.starts(), 1);
+}
+
 // A verdict fell on what had not been read, though its answer lay there (issue 65).
 Test(run_supervisor, lease_is_not_taken_as_expired_before_all_that_arrived_by_then_is_heard) {
   SupervisorFixture fixture;
