Leader: Repeat no start to a minion that does not answer holds either

A minion is not listed as silent while a start to it is under way, and starts without an answer were repeated for 2 s.

Once a hold has failed as well, the start is stopped instead of repeated.

--- a/src/libraries/leader/leader_state.h
+++ b/src/libraries/leader/leader_state.h
@@ -206,6 +206,8 @@
   bool was_refused = false;
   /// Another minion answered at the address.
   bool was_replaced = false;
+  /// Not only starts have failed, but a hold as well.
+  bool has_failed_hold = false;
 };
 
 struct TrackedMinion {
--- a/src/libraries/leader/run_supervisor.cc
+++ b/src/libraries/leader/run_supervisor.cc
@@ -191,6 +191,12 @@
     if (run == nullptr || run->state != TrackedRunState::kOrdered) {
       return;
     }
+    const std::optional<MinionSilence>& silence = self->m_state.FindMinion(minion_id)->silence;
+    if (silence.has_value() && silence->has_failed_hold) {
+      // NOTE: the minion is not listed as silent while a start to it is under way.
+      self->Stop(*run, "its minion does not answer");
+      return;
+    }
     self->SendStart(order.task, minion_id, order.attempt, order.payload, order.checkpoint);
   });
 }
--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -263,6 +263,7 @@
   }
   if (answer.result != OrderResult::kDone) {
     RecordFailedCall(minion, "hold", answer.result, answer.detail);
+    minion.silence->has_failed_hold = true;
     return;
   }
   const MinionIncarnation waited_for = minion.incarnation;
@@ -298,6 +299,7 @@
   // The call may have carried an acknowledgement, which must be sent again.
   minion.last_acknowledgement_sent = EndNumber(0);
   RecordFailedCall(minion, "hold", answer.result, answer.detail);
+  minion.silence->has_failed_hold = true;
   if (minion.unanswered_calls == 2) {
     LogSilence(minion, answer.detail);
   }
