--- a/src/libraries/leader/run_supervisor_holds.cc
+++ b/src/libraries/leader/run_supervisor_holds.cc
@@ -195,14 +195,11 @@
   if (!minion.unsaved_ends.empty()) {
     // Acknowledge() requests the next hold earlier, once the ends are stored.
     RequestHoldLater(minion, kUnsavedEndsDelay);
-  } else if (!m_state.MayGrantLease(id)) {
-    // It is held again as soon as leases may be granted to it.
+  } else if (!m_state.MayGrantLease(id) || (NeedsHold(minion) && HasNothingToRenew(minion))) {
+    // It is held again as soon as leases may be granted to it, or its registration is heard of.
     RequestHoldLater(minion, kRetryDelay);
   } else if (HasUnconfirmedStop(minion)) {
     RequestHoldLater(minion, kUnconfirmedStopDelay);
-  } else if (NeedsHold(minion) && HasNothingToRenew(minion)) {
-    // Its registration is not heard of yet, and the call does not wait.
-    RequestHoldLater(minion, kRetryDelay);
   } else if (NeedsHold(minion)) {
     RequestHold(minion);
   }
